--- /dev/null
+++ b/crates/larkspring-core/src/ids.rs
@@ -0,0 +1,61 @@
+//! Names and numbers that identify things across processes.
+
+use std::fmt::{self, Display, Formatter};
+use std::sync::Arc;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Name of a caller.
+pub type CallerId = Arc<str>;
+/// Name of an adapter.
+pub type AdapterId = Arc<str>;
+/// Name of a version of an adapter.
+pub type VersionId = Arc<str>;
+/// Name of a base model.
+pub type BaseId = Arc<str>;
+/// Name of a plain service.
+pub type ServiceId = Arc<str>;
+/// Name of an endpoint.
+pub type EndpointId = Arc<str>;
+/// Name of a VM.
+pub type VmId = Arc<str>;
+/// Name of a hall.
+pub type HallId = Arc<str>;
+/// Number of an attempt within one agent.
+pub type AttemptId = u64;
+/// Number of a declared state; a higher one replaces a lower one.
+pub type Revision = u64;
+/// Name that an engine gives to one run of itself.
+pub type Incarnation = Arc<str>;
+/// Hash of an exact adapter, as carried in hints.
+pub type TargetHash = u64;
+
+/// Separates the adapter from the version in the name of a model.
+pub const VERSION_MARK: char = '@';
+
+/// An exact adapter: its name and version.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Target {
+    /// The adapter.
+    pub adapter: AdapterId,
+    /// Its version.
+    pub version: VersionId,
+}
+
+impl Target {
+    /// Creates the target `adapter@version`.
+    pub fn new(adapter: &str, version: &str) -> Self {
+        Self { adapter: adapter.into(), version: version.into() }
+    }
+
+    /// Returns the hash that stands for the target in hints.
+    pub fn hash(&self) -> TargetHash {
+        xxh3_64(self.to_string().as_bytes())
+    }
+}
+
+impl Display for Target {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}{}{}", self.adapter, VERSION_MARK, self.version)
+    }
+}
--- /dev/null
+++ b/crates/larkspring-core/src/lib.rs
@@ -0,0 +1,18 @@
+//! Decisions of larkspring, free of I/O.
+//!
+//! The daemons feed this crate with events and the present time and carry out what it
+//! answers. The stages of a request, in order:
+//!
+//! 1. [`declared`]: the declared state in force; who the caller is and what it named.
+//! 2. [`claims`]: whether a request that must run at most once may run.
+//! 3. [`route`]: which endpoint is asked.
+//! 4. [`slots`]: when the endpoint's agent loads the adapter and starts the request.
+//! 5. [`outcome`] and [`retry`]: how it ended, and whether another attempt is allowed.
+
+pub mod claims;
+pub mod declared;
+pub mod ids;
+pub mod outcome;
+pub mod retry;
+pub mod route;
+pub mod slots;
--- /dev/null
+++ b/crates/larkspring-core/src/slots.rs
@@ -0,0 +1,457 @@
+//! When an agent loads and unloads adapters and when it starts requests.
+//!
+//! The agent reports each event and then asks [`Slots::schedule`] for the actions that
+//! follow. A request that waits for its adapter stays outside the engine's batch.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use crate::ids::{AttemptId, Incarnation, Target, TargetHash};
+use crate::outcome::{Refusal, Step};
+
+/// Adapters, waiting requests and running requests of one engine.
+#[derive(Debug)]
+pub struct Slots {
+    limits: Limits,
+    incarnation: Option<Incarnation>,
+    adapters: HashMap<Target, Residency>,
+    waiting: BTreeMap<AttemptId, Waiting>,
+    running: HashMap<AttemptId, Running>,
+    failures: HashMap<Target, Failure>,
+    load_time: Duration,
+    service_time: Duration,
+    draining: bool,
+}
+
+/// Bounds of one engine.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Adapter slots of the engine.
+    pub slots: usize,
+    /// Requests in the engine at a time.
+    pub max_running: usize,
+    /// Requests that may wait.
+    pub max_waiting: usize,
+    /// Loads under way at a time.
+    pub max_loading: usize,
+    /// Wait after which a request may stop new use of a busy adapter to get its slot.
+    pub patience: Duration,
+}
+
+/// What the agent has to do next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Order the engine to load an adapter.
+    Load(Target),
+    /// Order the engine to unload an adapter.
+    Unload(Target),
+    /// Send the request to the engine; its adapter is pinned.
+    Start(AttemptId),
+    /// Answer the request with a refusal.
+    Refuse(AttemptId, Refusal),
+}
+
+/// A request that waits.
+#[derive(Debug, Clone)]
+pub struct Waiting {
+    /// The exact adapter that it named.
+    pub target: Target,
+    /// 0 is the most urgent.
+    pub priority: u32,
+    /// When it came.
+    pub since: Instant,
+    /// When its caller gives up.
+    pub deadline: Instant,
+}
+
+#[derive(Debug)]
+struct Running {
+    target: Target,
+    incarnation: Option<Incarnation>,
+    since: Instant,
+}
+
+#[derive(Debug)]
+struct Residency {
+    phase: Phase,
+    pins: usize,
+    last_used: Instant,
+    heat: Heat,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Loading { since: Instant },
+    Resident,
+    /// Resident, but no request may start; unloaded when the last pin goes.
+    Retiring,
+    Unloading,
+}
+
+#[derive(Debug)]
+struct Failure {
+    count: u32,
+    until: Instant,
+}
+
+/// Uses of an adapter, of which half are forgotten every [`HALF_LIFE`].
+#[derive(Debug, Clone, Copy)]
+struct Heat {
+    value: f64,
+    at: Instant,
+}
+
+const HALF_LIFE: Duration = Duration::from_secs(30);
+const FIRST_LOAD_TIME: Duration = Duration::from_millis(500);
+const FIRST_SERVICE_TIME: Duration = Duration::from_secs(1);
+const FAILURE_BACKOFF: Duration = Duration::from_millis(500);
+const FAILURE_BACKOFF_LIMIT: Duration = Duration::from_secs(30);
+/// Weight of a new sample in a moving average.
+const SAMPLE_WEIGHT: f64 = 0.2;
+
+impl Slots {
+    /// Creates the state of an engine with nothing known to be loaded.
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            incarnation: None,
+            adapters: HashMap::new(),
+            waiting: BTreeMap::new(),
+            running: HashMap::new(),
+            failures: HashMap::new(),
+            load_time: FIRST_LOAD_TIME,
+            service_time: FIRST_SERVICE_TIME,
+            draining: false,
+        }
+    }
+
+    /// Takes a new request, or refuses it at once.
+    pub fn admit(
+        &mut self,
+        now: Instant,
+        id: AttemptId,
+        req: Waiting,
+    ) -> Result<(), Refusal> {
+        if self.draining {
+            return Err(leaving());
+        }
+        if let Some(failure) = self.failures.get(&req.target).filter(|f| f.until > now) {
+            let text = "the adapter failed to load here";
+            let refusal = Refusal::not_run(Step::Load, text).elsewhere();
+            return Err(refusal.retry_after(failure.until - now));
+        }
+        if self.waiting.len() >= self.limits.max_waiting {
+            let refusal = Refusal::not_run(Step::Queue, "the endpoint's queue is full");
+            return Err(refusal.elsewhere().retry_after(self.service_time));
+        }
+        let wait = self.predict(&req.target);
+        if now + wait > req.deadline {
+            let text = "the request cannot start before its deadline";
+            let refusal = Refusal::not_run(Step::Queue, text);
+            return Err(refusal.elsewhere().retry_after(wait));
+        }
+        self.waiting.insert(id, req);
+        Ok(())
+    }
+
+    /// Takes back a request that has not started; false if it has.
+    pub fn abandon(&mut self, id: AttemptId) -> bool {
+        self.waiting.remove(&id).is_some()
+    }
+
+    /// Records that the engine holds nothing more of a request.
+    pub fn ended(&mut self, now: Instant, id: AttemptId) {
+        let Some(run) = self.running.remove(&id) else { return };
+        if run.incarnation != self.incarnation {
+            return;
+        }
+        let spent = now.saturating_duration_since(run.since);
+        self.service_time = average(self.service_time, spent);
+        if let Some(adapter) = self.adapters.get_mut(&run.target) {
+            adapter.pins = adapter.pins.saturating_sub(1);
+            adapter.last_used = now;
+        }
+    }
+
+    /// Records the end of a load.
+    pub fn loaded(&mut self, now: Instant, target: &Target, ok: bool) {
+        let Some(adapter) = self.adapters.get_mut(target) else { return };
+        let Phase::Loading { since } = adapter.phase else { return };
+        if ok {
+            adapter.phase = Phase::Resident;
+            adapter.last_used = now;
+            self.load_time =
+                average(self.load_time, now.saturating_duration_since(since));
+            self.failures.remove(target);
+            return;
+        }
+        self.adapters.remove(target);
+        let count = self.failures.get(target).map_or(0, |f| f.count) + 1;
+        let wait = FAILURE_BACKOFF.saturating_mul(1 << (count - 1).min(16));
+        let until = now + wait.min(FAILURE_BACKOFF_LIMIT);
+        self.failures.insert(target.clone(), Failure { count, until });
+    }
+
+    /// Records the end of an unload; a failed one leaves the adapter resident.
+    pub fn unloaded(&mut self, target: &Target, ok: bool) {
+        let Some(adapter) = self.adapters.get_mut(target) else { return };
+        if adapter.phase != Phase::Unloading {
+            return;
+        }
+        match ok {
+            true => drop(self.adapters.remove(target)),
+            false => adapter.phase = Phase::Resident,
+        }
+    }
+
+    /// Records that the engine does not hold an adapter that was thought resident.
+    pub fn lost(&mut self, target: &Target) {
+        let resident = self.adapters.get(target).is_some_and(|a| a.is_resident());
+        if resident {
+            self.adapters.remove(target);
+        }
+    }
+
+    /// Records the run of the engine; a new one holds just the adapters given.
+    pub fn engine_is(&mut self, now: Instant, run: &Incarnation, holds: &[Target]) {
+        if self.incarnation.as_ref() == Some(run) {
+            return;
+        }
+        self.incarnation = Some(run.clone());
+        self.adapters.clear();
+        for target in holds {
+            let resident = Residency::new(now, Phase::Resident);
+            self.adapters.insert(target.clone(), resident);
+        }
+    }
+
+    /// Stops taking requests; those that run go on, those that wait are refused.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Whether no request waits or runs.
+    pub fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.running.is_empty()
+    }
+
+    /// Whether requests are no longer taken.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// The run of the engine, once known.
+    pub fn incarnation(&self) -> Option<&Incarnation> {
+        self.incarnation.as_ref()
+    }
+
+    /// Number of requests that run.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Number of requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Number of requests that use `target` now.
+    pub fn pins(&self, target: &Target) -> usize {
+        self.adapters.get(target).map_or(0, |a| a.pins)
+    }
+
+    /// Hashes of the adapters that are loaded or loading.
+    pub fn resident(&self) -> Vec<TargetHash> {
+        let held = self.adapters.iter().filter(|(_, a)| a.serves());
+        held.map(|(target, _)| target.hash()).collect()
+    }
+
+    /// Returns what to do now; the state already counts on it being done.
+    pub fn schedule(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.incarnation.is_none() {
+            return actions;
+        }
+        if self.draining {
+            self.refuse_all(&mut actions);
+            return actions;
+        }
+        self.refuse_failed(now, &mut actions);
+        self.start_ready(now, &mut actions);
+        self.load_next(now, &mut actions);
+        actions
+    }
+
+    /// Estimates the time until a request for `target` would start.
+    fn predict(&self, target: &Target) -> Duration {
+        let ahead = self.waiting.len() + self.running.len();
+        let rounds = (ahead / self.limits.max_running.max(1)) as u32;
+        let queue = self.service_time * rounds;
+        match self.adapters.get(target) {
+            Some(a) if a.is_resident() => queue,
+            Some(_) => queue.max(self.load_time),
+            None => queue.max(self.load_time * (1 + self.cold_ahead())),
+        }
+    }
+
+    /// Number of adapters that requests wait for and that are not loading yet.
+    fn cold_ahead(&self) -> u32 {
+        let mut cold: Vec<_> = self.waiting.values().map(|w| &w.target).collect();
+        cold.sort_unstable();
+        cold.dedup();
+        cold.retain(|target| !self.adapters.contains_key(*target));
+        cold.len() as u32
+    }
+
+    fn refuse_all(&mut self, actions: &mut Vec<Action>) {
+        while let Some((id, _)) = self.waiting.pop_first() {
+            actions.push(Action::Refuse(id, leaving()));
+        }
+    }
+
+    fn refuse_failed(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let failures = &self.failures;
+        let failed = self.waiting.extract_if(.., |_, req| {
+            failures.get(&req.target).is_some_and(|f| f.until > now)
+        });
+        for (id, req) in failed {
+            let until = failures[&req.target].until;
+            let refusal = Refusal::not_run(Step::Load, "the adapter failed to load")
+                .elsewhere()
+                .retry_after(until - now);
+            actions.push(Action::Refuse(id, refusal));
+        }
+    }
+
+    fn start_ready(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        for id in self.by_urgency() {
+            if self.running.len() >= self.limits.max_running {
+                return;
+            }
+            let target = &self.waiting[&id].target;
+            let Some(adapter) = self.adapters.get_mut(target) else { continue };
+            if adapter.phase != Phase::Resident {
+                continue;
+            }
+            adapter.pins += 1;
+            adapter.last_used = now;
+            adapter.heat.add(now);
+            let run = Running {
+                target: target.clone(),
+                incarnation: self.incarnation.clone(),
+                since: now,
+            };
+            self.waiting.remove(&id);
+            self.running.insert(id, run);
+            actions.push(Action::Start(id));
+        }
+    }
+
+    /// Loads the adapters that the most urgent requests wait for.
+    fn load_next(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        for id in self.by_urgency() {
+            let loading = self.adapters.values().filter(|a| a.is_loading()).count();
+            if loading >= self.limits.max_loading {
+                return;
+            }
+            let req = self.waiting[&id].clone();
+            if self.adapters.contains_key(&req.target) {
+                continue;
+            }
+            if self.adapters.len() < self.limits.slots {
+                let loading = Residency::new(now, Phase::Loading { since: now });
+                self.adapters.insert(req.target.clone(), loading);
+                actions.push(Action::Load(req.target));
+                continue;
+            }
+            self.make_room(now, &req, actions);
+            return;
+        }
+    }
+
+    /// Frees a slot for `req`, or prepares to, unless one is being freed already.
+    fn make_room(&mut self, now: Instant, req: &Waiting, actions: &mut Vec<Action>) {
+        let freeing = |a: &Residency| matches!(a.phase, Phase::Unloading);
+        if self.adapters.values().any(freeing) {
+            return;
+        }
+        if let Some(victim) = self.coldest(now, |a| a.pins == 0) {
+            self.set_phase(&victim, Phase::Unloading);
+            actions.push(Action::Unload(victim));
+            return;
+        }
+        let retiring = self.adapters.values().any(|a| a.phase == Phase::Retiring);
+        if retiring || now.saturating_duration_since(req.since) < self.limits.patience {
+            return;
+        }
+        if let Some(victim) = self.coldest(now, |a| a.phase == Phase::Resident) {
+            self.set_phase(&victim, Phase::Retiring);
+        }
+    }
+
+    /// Finds the adapter that is worth least among those that `fits` picks.
+    fn coldest(&self, now: Instant, fits: impl Fn(&Residency) -> bool) -> Option<Target> {
+        let fit = self.adapters.iter().filter(|(_, a)| a.is_resident() && fits(a));
+        let least = fit.min_by(|(t1, a1), (t2, a2)| {
+            let heat = a1.heat.at(now).total_cmp(&a2.heat.at(now));
+            heat.then(a1.last_used.cmp(&a2.last_used)).then(t1.cmp(t2))
+        });
+        least.map(|(target, _)| target.clone())
+    }
+
+    fn set_phase(&mut self, target: &Target, phase: Phase) {
+        if let Some(adapter) = self.adapters.get_mut(target) {
+            adapter.phase = phase;
+        }
+    }
+
+    /// Returns the waiting requests, the most urgent first.
+    fn by_urgency(&self) -> Vec<AttemptId> {
+        let mut ids: Vec<_> = self.waiting.keys().copied().collect();
+        ids.sort_by_key(|id| {
+            let req = &self.waiting[id];
+            (req.priority, req.since, *id)
+        });
+        ids
+    }
+}
+
+impl Residency {
+    fn new(now: Instant, phase: Phase) -> Self {
+        Self { phase, pins: 0, last_used: now, heat: Heat { value: 0.0, at: now } }
+    }
+
+    fn is_resident(&self) -> bool {
+        matches!(self.phase, Phase::Resident | Phase::Retiring)
+    }
+
+    fn is_loading(&self) -> bool {
+        matches!(self.phase, Phase::Loading { .. })
+    }
+
+    /// Whether a request that comes now would find the adapter without another load.
+    fn serves(&self) -> bool {
+        matches!(self.phase, Phase::Resident | Phase::Loading { .. })
+    }
+}
+
+impl Heat {
+    fn at(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.at);
+        self.value * 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64())
+    }
+
+    fn add(&mut self, now: Instant) {
+        self.value = self.at(now) + 1.0;
+        self.at = now;
+    }
+}
+
+fn average(old: Duration, sample: Duration) -> Duration {
+    old.mul_f64(1.0 - SAMPLE_WEIGHT) + sample.mul_f64(SAMPLE_WEIGHT)
+}
+
+fn leaving() -> Refusal {
+    let refusal = Refusal::not_run(Step::Queue, "the endpoint is leaving");
+    refusal.elsewhere().retry_after(Duration::ZERO)
+}
--- /dev/null
+++ b/crates/larkspring-proto/src/lib.rs
@@ -0,0 +1,19 @@
+//! Generated messages, settings and service stubs; the sources are in `schema/`.
+//!
+//! `cargo run -p xtask -- generate` writes them anew.
+#![allow(clippy::all, missing_docs)]
+
+/// Messages between entries and agents.
+pub mod agent {
+    include!("gen/larkspring.agent.rs");
+}
+
+/// Declared state, as kept in the object API.
+pub mod declared {
+    include!("gen/larkspring.declared.rs");
+}
+
+/// Settings of a process.
+pub mod settings {
+    include!("gen/larkspring.settings.rs");
+}
--- /dev/null
+++ b/crates/larkspring-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! larkspring-standin
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,42 @@
+//! Repository tasks: `cargo run -p xtask -- generate` writes the generated code.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+const SCHEMAS: [&str; 3] = ["agent.proto", "declared.proto", "settings.proto"];
+const OUT_DIR: &str = "crates/larkspring-proto/src/gen";
+const SERDE: &str = "#[derive(serde::Serialize, serde::Deserialize)] \
+                     #[serde(default, deny_unknown_fields)]";
+
+fn main() -> ExitCode {
+    let task = std::env::args().nth(1);
+    match task.as_deref() {
+        Some("generate") => match generate() {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(e) => {
+                eprintln!("xtask generate: {e}");
+                ExitCode::FAILURE
+            }
+        },
+        _ => {
+            eprintln!("usage: cargo run -p xtask -- generate");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Writes the Rust types and service stubs of every schema file.
+fn generate() -> Result<(), Box<dyn std::error::Error>> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let files = protox::compile(SCHEMAS, [root.join("schema")])?;
+    let out = root.join(OUT_DIR);
+    std::fs::create_dir_all(&out)?;
+    tonic_prost_build::configure()
+        .build_transport(false)
+        .out_dir(out)
+        .type_attribute(".larkspring.declared", SERDE)
+        .type_attribute(".larkspring.settings", SERDE)
+        .bytes(".larkspring.agent")
+        .compile_fds(files)?;
+    Ok(())
+}
