--- a/crates/larkspring-cli/src/main.rs
+++ b/crates/larkspring-cli/src/main.rs
@@ -1,1 +1,45 @@
-fn main(){}
+//! The program `larkspring`: every process and operator command, thin over the library.
+
+mod args;
+mod dev;
+mod operate;
+mod process;
+mod standin;
+
+use std::process::ExitCode;
+
+use clap::{CommandFactory, Parser};
+
+use self::args::{Cli, Command};
+
+/// Exit code for input that is refused.
+const EXIT_REFUSED: u8 = 1;
+
+fn main() -> ExitCode {
+    match run(Cli::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(EXIT_REFUSED)
+        }
+    }
+}
+
+/// Any error that ends the program; its text is all that is shown.
+type AnyError = Box<dyn std::error::Error>;
+
+fn run(cli: Cli) -> Result<(), AnyError> {
+    match cli.command {
+        Command::Entry(args) => process::entry(&args),
+        Command::Agent(args) => process::agent(&args),
+        Command::Check(args) => operate::check(&args),
+        Command::Apply(args) => operate::apply(&args),
+        Command::Dev(args) => dev::run(&args),
+        Command::Standin(args) => standin::run(&args),
+        Command::Completions { shell } => {
+            let mut cmd = Cli::command();
+            clap_complete::generate(shell, &mut cmd, "larkspring", &mut std::io::stdout());
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/crates/larkspring-cli/src/standin.rs
@@ -0,0 +1,42 @@
+//! One stand-in as a process.
+
+use std::future::pending;
+use std::sync::Arc;
+
+use larkspring::exec;
+use larkspring_standin::engine::{Engine, Faults};
+use larkspring_standin::objects::Objects;
+use larkspring_standin::service::Service;
+use larkspring_standin::vms::Vms;
+use larkspring_standin::web::{start, Served};
+use larkspring_standin::weights::Weights;
+
+use crate::args::{StandinArgs, StandinKind};
+use crate::AnyError;
+
+/// Threads of a stand-in.
+const THREADS: u32 = 2;
+
+/// Runs a stand-in until the process is killed; its address is printed first.
+pub fn run(args: &StandinArgs) -> Result<(), AnyError> {
+    exec::run(THREADS, async {
+        let served = serve(args).await?;
+        println!("{}", served.addr);
+        pending::<()>().await;
+        Ok(())
+    })
+}
+
+async fn serve(args: &StandinArgs) -> std::io::Result<Served> {
+    let addr = args.listen;
+    match args.kind {
+        StandinKind::Engine => {
+            let engine = Engine::new(args.weights.clone(), Faults::default());
+            start(addr, engine).await
+        }
+        StandinKind::Service => start(addr, Arc::new(Service::default())).await,
+        StandinKind::Objects => start(addr, Arc::new(Objects::default())).await,
+        StandinKind::Vms => start(addr, Arc::new(Vms::default())).await,
+        StandinKind::Weights => start(addr, Arc::new(Weights::default())).await,
+    }
+}
--- a/crates/larkspring-core/src/declared.rs
+++ b/crates/larkspring-core/src/declared.rs
@@ -6,6 +6,7 @@
 use larkspring_proto::declared as wire;
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::{
     AdapterId, BaseId, CallerId, EndpointId, HallId, Revision, ServiceId, Target,
@@ -18,27 +19,45 @@
 pub struct State {
     /// Its revision; 0 before the first.
     pub revision: Revision,
-    adapters: HashMap<AdapterId, Adapter>,
+    parts: Vec<Arc<Part>>,
     callers: HashMap<KeyHash, Arc<Caller>>,
-    services: HashMap<ServiceId, Service>,
+    services: HashMap<ServiceId, Arc<Service>>,
     endpoints: HashMap<EndpointId, Arc<Endpoint>>,
     by_base: HashMap<BaseId, Vec<Arc<Endpoint>>>,
     by_service: HashMap<ServiceId, Vec<Arc<Endpoint>>>,
 }
 
+/// One chunk of the declared state, indexed; shared by all revisions that hold it.
+#[derive(Debug)]
+pub struct Part {
+    /// Content hash of the chunk.
+    pub hash: String,
+    /// Sorted by name.
+    adapters: Vec<Adapter>,
+    callers: Vec<Arc<Caller>>,
+    services: Vec<Arc<Service>>,
+    endpoints: Vec<Arc<Endpoint>>,
+}
+
 /// SHA-256 of a caller's key, in hex.
 pub type KeyHash = String;
 
 /// An adapter as declared.
 #[derive(Debug)]
 pub struct Adapter {
-    /// The model it is tuned from.
-    pub base: BaseId,
-    /// Whether its requests run at most once.
-    pub not_repeatable: bool,
+    name: AdapterId,
+    base: BaseId,
+    not_repeatable: bool,
     default_version: VersionId,
-    versions: Vec<VersionId>,
-    groups: Vec<String>,
+    versions: Box<[Version]>,
+    groups: Box<[String]>,
+}
+
+/// A version of an adapter as declared.
+#[derive(Debug)]
+struct Version {
+    name: VersionId,
+    weights: Box<str>,
 }
 
 /// A caller as declared.
@@ -57,6 +76,7 @@
 /// A plain service as declared.
 #[derive(Debug)]
 pub struct Service {
+    name: ServiceId,
     groups: Vec<String>,
     not_repeatable: Vec<(String, String)>,
 }
@@ -72,12 +92,23 @@
     pub vm: VmId,
     /// Address of its agent.
     pub agent: String,
+    /// What it serves.
+    pub serves: Serves,
     /// Whether it gets no new requests.
     pub leaving: bool,
     /// Whether it checks the epoch of an order.
     pub checks_fences: bool,
 }
 
+/// What an endpoint serves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Serves {
+    /// Adapters of a base model.
+    Base(BaseId),
+    /// A plain service.
+    Service(ServiceId),
+}
+
 /// What a request to a model engine named.
 #[derive(Debug, Clone)]
 pub struct ModelChoice {
@@ -90,15 +121,21 @@
 }
 
 impl State {
-    /// Builds the index of one revision from its chunks.
-    pub fn build(revision: Revision, chunks: &[wire::Chunk]) -> Self {
+    /// Builds the index of one revision from its parts, in the order of the root.
+    pub fn build(revision: Revision, parts: Vec<Arc<Part>>) -> Self {
         let mut state = Self { revision, ..Self::default() };
-        for chunk in chunks {
-            state.add(chunk);
+        for part in &parts {
+            state.add(part);
         }
+        state.parts = parts;
         state
     }
 
+    /// Returns the parts, in the order of the root.
+    pub fn parts(&self) -> &[Arc<Part>] {
+        &self.parts
+    }
+
     /// Finds the caller of a bearer key.
     pub fn caller(&self, key: &str) -> Option<Arc<Caller>> {
         let hash = key_hash(key);
@@ -114,18 +151,21 @@
             Some((name, version)) => (name, Some(version)),
             None => (model, None),
         };
-        let Some((id, adapter)) = self.adapters.get_key_value(name) else {
+        let Some(adapter) = self.adapter(name) else {
             return Err(unknown_name("adapter", name));
         };
         if !allowed(&adapter.groups, &caller.groups) {
             return Err(forbidden("adapter", name));
         }
         let version = version.unwrap_or(&adapter.default_version);
-        let Some(version) = adapter.versions.iter().find(|v| &***v == version) else {
+        let Some(version) = adapter.version(version) else {
             return Err(unknown_name("version", model));
         };
         Ok(ModelChoice {
-            target: Target { adapter: id.clone(), version: version.clone() },
+            target: Target {
+                adapter: adapter.name.clone(),
+                version: version.name.clone(),
+            },
             base: adapter.base.clone(),
             not_repeatable: adapter.not_repeatable,
         })
@@ -149,22 +189,20 @@
         Ok(rules.any(|(m, prefix)| m == method && path.starts_with(prefix)))
     }
 
-    /// Whether the state holds this exact adapter.
-    pub fn holds(&self, target: &Target) -> bool {
-        let adapter = self.adapters.get(&target.adapter);
-        adapter.is_some_and(|a| a.versions.contains(&target.version))
+    /// Returns where the weight store keeps an exact adapter, if it is declared.
+    pub fn weights(&self, target: &Target) -> Option<&str> {
+        let adapter = self.adapter(&target.adapter)?;
+        adapter.version(&target.version).map(|v| &*v.weights)
     }
 
     /// Returns the names of the models that `caller` may reach, sorted.
     pub fn models(&self, caller: &Caller) -> Vec<String> {
-        let mut names: Vec<_> = self
-            .adapters
+        let reachable = self
+            .parts
             .iter()
-            .filter(|(_, a)| allowed(&a.groups, &caller.groups))
-            .flat_map(|(name, a)| {
-                a.versions.iter().map(move |v| format!("{name}{VERSION_MARK}{v}"))
-            })
-            .collect();
+            .flat_map(|part| &part.adapters)
+            .filter(|adapter| allowed(&adapter.groups, &caller.groups));
+        let mut names: Vec<_> = reachable.flat_map(Adapter::model_names).collect();
         names.sort();
         names
     }
@@ -184,45 +222,83 @@
         self.endpoints.get(name)
     }
 
+    /// Returns all endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
+        self.endpoints.values()
+    }
+
     /// Returns the number of adapters.
     pub fn adapter_count(&self) -> usize {
-        self.adapters.len()
+        self.parts.iter().map(|part| part.adapters.len()).sum()
     }
 
-    fn add(&mut self, chunk: &wire::Chunk) {
-        for adapter in &chunk.adapters {
-            self.adapters.insert(adapter.name.as_str().into(), index_adapter(adapter));
-        }
-        for caller in &chunk.callers {
-            let caller = index_caller(caller);
-            self.callers.insert(caller.key_sha256.clone(), Arc::new(caller));
+    /// Returns the base model of an adapter.
+    pub fn base_of(&self, adapter: &str) -> Option<&BaseId> {
+        self.adapter(adapter).map(|a| &a.base)
+    }
+
+    fn adapter(&self, name: &str) -> Option<&Adapter> {
+        let part = self.parts.get(place(name, self.parts.len()))?;
+        let found = part.adapters.binary_search_by(|a| (*a.name).cmp(name));
+        found.ok().map(|at| &part.adapters[at])
+    }
+
+    fn add(&mut self, part: &Part) {
+        for caller in &part.callers {
+            self.callers.insert(caller.key_sha256.clone(), caller.clone());
         }
-        for service in &chunk.services {
-            self.services.insert(service.name.as_str().into(), index_service(service));
+        for service in &part.services {
+            self.services.insert(service.name.clone(), service.clone());
         }
-        for endpoint in &chunk.endpoints {
+        for endpoint in &part.endpoints {
             self.add_endpoint(endpoint);
         }
     }
 
-    fn add_endpoint(&mut self, endpoint: &wire::Endpoint) {
-        let indexed = Arc::new(Endpoint {
-            name: endpoint.name.as_str().into(),
-            hall: endpoint.hall.as_str().into(),
-            vm: endpoint.vm.as_str().into(),
-            agent: endpoint.agent.clone(),
-            leaving: endpoint.leaving,
-            checks_fences: endpoint.checks_fences,
-        });
-        self.endpoints.insert(indexed.name.clone(), indexed.clone());
-        let (index, key) = match endpoint.service.as_str() {
-            "" => (&mut self.by_base, &endpoint.base),
-            _ => (&mut self.by_service, &endpoint.service),
+    fn add_endpoint(&mut self, endpoint: &Arc<Endpoint>) {
+        self.endpoints.insert(endpoint.name.clone(), endpoint.clone());
+        let of_kind = match &endpoint.serves {
+            Serves::Base(base) => self.by_base.entry(base.clone()),
+            Serves::Service(service) => self.by_service.entry(service.clone()),
         };
-        index.entry(key.as_str().into()).or_default().push(indexed);
+        of_kind.or_default().push(endpoint.clone());
+    }
+}
+
+impl Part {
+    /// Indexes the chunk with content hash `hash`.
+    pub fn index(hash: &str, chunk: &wire::Chunk) -> Self {
+        let mut adapters: Vec<_> = chunk.adapters.iter().map(index_adapter).collect();
+        adapters.sort_by(|a, b| a.name.cmp(&b.name));
+        let callers = chunk.callers.iter().map(index_caller).map(Arc::new);
+        let services = chunk.services.iter().map(index_service).map(Arc::new);
+        let endpoints = chunk.endpoints.iter().map(index_endpoint).map(Arc::new);
+        Self {
+            hash: hash.into(),
+            adapters,
+            callers: callers.collect(),
+            services: services.collect(),
+            endpoints: endpoints.collect(),
+        }
+    }
+}
+
+impl Adapter {
+    fn version(&self, name: &str) -> Option<&Version> {
+        self.versions.iter().find(|v| &*v.name == name)
+    }
+
+    fn model_names(&self) -> impl Iterator<Item = String> + '_ {
+        let name = &self.name;
+        self.versions.iter().map(move |v| format!("{name}{VERSION_MARK}{}", v.name))
     }
 }
 
+/// Returns the place among `count` chunks of what is named `name`.
+pub fn place(name: &str, count: usize) -> usize {
+    (xxh3_64(name.as_bytes()) % count.max(1) as u64) as usize
+}
+
 /// Returns the SHA-256 of a caller's key, in hex.
 pub fn key_hash(key: &str) -> KeyHash {
     let digest = Sha256::digest(key.as_bytes());
@@ -231,12 +307,33 @@
 
 fn index_adapter(adapter: &wire::Adapter) -> Adapter {
     let versions = adapter.versions.iter().filter(|v| !v.retired);
+    let versions = versions.map(|v| Version {
+        name: v.name.as_str().into(),
+        weights: v.weights.as_str().into(),
+    });
     Adapter {
+        name: adapter.name.as_str().into(),
         base: adapter.base.as_str().into(),
         not_repeatable: adapter.not_repeatable,
         default_version: adapter.default_version.as_str().into(),
-        versions: versions.map(|v| v.name.as_str().into()).collect(),
-        groups: adapter.groups.clone(),
+        versions: versions.collect(),
+        groups: adapter.groups.clone().into(),
+    }
+}
+
+fn index_endpoint(endpoint: &wire::Endpoint) -> Endpoint {
+    let serves = match endpoint.service.as_str() {
+        "" => Serves::Base(endpoint.base.as_str().into()),
+        service => Serves::Service(service.into()),
+    };
+    Endpoint {
+        name: endpoint.name.as_str().into(),
+        hall: endpoint.hall.as_str().into(),
+        vm: endpoint.vm.as_str().into(),
+        agent: endpoint.agent.clone(),
+        serves,
+        leaving: endpoint.leaving,
+        checks_fences: endpoint.checks_fences,
     }
 }
 
@@ -253,6 +350,7 @@
 fn index_service(service: &wire::Service) -> Service {
     let rules = service.not_repeatable.iter().filter_map(|rule| rule.split_once(' '));
     Service {
+        name: service.name.as_str().into(),
         groups: service.groups.clone(),
         not_repeatable: rules.map(|(m, p)| (m.into(), p.into())).collect(),
     }
--- a/crates/larkspring-core/src/outcome.rs
+++ b/crates/larkspring-core/src/outcome.rs
@@ -48,7 +48,9 @@
 pub enum Step {
     /// Reading the head and the body.
     Read,
-    /// Checking the caller's key, rights and limits.
+    /// Finding the caller by its key.
+    Authenticate,
+    /// Checking the caller's rights and limits.
     Admit,
     /// Finding the adapter, version or service that was named.
     Resolve,
@@ -71,8 +73,9 @@
 }
 
 /// Steps by the number used in messages, which starts at 1.
-const STEPS: [Step; 11] = [
+const STEPS: [Step; 12] = [
     Step::Read,
+    Step::Authenticate,
     Step::Admit,
     Step::Resolve,
     Step::Claim,
@@ -101,6 +104,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Read => "read",
+            Self::Authenticate => "authenticate",
             Self::Admit => "admit",
             Self::Resolve => "resolve",
             Self::Claim => "claim",
--- a/crates/larkspring-core/src/slots.rs
+++ b/crates/larkspring-core/src/slots.rs
@@ -21,6 +21,18 @@
     load_time: Duration,
     service_time: Duration,
     draining: bool,
+    reachable: bool,
+    /// Before this no adapter is unloaded.
+    settled_at: Option<Instant>,
+}
+
+/// What an engine reports that it holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Held {
+    /// The exact adapter.
+    pub target: Target,
+    /// Requests that use it and were not sent by this agent.
+    pub foreign: usize,
 }
 
 /// Bounds of one engine.
@@ -36,6 +48,8 @@
     pub max_loading: usize,
     /// Wait after which a request may stop new use of a busy adapter to get its slot.
     pub patience: Duration,
+    /// Time after the agent's start before it unloads, as the engine's reports lag.
+    pub settle: Duration,
 }
 
 /// What the agent has to do next.
@@ -74,7 +88,10 @@
 #[derive(Debug)]
 struct Residency {
     phase: Phase,
+    /// Requests of this agent that use it.
     pins: usize,
+    /// Requests of earlier agents that use it.
+    foreign: usize,
     last_used: Instant,
     heat: Heat,
 }
@@ -122,6 +139,8 @@
             load_time: FIRST_LOAD_TIME,
             service_time: FIRST_SERVICE_TIME,
             draining: false,
+            reachable: false,
+            settled_at: None,
         }
     }
 
@@ -135,6 +154,9 @@
         if self.draining {
             return Err(leaving());
         }
+        if !self.reachable {
+            return Err(unreachable());
+        }
         if let Some(failure) = self.failures.get(&req.target).filter(|f| f.until > now) {
             let text = "the adapter failed to load here";
             let refusal = Refusal::not_run(Step::Load, text).elsewhere();
@@ -212,19 +234,30 @@
         }
     }
 
-    /// Records the run of the engine; a new one holds just the adapters given.
-    pub fn engine_is(&mut self, now: Instant, run: &Incarnation, holds: &[Target]) {
-        if self.incarnation.as_ref() == Some(run) {
-            return;
+    /// Records a report of the engine: its run, and the adapters that it holds.
+    ///
+    /// A new run holds nothing but what it reports. Reports of the same run lag, so they
+    /// only add what was not known; what is gone shows when a request is sent.
+    pub fn engine_is(&mut self, now: Instant, run: &Incarnation, holds: &[Held]) {
+        self.reachable = true;
+        let settle = self.limits.settle;
+        self.settled_at.get_or_insert(now + settle);
+        if self.incarnation.as_ref() != Some(run) {
+            self.incarnation = Some(run.clone());
+            self.adapters.clear();
         }
-        self.incarnation = Some(run.clone());
-        self.adapters.clear();
-        for target in holds {
-            let resident = Residency::new(now, Phase::Resident);
-            self.adapters.insert(target.clone(), resident);
+        for held in holds {
+            let fresh = || Residency::new(now, Phase::Resident);
+            let adapter = self.adapters.entry(held.target.clone()).or_insert_with(fresh);
+            adapter.foreign = held.foreign;
         }
     }
 
+    /// Records that the engine could not be reached.
+    pub fn engine_lost(&mut self) {
+        self.reachable = false;
+    }
+
     /// Stops taking requests; those that run go on, those that wait are refused.
     pub fn drain(&mut self) {
         self.draining = true;
@@ -269,11 +302,12 @@
     /// Returns what to do now; the state already counts on it being done.
     pub fn schedule(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
-        if self.incarnation.is_none() {
+        if self.draining {
+            self.refuse_all(&mut actions, leaving);
             return actions;
         }
-        if self.draining {
-            self.refuse_all(&mut actions);
+        if !self.reachable {
+            self.refuse_all(&mut actions, unreachable);
             return actions;
         }
         self.refuse_failed(now, &mut actions);
@@ -303,9 +337,9 @@
         cold.len() as u32
     }
 
-    fn refuse_all(&mut self, actions: &mut Vec<Action>) {
+    fn refuse_all(&mut self, actions: &mut Vec<Action>, why: fn() -> Refusal) {
         while let Some((id, _)) = self.waiting.pop_first() {
-            actions.push(Action::Refuse(id, leaving()));
+            actions.push(Action::Refuse(id, why()));
         }
     }
 
@@ -372,10 +406,11 @@
     /// Frees a slot for `req`, or prepares to, unless one is being freed already.
     fn make_room(&mut self, now: Instant, req: &Waiting, actions: &mut Vec<Action>) {
         let freeing = |a: &Residency| matches!(a.phase, Phase::Unloading);
-        if self.adapters.values().any(freeing) {
+        let settled = self.settled_at.is_some_and(|at| at <= now);
+        if !settled || self.adapters.values().any(freeing) {
             return;
         }
-        if let Some(victim) = self.coldest(now, |a| a.pins == 0) {
+        if let Some(victim) = self.coldest(now, |a| a.pins + a.foreign == 0) {
             self.set_phase(&victim, Phase::Unloading);
             actions.push(Action::Unload(victim));
             return;
@@ -418,7 +453,8 @@
 
 impl Residency {
     fn new(now: Instant, phase: Phase) -> Self {
-        Self { phase, pins: 0, last_used: now, heat: Heat { value: 0.0, at: now } }
+        let heat = Heat { value: 0.0, at: now };
+        Self { phase, pins: 0, foreign: 0, last_used: now, heat }
     }
 
     fn is_resident(&self) -> bool {
@@ -451,6 +487,14 @@
     old.mul_f64(1.0 - SAMPLE_WEIGHT) + sample.mul_f64(SAMPLE_WEIGHT)
 }
 
+/// When to come back to an engine that could not be reached.
+const UNREACHABLE_RETRY: Duration = Duration::from_secs(1);
+
+fn unreachable() -> Refusal {
+    let refusal = Refusal::not_run(Step::Queue, "the engine can't be reached");
+    refusal.elsewhere().retry_after(UNREACHABLE_RETRY)
+}
+
 fn leaving() -> Refusal {
     let refusal = Refusal::not_run(Step::Queue, "the endpoint is leaving");
     refusal.elsewhere().retry_after(Duration::ZERO)
--- /dev/null
+++ b/crates/larkspring-standin/src/engine.rs
@@ -0,0 +1,623 @@
+//! Stand-in for a model engine: adapter slots, continuous batching and restarts.
+//!
+//! Each step gives one token to each request of the batch. A step takes a base time and
+//! a part for each request over the knee, as on a real accelerator.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+use futures_lite::{AsyncBufRead, AsyncRead};
+use http_types::{Body, Method, Request, Response};
+use larkspring::exec;
+use larkspring::http::client::{fetch, request};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use smol::Timer;
+
+use crate::web::{json as answer_json, query, read, text, Web};
+
+/// A model engine.
+#[derive(Debug)]
+pub struct Engine {
+    weights: Option<String>,
+    state: Mutex<State>,
+}
+
+/// How the engine behaves.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Adapter slots.
+    pub slots: usize,
+    /// Requests in a batch.
+    pub max_batch: usize,
+    /// Requests up to which a step takes its base time.
+    pub knee: usize,
+    /// Base time of a step, in microseconds.
+    pub step_us: u64,
+    /// Time for each request over the knee, in microseconds.
+    pub over_knee_us: u64,
+    /// Number of loads that fail.
+    pub fail_loads: u64,
+    /// Version that the next load takes in place of the one ordered.
+    pub load_wrong: Option<String>,
+    /// Tokens after which the next answer's connection breaks.
+    pub break_after: Option<u64>,
+    /// Whether a broken answer can be resumed.
+    pub resumable: bool,
+    /// Whether no request gets tokens.
+    pub frozen: bool,
+    /// Whether requests run and their answers never begin.
+    pub hang: bool,
+    /// Whether orders with an old epoch are refused.
+    pub checks_fences: bool,
+    /// Age of the reports, in milliseconds.
+    pub report_lag_ms: u64,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            slots: 8,
+            max_batch: 64,
+            knee: 16,
+            step_us: 20_000,
+            over_knee_us: 200,
+            fail_loads: 0,
+            load_wrong: None,
+            break_after: None,
+            resumable: true,
+            frozen: false,
+            hang: false,
+            checks_fences: true,
+            report_lag_ms: 200,
+        }
+    }
+}
+
+/// What the engine saw.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Stats {
+    /// The present run.
+    pub incarnation: String,
+    /// Requests that began to run, as `adapter@version prompt`.
+    pub runs: Vec<String>,
+    /// Requests that were cancelled.
+    pub cancelled: u64,
+    /// Requests that run now.
+    pub running: usize,
+    /// Adapters that are loaded now.
+    pub resident: Vec<String>,
+    /// Loads that ended well.
+    pub loads: u64,
+    /// Unloads of an adapter that a request was using.
+    pub unloads_in_use: u64,
+    /// Orders that were refused for their epoch.
+    pub fenced: u64,
+    /// Steps made.
+    pub steps: u64,
+    /// Tokens given out.
+    pub tokens: u64,
+}
+
+#[derive(Debug)]
+struct State {
+    faults: Faults,
+    stats: Stats,
+    loaded: BTreeSet<String>,
+    loading: usize,
+    runs: BTreeMap<String, Arc<Run>>,
+    epoch: u64,
+    reports: VecDeque<(std::time::Instant, serde_json::Value)>,
+}
+
+/// One request in the engine.
+#[derive(Debug)]
+struct Run {
+    id: String,
+    adapter: String,
+    prompt: String,
+    chat: bool,
+    stream: bool,
+    max_tokens: u64,
+    priority: u32,
+    out: Mutex<Out>,
+}
+
+#[derive(Debug, Default)]
+struct Out {
+    buf: Vec<u8>,
+    text: String,
+    tokens: u64,
+    done: bool,
+    /// Offset at which the connection breaks.
+    break_at: Option<usize>,
+    /// Whether the request ended without its answer.
+    broken: bool,
+    /// Bytes that the reader has taken.
+    taken: usize,
+    wakers: Vec<Waker>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Completion {
+    model: String,
+    #[serde(default)]
+    prompt: String,
+    #[serde(default)]
+    messages: Vec<Message>,
+    #[serde(default = "default_tokens")]
+    max_tokens: u64,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    content: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct Order {
+    adapter: String,
+    #[serde(default)]
+    weights: String,
+}
+
+fn default_tokens() -> u64 {
+    16
+}
+
+/// Bytes by which a reader may lag before its request gets no more tokens.
+const MAX_LAG: usize = 64 * 1024;
+/// Reports that are kept to be given out late.
+const REPORTS: usize = 64;
+const LOAD_TIMEOUT: Duration = Duration::from_secs(60);
+const STREAM_END: &[u8] = b"data: [DONE]\n\n";
+
+impl Engine {
+    /// Creates an engine that loads from the weight store at `weights`, if given.
+    pub fn new(weights: Option<String>, faults: Faults) -> Arc<Self> {
+        let stats = Stats { incarnation: new_incarnation(), ..Stats::default() };
+        let state = State {
+            faults,
+            stats,
+            loaded: BTreeSet::new(),
+            loading: 0,
+            runs: BTreeMap::new(),
+            epoch: 0,
+            reports: VecDeque::new(),
+        };
+        let engine = Arc::new(Self { weights, state: Mutex::new(state) });
+        exec::spawn(engine.clone().step_for_ever()).detach();
+        engine
+    }
+
+    async fn step_for_ever(self: Arc<Self>) {
+        loop {
+            let wait = self.state.lock().step();
+            Timer::after(wait).await;
+        }
+    }
+
+    fn restart(&self) -> Response {
+        let mut state = self.state.lock();
+        state.stats.incarnation = new_incarnation();
+        state.loaded.clear();
+        state.reports.clear();
+        for run in std::mem::take(&mut state.runs).into_values() {
+            run.end(true);
+        }
+        text(200, "")
+    }
+
+    async fn complete(&self, mut req: Request, chat: bool) -> Response {
+        let order: Completion = match read(&mut req).await {
+            Ok(order) => order,
+            Err(res) => return res,
+        };
+        let header = |name: &str| req.header(name).map(|v| v.as_str().to_owned());
+        let id = header("x-request-id").unwrap_or_else(|| fastrand::u64(..).to_string());
+        let priority = header("x-priority").and_then(|v| v.parse().ok()).unwrap_or(5);
+        let prompt = match order.messages.last() {
+            Some(message) => message.content.clone(),
+            None => order.prompt,
+        };
+        let run = Arc::new(Run {
+            id: id.clone(),
+            adapter: order.model,
+            prompt,
+            chat,
+            stream: order.stream,
+            max_tokens: order.max_tokens.max(1),
+            priority,
+            out: Mutex::default(),
+        });
+        let (head, hang) = match self.state.lock().enter(&run) {
+            Ok(entered) => entered,
+            Err(res) => return res,
+        };
+        if hang {
+            std::future::pending::<()>().await;
+        }
+        if order.stream {
+            return stream(head, run, 0);
+        }
+        let whole = run.clone();
+        std::future::poll_fn(move |cx| whole.poll_end(cx)).await;
+        match run.whole() {
+            Some(body) => {
+                let mut res = head;
+                res.set_body(Body::from_string(body));
+                res.insert_header("content-type", "application/json");
+                res
+            }
+            None => stream(head, run, 0),
+        }
+    }
+
+    fn resume(&self, id: &str, req: &Request) -> Response {
+        let from = query(req, "from").and_then(|v| v.parse().ok()).unwrap_or(0);
+        let state = self.state.lock();
+        let run = match state.runs.get(id) {
+            Some(run) if state.faults.resumable => run.clone(),
+            _ => return text(404, "no such stream"),
+        };
+        run.out.lock().break_at = None;
+        stream(state.head(&run.adapter), run, from)
+    }
+
+    fn cancel(&self, id: &str) -> Response {
+        let mut state = self.state.lock();
+        let Some(run) = state.runs.remove(id) else { return text(404, "no such request") };
+        if !run.out.lock().done {
+            state.stats.cancelled += 1;
+        }
+        run.end(true);
+        text(200, "")
+    }
+
+    async fn load(&self, req: &mut Request) -> Response {
+        let epoch = epoch_of(req);
+        let order: Order = match read(req).await {
+            Ok(order) => order,
+            Err(res) => return res,
+        };
+        if let Err(res) = self.state.lock().begin_load(epoch) {
+            return res;
+        }
+        let run = self.state.lock().stats.incarnation.clone();
+        let fetched = self.fetch_weights(&order.weights).await;
+        let mut state = self.state.lock();
+        state.loading -= 1;
+        if run != state.stats.incarnation {
+            return text(503, "restarted");
+        }
+        if !fetched || state.faults.fail_loads > 0 {
+            state.faults.fail_loads = state.faults.fail_loads.saturating_sub(1);
+            return text(500, "the load failed");
+        }
+        let adapter = state.faults.load_wrong.take().unwrap_or(order.adapter);
+        state.loaded.insert(adapter.clone());
+        state.stats.loads += 1;
+        answer_json(&json!({ "adapter": adapter, "incarnation": run }))
+    }
+
+    async fn fetch_weights(&self, path: &str) -> bool {
+        let Some(addr) = &self.weights else { return true };
+        let Ok(req) = request(Method::Get, addr, &format!("/{path}")) else {
+            return false;
+        };
+        let fetched = fetch(addr, req, LOAD_TIMEOUT).await;
+        fetched.is_ok_and(|(res, _)| res.status() == 200)
+    }
+
+    async fn unload(&self, req: &mut Request) -> Response {
+        let epoch = epoch_of(req);
+        let order: Order = match read(req).await {
+            Ok(order) => order,
+            Err(res) => return res,
+        };
+        let mut state = self.state.lock();
+        if let Err(res) = state.check_epoch(epoch) {
+            return res;
+        }
+        let in_use = |run: &Arc<Run>| run.adapter == order.adapter && !run.out.lock().done;
+        if state.runs.values().any(in_use) {
+            state.stats.unloads_in_use += 1;
+        }
+        state.loaded.remove(&order.adapter);
+        let run = state.stats.incarnation.clone();
+        answer_json(&json!({ "adapter": order.adapter, "incarnation": run }))
+    }
+
+    async fn set_faults(&self, req: &mut Request) -> Response {
+        match read(req).await {
+            Ok(faults) => {
+                self.state.lock().faults = faults;
+                text(200, "")
+            }
+            Err(res) => res,
+        }
+    }
+}
+
+impl Web for Engine {
+    async fn answer(self: Arc<Self>, mut req: Request) -> Response {
+        let path = req.url().path().to_owned();
+        match (req.method(), &*path) {
+            (Method::Post, "/v1/completions") => self.complete(req, false).await,
+            (Method::Post, "/v1/chat/completions") => self.complete(req, true).await,
+            (Method::Post, "/v1/load_lora_adapter") => self.load(&mut req).await,
+            (Method::Post, "/v1/unload_lora_adapter") => self.unload(&mut req).await,
+            (Method::Get, "/v1/load") => self.state.lock().report(),
+            (Method::Get, "/stats") => answer_json(&self.state.lock().present()),
+            (Method::Get, "/faults") => answer_json(&self.state.lock().faults),
+            (Method::Post, "/faults") => self.set_faults(&mut req).await,
+            (Method::Post, "/restart") => self.restart(),
+            _ => match path.rsplit_once('/') {
+                Some(("/v1/cancel", id)) => self.cancel(id),
+                Some(("/v1/streams", id)) => self.resume(id, &req),
+                _ => text(404, "no such path"),
+            },
+        }
+    }
+}
+
+impl State {
+    /// Makes one step and returns how long it takes.
+    fn step(&mut self) -> Duration {
+        let base = Duration::from_micros(self.faults.step_us);
+        if self.faults.frozen {
+            return base;
+        }
+        let mut batch: Vec<_> =
+            self.runs.values().filter(|run| run.takes_tokens()).cloned().collect();
+        batch.sort_by_key(|run| run.priority);
+        batch.truncate(self.faults.max_batch);
+        for run in &batch {
+            run.step(&mut self.faults.break_after);
+        }
+        if !batch.is_empty() {
+            self.stats.steps += 1;
+            self.stats.tokens += batch.len() as u64;
+        }
+        let over = batch.len().saturating_sub(self.faults.knee) as u32;
+        base + Duration::from_micros(self.faults.over_knee_us) * over
+    }
+
+    fn enter(&mut self, run: &Arc<Run>) -> Result<(Response, bool), Response> {
+        if !self.loaded.contains(&run.adapter) {
+            return Err(text(404, "the adapter is not loaded"));
+        }
+        self.runs.retain(|_, run| !run.is_read());
+        self.stats.runs.push(format!("{} {}", run.adapter, run.prompt));
+        self.runs.insert(run.id.clone(), run.clone());
+        Ok((self.head(&run.adapter), self.faults.hang))
+    }
+
+    fn head(&self, adapter: &str) -> Response {
+        let mut res = Response::new(200);
+        res.insert_header("x-engine-incarnation", self.stats.incarnation.as_str());
+        res.insert_header("x-engine-adapter", adapter);
+        res
+    }
+
+    fn begin_load(&mut self, epoch: u64) -> Result<(), Response> {
+        self.check_epoch(epoch)?;
+        if self.loaded.len() + self.loading >= self.faults.slots {
+            return Err(text(409, "no free slot"));
+        }
+        self.loading += 1;
+        Ok(())
+    }
+
+    fn check_epoch(&mut self, epoch: u64) -> Result<(), Response> {
+        if self.faults.checks_fences && epoch < self.epoch {
+            self.stats.fenced += 1;
+            return Err(text(403, "an old epoch"));
+        }
+        self.epoch = self.epoch.max(epoch);
+        Ok(())
+    }
+
+    /// Answers the state of some time ago.
+    fn report(&mut self) -> Response {
+        let now = std::time::Instant::now();
+        let running: Vec<_> = self
+            .runs
+            .values()
+            .filter(|run| !run.out.lock().done)
+            .map(|run| json!({ "id": run.id, "adapter": run.adapter }))
+            .collect();
+        let report = json!({
+            "incarnation": self.stats.incarnation,
+            "resident": self.loaded,
+            "running": running,
+        });
+        self.reports.push_back((now, report));
+        let lag = Duration::from_millis(self.faults.report_lag_ms);
+        let old = |at: &std::time::Instant| now.duration_since(*at) >= lag;
+        while self.reports.len() > REPORTS
+            || self.reports.get(1).is_some_and(|(at, _)| old(at))
+        {
+            self.reports.pop_front();
+        }
+        answer_json(&self.reports.front().map(|(_, report)| report))
+    }
+
+    fn present(&self) -> Stats {
+        let mut stats = self.stats.clone();
+        stats.running = self.runs.values().filter(|run| !run.out.lock().done).count();
+        stats.resident = self.loaded.iter().cloned().collect();
+        stats
+    }
+}
+
+impl Run {
+    fn takes_tokens(&self) -> bool {
+        let out = self.out.lock();
+        !out.done && (!self.stream || out.buf.len() < out.taken + MAX_LAG)
+    }
+
+    /// Adds the next token, and after the last one the end.
+    fn step(&self, break_after: &mut Option<u64>) {
+        let mut out = self.out.lock();
+        let token = match out.tokens {
+            0 => format!("{}|{}|", self.adapter, self.prompt),
+            n => format!(" {n}"),
+        };
+        out.tokens += 1;
+        out.text.push_str(&token);
+        if self.stream {
+            let event = self.event(&token);
+            out.buf.extend_from_slice(event.as_bytes());
+            if out.break_at.is_none() && *break_after == Some(out.tokens) {
+                *break_after = None;
+                out.break_at = Some(out.buf.len());
+            }
+        }
+        if out.tokens == self.max_tokens {
+            if self.stream {
+                out.buf.extend_from_slice(STREAM_END);
+            }
+            out.done = true;
+        }
+        out.wake();
+    }
+
+    fn event(&self, token: &str) -> String {
+        let choice = match self.chat {
+            true => json!({ "index": 0, "delta": { "content": token } }),
+            false => json!({ "index": 0, "text": token }),
+        };
+        let body = json!({ "id": self.id, "model": self.adapter, "choices": [choice] });
+        format!("data: {body}\n\n")
+    }
+
+    fn end(&self, broken: bool) {
+        let mut out = self.out.lock();
+        out.broken |= broken && !out.done;
+        out.done = true;
+        out.wake();
+    }
+
+    fn is_read(&self) -> bool {
+        let out = self.out.lock();
+        out.done && (!self.stream || out.taken >= out.buf.len())
+    }
+
+    fn poll_end(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut out = self.out.lock();
+        if out.done {
+            return Poll::Ready(());
+        }
+        out.wakers.push(cx.waker().clone());
+        Poll::Pending
+    }
+
+    /// Returns a whole answer; `None` if the request was broken off.
+    fn whole(&self) -> Option<String> {
+        let out = self.out.lock();
+        let choice = match self.chat {
+            true => json!({ "index": 0,
+                "message": { "role": "assistant", "content": out.text } }),
+            false => json!({ "index": 0, "text": out.text }),
+        };
+        let body = json!({ "id": self.id, "model": self.adapter, "choices": [choice] });
+        (!out.broken).then(|| body.to_string())
+    }
+}
+
+impl Out {
+    fn wake(&mut self) {
+        for waker in self.wakers.drain(..) {
+            waker.wake();
+        }
+    }
+}
+
+fn stream(mut head: Response, run: Arc<Run>, from: usize) -> Response {
+    let reader = Reader { run, at: from, chunk: Vec::new(), used: 0 };
+    head.set_body(Body::from_reader(reader, None));
+    head.insert_header("content-type", "text/event-stream");
+    head
+}
+
+/// Reads a request's answer from an offset on.
+struct Reader {
+    run: Arc<Run>,
+    at: usize,
+    chunk: Vec<u8>,
+    used: usize,
+}
+
+impl Reader {
+    fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.used < self.chunk.len() {
+            return Poll::Ready(Ok(()));
+        }
+        let mut out = self.run.out.lock();
+        let end = out.break_at.unwrap_or(usize::MAX).min(out.buf.len());
+        if self.at < end {
+            self.chunk = out.buf[self.at..end].to_vec();
+            self.used = 0;
+            self.at = end;
+            out.taken = out.taken.max(end);
+            return Poll::Ready(Ok(()));
+        }
+        if out.broken || out.break_at.is_some_and(|at| self.at >= at) {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        if out.done {
+            self.chunk.clear();
+            self.used = 0;
+            return Poll::Ready(Ok(()));
+        }
+        out.wakers.push(cx.waker().clone());
+        Poll::Pending
+    }
+}
+
+impl AsyncRead for Reader {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        futures_lite::ready!(self.poll_chunk(cx))?;
+        let left = &self.chunk[self.used..];
+        let n = left.len().min(buf.len());
+        buf[..n].copy_from_slice(&left[..n]);
+        self.used += n;
+        Poll::Ready(Ok(n))
+    }
+}
+
+impl AsyncBufRead for Reader {
+    fn poll_fill_buf(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<&[u8]>> {
+        let reader = self.get_mut();
+        futures_lite::ready!(reader.poll_chunk(cx))?;
+        Poll::Ready(Ok(&reader.chunk[reader.used..]))
+    }
+
+    fn consume(mut self: Pin<&mut Self>, n: usize) {
+        self.used += n;
+    }
+}
+
+fn epoch_of(req: &Request) -> u64 {
+    req.header("x-epoch").and_then(|v| v.as_str().parse().ok()).unwrap_or(0)
+}
+
+fn new_incarnation() -> String {
+    format!("{:016x}", fastrand::u64(..))
+}
--- /dev/null
+++ b/crates/larkspring-standin/src/objects.rs
@@ -0,0 +1,183 @@
+//! Stand-in for the object API: versions, conditional updates, watches and faults.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use event_listener::Event;
+use futures_lite::FutureExt;
+use http_types::{Method, Request, Response};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use smol::Timer;
+
+use crate::web::{json, query, read, text, Web};
+
+/// The object API.
+#[derive(Debug, Default)]
+pub struct Objects {
+    state: Mutex<State>,
+    changed: Event,
+}
+
+/// Faults that the API shows.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Whether every call is refused.
+    pub outage: bool,
+    /// Time by which each call is slower, in milliseconds.
+    pub slow_ms: u64,
+    /// Number of writes that take effect and whose reply is lost.
+    pub lose_replies: u64,
+}
+
+/// Calls that the API got, by kind.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Stats {
+    /// Reads.
+    pub reads: u64,
+    /// Writes, refused ones included.
+    pub writes: u64,
+    /// Watches.
+    pub watches: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    objects: BTreeMap<String, (u64, Vec<u8>)>,
+    last: u64,
+    faults: Faults,
+    stats: Stats,
+}
+
+const MAX_VALUE: usize = 1024 * 1024;
+const OBJECTS: &str = "/v1/objects/";
+const WATCH: &str = "/v1/watch/";
+
+impl Web for Objects {
+    async fn answer(self: Arc<Self>, mut req: Request) -> Response {
+        let path = req.url().path().to_owned();
+        match (req.method(), &*path) {
+            (Method::Post, "/faults") => return self.set_faults(&mut req).await,
+            (_, "/stats") => return json(&self.state.lock().stats),
+            _ => {}
+        }
+        let faults = self.state.lock().faults.clone();
+        if faults.slow_ms > 0 {
+            Timer::after(Duration::from_millis(faults.slow_ms)).await;
+        }
+        if faults.outage {
+            return text(503, "outage");
+        }
+        if let Some(name) = path.strip_prefix(WATCH) {
+            return self.watch(name, &req).await;
+        }
+        let Some(name) = path.strip_prefix(OBJECTS) else {
+            return text(404, "no such path");
+        };
+        let body = req.body_bytes().await.unwrap_or_default();
+        match req.method() {
+            Method::Get => self.get(name),
+            Method::Put => self.write(name, &req, Some(body)).await,
+            Method::Delete => self.write(name, &req, None).await,
+            _ => text(405, "no such method"),
+        }
+    }
+}
+
+impl Objects {
+    async fn set_faults(&self, req: &mut Request) -> Response {
+        match read(req).await {
+            Ok(faults) => {
+                self.state.lock().faults = faults;
+                self.changed.notify(usize::MAX);
+                text(200, "")
+            }
+            Err(res) => res,
+        }
+    }
+
+    fn get(&self, name: &str) -> Response {
+        let mut state = self.state.lock();
+        state.stats.reads += 1;
+        match state.objects.get(name) {
+            Some((version, value)) => object(*version, value),
+            None => text(404, "no such object"),
+        }
+    }
+
+    async fn write(&self, name: &str, req: &Request, value: Option<Vec<u8>>) -> Response {
+        let expected = req.header("if-match").and_then(|v| v.as_str().parse().ok());
+        let Some(expected) = expected else { return text(400, "if-match is needed") };
+        if value.as_ref().is_some_and(|v| v.len() > MAX_VALUE) {
+            return text(413, "over a megabyte");
+        }
+        let (res, lost) = self.write_now(name, expected, value);
+        self.changed.notify(usize::MAX);
+        if lost {
+            // The caller of the API finds its time-out, or hangs up.
+            std::future::pending::<()>().await;
+        }
+        res
+    }
+
+    fn write_now(
+        &self,
+        name: &str,
+        expected: u64,
+        value: Option<Vec<u8>>,
+    ) -> (Response, bool) {
+        let mut state = self.state.lock();
+        state.stats.writes += 1;
+        let present = state.objects.get(name).map_or(0, |(version, _)| *version);
+        if present != expected {
+            return (text(412, "another version"), false);
+        }
+        state.last += 1;
+        let version = state.last;
+        match value {
+            Some(value) => drop(state.objects.insert(name.into(), (version, value))),
+            None => drop(state.objects.remove(name)),
+        }
+        let lost = state.faults.lose_replies > 0;
+        state.faults.lose_replies = state.faults.lose_replies.saturating_sub(1);
+        (object(version, b""), lost)
+    }
+
+    async fn watch(&self, name: &str, req: &Request) -> Response {
+        self.state.lock().stats.watches += 1;
+        let number = |key| query(req, key).and_then(|v| v.parse().ok()).unwrap_or(0);
+        let (after, wait) = (number("after"), Duration::from_millis(number("wait_ms")));
+        let changed = async {
+            loop {
+                let listener = self.changed.listen();
+                if let Some(res) = self.past(name, after) {
+                    return res;
+                }
+                listener.await;
+            }
+        };
+        let late = async {
+            Timer::after(wait).await;
+            Response::new(204)
+        };
+        changed.or(late).await
+    }
+
+    fn past(&self, name: &str, after: u64) -> Option<Response> {
+        let state = self.state.lock();
+        if state.faults.outage {
+            return Some(text(503, "outage"));
+        }
+        let (version, value) = state.objects.get(name)?;
+        (*version > after).then(|| object(*version, value))
+    }
+}
+
+fn object(version: u64, value: &[u8]) -> Response {
+    let mut res = Response::new(200);
+    res.set_body(value.to_vec());
+    res.insert_header("etag", version.to_string());
+    res
+}
--- /dev/null
+++ b/crates/larkspring-standin/src/service.rs
@@ -0,0 +1,79 @@
+//! Stand-in for a plain service: it counts what it ran and may be slow or break off.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_types::{Method, Request, Response};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use smol::Timer;
+
+use crate::web::{json, read, text, Web};
+
+/// A plain service.
+#[derive(Debug, Default)]
+pub struct Service {
+    state: Mutex<State>,
+}
+
+/// Faults that the service shows.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Time that a call takes, in milliseconds.
+    pub slow_ms: u64,
+    /// Number of calls that run and never answer.
+    pub hang: u64,
+}
+
+/// A call that ran.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Run {
+    /// Method and path with query.
+    pub call: String,
+    /// Body.
+    pub body: String,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    faults: Faults,
+    runs: Vec<Run>,
+}
+
+impl Web for Service {
+    async fn answer(self: Arc<Self>, mut req: Request) -> Response {
+        let path = req.url().path().to_owned();
+        match (req.method(), &*path) {
+            (Method::Post, "/faults") => match read(&mut req).await {
+                Ok(faults) => {
+                    self.state.lock().faults = faults;
+                    text(200, "")
+                }
+                Err(res) => res,
+            },
+            (Method::Get, "/stats") => json(&self.state.lock().runs),
+            _ => self.run(req).await,
+        }
+    }
+}
+
+impl Service {
+    async fn run(&self, mut req: Request) -> Response {
+        let body = req.body_string().await.unwrap_or_default();
+        let query = req.url().query().map(|q| format!("?{q}")).unwrap_or_default();
+        let call = format!("{} {}{query}", req.method(), req.url().path());
+        let (slow, hang) = {
+            let mut state = self.state.lock();
+            state.runs.push(Run { call: call.clone(), body });
+            let hang = state.faults.hang > 0;
+            state.faults.hang = state.faults.hang.saturating_sub(1);
+            (Duration::from_millis(state.faults.slow_ms), hang)
+        };
+        Timer::after(slow).await;
+        if hang {
+            std::future::pending::<()>().await;
+        }
+        json(&serde_json::json!({ "ran": call }))
+    }
+}
--- /dev/null
+++ b/crates/larkspring-standin/src/vms.rs
@@ -0,0 +1,63 @@
+//! Stand-in for the platform's VM list, which lags behind what is set.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http_types::{Method, Request, Response};
+use larkspring::platform::vms::Vm;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+
+use crate::web::{json, read, text, Web};
+
+/// The VM list.
+#[derive(Debug, Default)]
+pub struct Vms {
+    state: Mutex<State>,
+}
+
+/// What the list will show once the lag has passed.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Setting {
+    /// The VMs.
+    pub vms: Vec<Vm>,
+    /// How late the list shows them, in milliseconds.
+    pub lag_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    shown: Vec<Vm>,
+    next: Option<(Instant, Vec<Vm>)>,
+}
+
+impl Web for Vms {
+    async fn answer(self: Arc<Self>, mut req: Request) -> Response {
+        let path = req.url().path().to_owned();
+        match (req.method(), &*path) {
+            (Method::Get, "/v1/vms") => json(&self.list()),
+            (Method::Post, "/faults") => match read::<Setting>(&mut req).await {
+                Ok(setting) => self.set(setting),
+                Err(res) => res,
+            },
+            _ => text(404, "no such path"),
+        }
+    }
+}
+
+impl Vms {
+    fn set(&self, setting: Setting) -> Response {
+        let due = Instant::now() + Duration::from_millis(setting.lag_ms);
+        self.state.lock().next = Some((due, setting.vms));
+        text(200, "")
+    }
+
+    fn list(&self) -> Vec<Vm> {
+        let mut state = self.state.lock();
+        if let Some((_, vms)) = state.next.take_if(|(due, _)| *due <= Instant::now()) {
+            state.shown = vms;
+        }
+        state.shown.clone()
+    }
+}
--- /dev/null
+++ b/crates/larkspring-standin/src/web.rs
@@ -0,0 +1,87 @@
+//! What the stand-ins share: serving HTTP and answering JSON.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_types::{Body, Request, Response};
+use larkspring::http::head::HeadError;
+use larkspring::http::server::{serve, Handler, Limits};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use smol::net::TcpListener;
+use smol::Task;
+
+/// A stand-in that answers HTTP requests.
+pub trait Web: Send + Sync + 'static {
+    /// Answers one request.
+    fn answer(self: Arc<Self>, req: Request) -> impl Future<Output = Response> + Send;
+}
+
+/// A stand-in that is being served; it ends when this is dropped.
+#[derive(Debug)]
+pub struct Served {
+    /// The address that it listens on.
+    pub addr: SocketAddr,
+    _task: Task<()>,
+}
+
+struct Adapter<W>(Arc<W>);
+
+const MAX_BODY: usize = 4 * 1024 * 1024;
+const MAX_CONNECTIONS: usize = 10_000;
+
+/// Serves a stand-in at `addr`.
+pub async fn start<W: Web>(addr: SocketAddr, web: Arc<W>) -> io::Result<Served> {
+    let listener = TcpListener::bind(addr).await?;
+    let addr = listener.local_addr()?;
+    let limits = Limits {
+        max_body: MAX_BODY,
+        read_timeout: Duration::from_secs(10),
+        idle_timeout: Duration::from_secs(60),
+        stall_timeout: Duration::from_secs(600),
+        max_connections: MAX_CONNECTIONS,
+    };
+    let task = larkspring::exec::spawn(serve(listener, limits, Arc::new(Adapter(web))));
+    Ok(Served { addr, _task: task })
+}
+
+impl<W: Web> Handler for Adapter<W> {
+    async fn handle(self: Arc<Self>, req: Request, _: SocketAddr) -> Response {
+        self.0.clone().answer(req).await
+    }
+
+    fn refuse(&self, error: &HeadError) -> Response {
+        text(error.status(), &error.to_string())
+    }
+}
+
+/// Builds an answer with plain text.
+pub fn text(status: u16, text: &str) -> Response {
+    let mut res = Response::new(status);
+    res.set_body(Body::from_string(text.into()));
+    res
+}
+
+/// Builds an answer with JSON.
+pub fn json(value: &impl Serialize) -> Response {
+    let mut res = Response::new(200);
+    let body = serde_json::to_string(value).unwrap_or_default();
+    res.set_body(Body::from_string(body));
+    res.insert_header("content-type", "application/json");
+    res
+}
+
+/// Reads a JSON body, or answers 400.
+pub async fn read<T: DeserializeOwned>(req: &mut Request) -> Result<T, Response> {
+    let body = req.body_bytes().await.map_err(|e| text(400, &e.to_string()))?;
+    serde_json::from_slice(&body).map_err(|e| text(400, &e.to_string()))
+}
+
+/// Returns the value of a query parameter.
+pub fn query(req: &Request, name: &str) -> Option<String> {
+    let mut pairs = req.url().query_pairs();
+    pairs.find(|(key, _)| key == name).map(|(_, value)| value.into_owned())
+}
--- /dev/null
+++ b/crates/larkspring-standin/src/weights.rs
@@ -0,0 +1,140 @@
+//! Stand-in for the weight store: a rate, and a number of loads at full speed.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http_types::{Request, Response};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use smol::Timer;
+
+use crate::web::{json, read, text, Web};
+
+/// The weight store.
+#[derive(Debug, Default)]
+pub struct Weights {
+    state: Mutex<State>,
+}
+
+/// How the store behaves.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Loads a second; above it the store answers 429.
+    pub rate: f64,
+    /// Loads at a time at full speed; more share it.
+    pub concurrency: u32,
+    /// Time of one load at full speed, in milliseconds.
+    pub load_ms: u64,
+    /// Number of loads that fail.
+    pub fail: u64,
+}
+
+/// What the store saw.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Stats {
+    /// Loads that ended well.
+    pub served: u64,
+    /// Loads that were refused for the rate.
+    pub refused: u64,
+    /// Loads that failed by a fault.
+    pub failed: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    faults: Faults,
+    stats: Stats,
+    active: u32,
+    tokens: f64,
+    filled: Option<Instant>,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self { rate: 9.0, concurrency: 4, load_ms: 300, fail: 0 }
+    }
+}
+
+/// Steps into which a load is cut, so that its speed follows the number of loads.
+const SLICES: u32 = 10;
+
+impl Web for Weights {
+    async fn answer(self: Arc<Self>, mut req: Request) -> Response {
+        let path = req.url().path().to_owned();
+        if path == "/faults" {
+            return match read(&mut req).await {
+                Ok(faults) => {
+                    self.state.lock().faults = faults;
+                    text(200, "")
+                }
+                Err(res) => res,
+            };
+        }
+        if path == "/stats" {
+            return json(&self.state.lock().stats);
+        }
+        self.load().await
+    }
+}
+
+impl Weights {
+    async fn load(&self) -> Response {
+        if !self.admit() {
+            return text(429, "over the rate");
+        }
+        let active = Active::new(self);
+        for _ in 0..SLICES {
+            let wait = self.slice();
+            Timer::after(wait).await;
+        }
+        drop(active);
+        let mut state = self.state.lock();
+        if state.faults.fail > 0 {
+            state.faults.fail -= 1;
+            state.stats.failed += 1;
+            return text(500, "the load failed");
+        }
+        state.stats.served += 1;
+        text(200, "weights")
+    }
+
+    /// Takes a load from the rate, of which one second may be saved up.
+    fn admit(&self) -> bool {
+        let mut state = self.state.lock();
+        let now = Instant::now();
+        let rate = state.faults.rate;
+        let filled = state.filled.replace(now);
+        let gained = filled.map_or(rate, |at| (now - at).as_secs_f64() * rate);
+        state.tokens = (state.tokens + gained).min(rate.max(1.0));
+        if state.tokens < 1.0 {
+            state.stats.refused += 1;
+            return false;
+        }
+        state.tokens -= 1.0;
+        true
+    }
+
+    fn slice(&self) -> Duration {
+        let state = self.state.lock();
+        let share = state.active as f64 / state.faults.concurrency.max(1) as f64;
+        let full = Duration::from_millis(state.faults.load_ms) / SLICES;
+        full.mul_f64(share.max(1.0))
+    }
+}
+
+/// Counts a load for as long as it goes on.
+struct Active<'a>(&'a Weights);
+
+impl<'a> Active<'a> {
+    fn new(weights: &'a Weights) -> Self {
+        weights.state.lock().active += 1;
+        Self(weights)
+    }
+}
+
+impl Drop for Active<'_> {
+    fn drop(&mut self) {
+        self.0.state.lock().active -= 1;
+    }
+}
--- /dev/null
+++ b/crates/larkspring/src/agent/backend.rs
@@ -0,0 +1,180 @@
+//! The engine or service behind an agent, by its published HTTP API.
+
+use std::time::Duration;
+
+use http_types::{Method, Request, Response};
+use larkspring_core::ids::Target;
+use larkspring_proto::agent::{ModelTarget, ServiceTarget};
+use serde::{Deserialize, Serialize};
+use smol::net::TcpStream;
+
+use crate::http::client::{connect, exchange, fetch, request, HttpError};
+
+/// Header with the run of the engine, on each of its answers.
+pub const INCARNATION: &str = "x-engine-incarnation";
+/// Header with the exact adapter that answers.
+pub const ADAPTER: &str = "x-engine-adapter";
+/// Header with the number of a request, by which it can be cancelled and resumed.
+pub const REQUEST: &str = "x-request-id";
+/// Header with the urgency of a request, 0 to 9.
+pub const PRIORITY: &str = "x-priority";
+/// Header with the epoch of the agent that gives an order.
+pub const EPOCH: &str = "x-epoch";
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A client of one endpoint.
+#[derive(Debug, Clone)]
+pub struct Backend {
+    addr: String,
+}
+
+/// What an engine says of itself; it lags.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Report {
+    /// The run of the engine.
+    pub incarnation: String,
+    /// The adapters that it holds, as `adapter@version`.
+    pub resident: Vec<String>,
+    /// The requests that it runs.
+    pub running: Vec<RunningRequest>,
+}
+
+/// A request that an engine runs.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct RunningRequest {
+    /// Its number.
+    pub id: String,
+    /// Its adapter, as `adapter@version`.
+    pub adapter: String,
+}
+
+/// An order to load or unload an adapter.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct AdapterOrder {
+    /// The adapter, as `adapter@version`.
+    pub adapter: String,
+    /// Where the weight store keeps it; empty for an unload.
+    #[serde(default)]
+    pub weights: String,
+}
+
+/// The answer to an order that was carried out.
+#[derive(Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct OrderDone {
+    /// The adapter that was loaded or unloaded.
+    pub adapter: String,
+    /// The run of the engine.
+    pub incarnation: String,
+}
+
+impl Backend {
+    /// Creates a client of the endpoint at `addr`.
+    pub fn new(addr: &str) -> Self {
+        Self { addr: addr.into() }
+    }
+
+    /// Its address.
+    pub fn addr(&self) -> &str {
+        &self.addr
+    }
+
+    /// Opens a connection for a request.
+    pub async fn connect(&self) -> Result<TcpStream, HttpError> {
+        connect(&self.addr, CONNECT_TIMEOUT).await
+    }
+
+    /// Sends a request on an open connection and returns the answer's head.
+    pub async fn send(&self, sock: TcpStream, req: Request) -> Result<Response, HttpError> {
+        exchange(sock, &self.addr, req).await
+    }
+
+    /// Builds the request to an engine.
+    pub fn model_request(&self, to: &ModelTarget) -> Result<Request, HttpError> {
+        request(Method::Post, &self.addr, &to.path)
+    }
+
+    /// Builds the request to a plain service.
+    pub fn service_request(&self, to: &ServiceTarget) -> Result<Request, HttpError> {
+        let method = to.method.parse().unwrap_or(Method::Get);
+        request(method, &self.addr, &to.path)
+    }
+
+    /// Builds the request for the rest of an answer, from byte `offset` on.
+    pub fn resume_request(&self, id: &str, offset: u64) -> Result<Request, HttpError> {
+        let path = format!("/v1/streams/{id}?from={offset}");
+        request(Method::Get, &self.addr, &path)
+    }
+
+    /// Asks the engine for its state.
+    pub async fn report(&self) -> Result<Report, HttpError> {
+        let req = request(Method::Get, &self.addr, "/v1/load")?;
+        let (_, body) = fetch(&self.addr, req, ORDER_TIMEOUT).await?;
+        self.decode(&body)
+    }
+
+    /// Orders a load and waits for its end.
+    pub async fn load(
+        &self,
+        target: &Target,
+        weights: &str,
+        epoch: u64,
+        limit: Duration,
+    ) -> Result<OrderDone, HttpError> {
+        let order = AdapterOrder { adapter: target.to_string(), weights: weights.into() };
+        self.order("/v1/load_lora_adapter", &order, epoch, limit).await
+    }
+
+    /// Orders an unload and waits for its end.
+    pub async fn unload(
+        &self,
+        target: &Target,
+        epoch: u64,
+    ) -> Result<OrderDone, HttpError> {
+        let order =
+            AdapterOrder { adapter: target.to_string(), weights: String::new() };
+        self.order("/v1/unload_lora_adapter", &order, epoch, ORDER_TIMEOUT).await
+    }
+
+    /// Ends a request; once this succeeds the engine holds nothing more of it.
+    pub async fn cancel(&self, id: &str) -> Result<(), HttpError> {
+        let path = format!("/v1/cancel/{id}");
+        let req = request(Method::Post, &self.addr, &path)?;
+        let (res, _) = fetch(&self.addr, req, ORDER_TIMEOUT).await?;
+        match res.status() as u16 {
+            200 | 404 => Ok(()),
+            status => Err(self.refused(status)),
+        }
+    }
+
+    async fn order(
+        &self,
+        path: &str,
+        order: &AdapterOrder,
+        epoch: u64,
+        limit: Duration,
+    ) -> Result<OrderDone, HttpError> {
+        let mut req = request(Method::Post, &self.addr, path)?;
+        req.insert_header(EPOCH, epoch.to_string());
+        req.insert_header("content-type", "application/json");
+        req.set_body(serde_json::to_vec(order).unwrap_or_default());
+        let (res, body) = fetch(&self.addr, req, limit).await?;
+        match res.status() as u16 {
+            200 => self.decode(&body),
+            status => Err(self.refused(status)),
+        }
+    }
+
+    fn decode<T: serde::de::DeserializeOwned>(&self, body: &[u8]) -> Result<T, HttpError> {
+        let parsed = serde_json::from_slice(body);
+        parsed.map_err(|e| HttpError::Exchange(self.addr.clone(), e.to_string()))
+    }
+
+    fn refused(&self, status: u16) -> HttpError {
+        HttpError::Exchange(self.addr.clone(), format!("answered {status}"))
+    }
+}
--- /dev/null
+++ b/crates/larkspring/src/agent/endpoint.rs
@@ -0,0 +1,337 @@
+//! State of the agent's endpoint, and the actions that follow from its changes.
+
+use std::collections::HashMap;
+use std::fmt::{self, Debug, Formatter};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use event_listener::Event;
+use futures_lite::FutureExt;
+use larkspring_core::declared::Serves;
+use larkspring_core::ids::{AttemptId, Incarnation, Target};
+use larkspring_core::outcome::Refusal;
+use larkspring_core::slots::{Action, Held, Slots, Waiting};
+use larkspring_proto::agent::Hint;
+use parking_lot::Mutex;
+use smol::channel::{bounded, Receiver, Sender};
+use smol::Timer;
+
+use super::backend::{Backend, Report};
+use crate::exec;
+use crate::in_force::InForce;
+use crate::settings::AgentCfg;
+use crate::telemetry::Metrics;
+
+/// The endpoint of an agent.
+pub struct Endpoint {
+    cfg: AgentCfg,
+    slots: Mutex<Slots>,
+    verdicts: Mutex<HashMap<AttemptId, Sender<Verdict>>>,
+    next: AtomicU64,
+    epoch: AtomicU64,
+    changed: Event,
+    /// Its engine or service.
+    pub backend: Backend,
+    /// The declared state in force here.
+    pub in_force: Arc<InForce>,
+    /// Where metrics go.
+    pub metrics: Metrics,
+}
+
+/// Whether a request that waited may run.
+type Verdict = Result<(), Refusal>;
+
+/// A request's place in the queue and later in the engine.
+pub struct Place {
+    endpoint: Arc<Endpoint>,
+    /// Its number.
+    pub id: AttemptId,
+    verdict: Receiver<Verdict>,
+    /// Whether the engine may still hold something of the request.
+    in_engine: bool,
+}
+
+/// How often an engine is asked to end a request until it confirms.
+const CANCEL_INTERVAL: Duration = Duration::from_millis(200);
+/// Retry of loads that need the epoch, while there is none.
+const FIRST_EPOCH: u64 = 0;
+
+impl Endpoint {
+    /// Creates the state of an endpoint of which nothing is known yet.
+    pub fn new(cfg: AgentCfg, in_force: Arc<InForce>, metrics: Metrics) -> Self {
+        Self {
+            slots: Mutex::new(Slots::new(super::limits(&cfg))),
+            verdicts: Mutex::default(),
+            next: AtomicU64::new(1),
+            epoch: AtomicU64::new(FIRST_EPOCH),
+            changed: Event::new(),
+            backend: Backend::new(&cfg.backend),
+            in_force,
+            metrics,
+            cfg,
+        }
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.cfg.endpoint
+    }
+
+    /// Its settings.
+    pub fn cfg(&self) -> &AgentCfg {
+        &self.cfg
+    }
+
+    /// The plain service that it serves, if it is one.
+    pub fn service(&self) -> Option<Arc<str>> {
+        let state = self.in_force.state();
+        match &state.endpoint(self.name())?.serves {
+            Serves::Service(name) => Some(name.clone()),
+            Serves::Base(_) => None,
+        }
+    }
+
+    /// Takes the epoch that stamps the orders of this agent.
+    pub fn set_epoch(&self, epoch: u64) {
+        self.epoch.store(epoch, Ordering::Release);
+    }
+
+    /// The epoch that stamps the orders of this agent; 0 before there is one.
+    pub fn epoch(&self) -> u64 {
+        self.epoch.load(Ordering::Acquire)
+    }
+
+    /// Returns the number by which the engine knows a request of this agent.
+    pub fn request_id(&self, id: AttemptId) -> String {
+        format!("{}-{}-{id}", self.name(), self.epoch())
+    }
+
+    /// Asks for a place; the request waits until [`Place::granted`].
+    pub fn enter(self: &Arc<Self>, req: Waiting) -> Result<Place, Refusal> {
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        let (tx, verdict) = bounded(1);
+        self.verdicts.lock().insert(id, tx);
+        let admitted = self.slots.lock().admit(Instant::now(), id, req);
+        if let Err(refusal) = admitted {
+            self.verdicts.lock().remove(&id);
+            return Err(refusal);
+        }
+        self.drive();
+        Ok(Place { endpoint: self.clone(), id, verdict, in_engine: false })
+    }
+
+    /// Carries out what follows from the present state.
+    pub fn drive(self: &Arc<Self>) {
+        let actions = self.slots.lock().schedule(Instant::now());
+        for action in actions {
+            match action {
+                Action::Load(target) => exec::spawn(self.clone().load(target)).detach(),
+                Action::Unload(target) => {
+                    exec::spawn(self.clone().unload(target)).detach()
+                }
+                Action::Start(id) => self.decide(id, Ok(())),
+                Action::Refuse(id, refusal) => self.decide(id, Err(refusal)),
+            }
+        }
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Takes in a report of the engine.
+    pub fn reported(self: &Arc<Self>, report: &Report) {
+        let own = format!("{}-{}-", self.name(), self.epoch());
+        let foreign = |name: &str| {
+            let of_adapter = report.running.iter().filter(|r| r.adapter == name);
+            of_adapter.filter(|r| !r.id.starts_with(&own)).count()
+        };
+        let held = report.resident.iter().filter_map(|name| {
+            let target = parse_target(name)?;
+            Some(Held { target, foreign: foreign(name) })
+        });
+        let held: Vec<_> = held.collect();
+        let run = Incarnation::from(report.incarnation.as_str());
+        self.slots.lock().engine_is(Instant::now(), &run, &held);
+        self.drive();
+    }
+
+    /// Takes in that the engine could not be reached.
+    pub fn unreachable(self: &Arc<Self>) {
+        self.slots.lock().engine_lost();
+        self.drive();
+    }
+
+    /// Takes in that the engine does not hold an adapter.
+    pub fn lost(self: &Arc<Self>, target: &Target) {
+        self.slots.lock().lost(target);
+        self.drive();
+    }
+
+    /// The run of the engine, once known.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.slots.lock().incarnation().cloned()
+    }
+
+    /// Takes no more requests.
+    pub fn drain(self: &Arc<Self>) {
+        self.slots.lock().drain();
+        self.drive();
+    }
+
+    /// Whether the endpoint is declared as leaving, or its agent stops.
+    pub fn is_leaving(&self) -> bool {
+        self.slots.lock().is_draining() || self.is_declared_leaving()
+    }
+
+    /// Whether the endpoint is declared as leaving.
+    pub fn is_declared_leaving(&self) -> bool {
+        let state = self.in_force.state();
+        state.endpoint(self.name()).is_some_and(|e| e.leaving)
+    }
+
+    /// Waits, up to `limit`, until no request waits or runs.
+    pub async fn idle(&self, limit: Duration) {
+        let idle = async {
+            loop {
+                let listener = self.changed.listen();
+                if self.slots.lock().is_idle() {
+                    return;
+                }
+                listener.await;
+            }
+        };
+        let late = async {
+            Timer::after(limit).await;
+        };
+        idle.or(late).await;
+    }
+
+    /// Returns what an entry may want to know.
+    pub fn hint(&self) -> Hint {
+        let leaving = self.is_leaving();
+        let slots = self.slots.lock();
+        Hint {
+            running: slots.running() as u32,
+            waiting: slots.waiting() as u32,
+            resident: slots.resident(),
+            leaving,
+            revision: self.in_force.state().revision,
+            slots: self.cfg.slots as u32,
+        }
+    }
+
+    async fn load(self: Arc<Self>, target: Target) {
+        let started = Instant::now();
+        let state = self.in_force.state();
+        let ok = match state.weights(&target) {
+            Some(weights) => self.load_checked(&target, weights).await,
+            None => false,
+        };
+        let outcome = if ok { "ok" } else { "failed" };
+        self.metrics.count("loads", "outcome", outcome);
+        self.metrics.time("load_time", started.elapsed());
+        self.slots.lock().loaded(Instant::now(), &target, ok);
+        self.drive();
+    }
+
+    /// Loads an adapter and checks that the engine loaded just that one.
+    async fn load_checked(&self, target: &Target, weights: &str) -> bool {
+        let limit = self.cfg.load_timeout;
+        let done = match self.backend.load(target, weights, self.epoch(), limit).await {
+            Ok(done) => done,
+            Err(e) => {
+                tracing::warn!(adapter = %target, error = %e, "load failed");
+                return false;
+            }
+        };
+        let run = self.incarnation();
+        let same_run = run.as_deref() == Some(&*done.incarnation);
+        let exact = done.adapter == target.to_string();
+        if !exact {
+            tracing::error!(adapter = %target, got = done.adapter, "another was loaded");
+        }
+        exact && same_run
+    }
+
+    async fn unload(self: Arc<Self>, target: Target) {
+        let done = self.backend.unload(&target, self.epoch()).await;
+        if let Err(e) = &done {
+            tracing::warn!(adapter = %target, error = %e, "unload failed");
+        }
+        self.slots.lock().unloaded(&target, done.is_ok());
+        self.drive();
+    }
+
+    fn decide(&self, id: AttemptId, verdict: Verdict) {
+        if let Some(tx) = self.verdicts.lock().remove(&id) {
+            let _ = tx.try_send(verdict);
+        }
+    }
+
+    /// Forgets a request of which the engine holds nothing.
+    fn leave(self: &Arc<Self>, id: AttemptId) {
+        self.verdicts.lock().remove(&id);
+        let mut slots = self.slots.lock();
+        if !slots.abandon(id) {
+            slots.ended(Instant::now(), id);
+        }
+        drop(slots);
+        self.drive();
+    }
+
+    /// Ends a request at the engine and keeps its adapter pinned until that is sure.
+    async fn end_surely(self: Arc<Self>, id: AttemptId, run: Option<Incarnation>) {
+        let name = self.request_id(id);
+        while self.incarnation() == run {
+            if self.backend.cancel(&name).await.is_ok() {
+                break;
+            }
+            Timer::after(CANCEL_INTERVAL).await;
+        }
+        self.leave(id);
+    }
+}
+
+impl Place {
+    /// Waits until the request may run, or is refused.
+    pub async fn granted(&self) -> Verdict {
+        match self.verdict.recv().await {
+            Ok(verdict) => verdict,
+            Err(_) => Ok(()),
+        }
+    }
+
+    /// Marks that from now on the engine may hold something of the request.
+    pub fn entered_engine(&mut self) {
+        self.in_engine = true;
+    }
+
+    /// Marks that the engine holds nothing more of the request.
+    pub fn left_engine(&mut self) {
+        self.in_engine = false;
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let endpoint = self.endpoint.clone();
+        match self.in_engine && endpoint.service().is_none() {
+            true => {
+                let run = endpoint.incarnation();
+                exec::spawn(endpoint.end_surely(self.id, run)).detach();
+            }
+            false => endpoint.leave(self.id),
+        }
+    }
+}
+
+impl Debug for Endpoint {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Endpoint").field("name", &self.name()).finish_non_exhaustive()
+    }
+}
+
+/// Reads `adapter@version`.
+fn parse_target(name: &str) -> Option<Target> {
+    let (adapter, version) = name.split_once(larkspring_core::ids::VERSION_MARK)?;
+    Some(Target::new(adapter, version))
+}
--- /dev/null
+++ b/crates/larkspring/src/agent/job.rs
@@ -0,0 +1,390 @@
+//! One request at the agent, from its arrival to the last byte of its answer.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_lite::{AsyncReadExt, FutureExt, StreamExt};
+use http_types::{Body, Request, Response};
+use larkspring_core::ids::Target;
+use larkspring_core::outcome::{Refusal, Step};
+use larkspring_core::slots::Waiting;
+use larkspring_proto::agent::{
+    dispatch_down, dispatch_up, Begin, DispatchDown, DispatchUp, End, Start,
+};
+use smol::channel::Sender;
+use smol::Timer;
+use tonic::{Status, Streaming};
+use tracing::Instrument;
+
+use super::backend::{ADAPTER, INCARNATION, PRIORITY, REQUEST};
+use super::endpoint::{Endpoint, Place};
+use super::poll::SERVICE_VERSION;
+use super::{after, START_TIMEOUT};
+use crate::exec;
+use crate::rpc::credit::{units, Credit, MAX_CHUNK};
+use crate::telemetry::TraceParent;
+use crate::wire::refusal_to_wire;
+
+/// Messages to the entry.
+pub type Down = Sender<Result<DispatchDown, Status>>;
+
+/// End of an engine's streamed answer; without it the answer is not whole.
+const STREAM_END: &[u8] = b"data: [DONE]\n\n";
+const EVENT_STREAM: &str = "text/event-stream";
+/// Tries to get the rest of an answer whose connection broke.
+const MAX_RESUMES: u32 = 2;
+const RESUME_WAIT: Duration = Duration::from_millis(50);
+
+/// Serves one call of an entry to its end.
+pub async fn run(endpoint: Arc<Endpoint>, mut up: Streaming<DispatchUp>, down: Down) {
+    let first = async { up.next().await }.or(after(START_TIMEOUT)).await;
+    let Some(Ok(DispatchUp { kind: Some(dispatch_up::Kind::Start(start)) })) = first
+    else {
+        let _ = down.send(Err(Status::invalid_argument("`start` is missing"))).await;
+        return;
+    };
+    let credit = Arc::new(Credit::default());
+    credit.grant(start.credit);
+    let reader = exec::spawn(read_credit(up, credit.clone()));
+    let trace = TraceParent::next(Some(&start.traceparent));
+    let span = tracing::info_span!("agent", trace = trace.trace, span = trace.span,
+        attempt = start.attempt, endpoint = endpoint.name());
+    let job = Job { endpoint, start, credit, down, trace };
+    job.run().instrument(span).await;
+    drop(reader);
+}
+
+/// Takes in the entry's credit until it ends the call.
+async fn read_credit(mut up: Streaming<DispatchUp>, credit: Arc<Credit>) {
+    while let Some(Ok(message)) = up.next().await {
+        if let Some(dispatch_up::Kind::Credit(more)) = message.kind {
+            credit.grant(more.units);
+        }
+    }
+    credit.close();
+}
+
+struct Job {
+    endpoint: Arc<Endpoint>,
+    start: Start,
+    credit: Arc<Credit>,
+    down: Down,
+    trace: TraceParent,
+}
+
+/// Why a request ends before its answer is whole.
+enum Stop {
+    /// The entry has gone; nobody waits for an answer.
+    Gone,
+    /// The entry is told.
+    Refused(Refusal),
+}
+
+impl From<Refusal> for Stop {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+/// An answer that is being relayed.
+struct Answer {
+    body: Body,
+    /// Bytes that were relayed.
+    sent: u64,
+    /// Bytes that the answer has, if it says so.
+    len: Option<u64>,
+    /// Whether it is a stream of events.
+    events: bool,
+    tail: Tail,
+}
+
+/// The last bytes of an answer.
+#[derive(Default)]
+struct Tail(Vec<u8>);
+
+impl Job {
+    async fn run(&self) {
+        let deadline = Instant::now() + Duration::from_millis(self.start.deadline_ms);
+        match self.serve(deadline).await {
+            Ok(()) => self.endpoint.metrics.count("requests", "outcome", "ok"),
+            Err(Stop::Gone) => {
+                self.endpoint.metrics.count("requests", "outcome", "gone");
+                tracing::info!("the entry has gone");
+            }
+            Err(Stop::Refused(refusal)) => {
+                let outcome = refusal.outcome.name();
+                self.endpoint.metrics.count("requests", "outcome", outcome);
+                tracing::info!(%refusal, "refused");
+                let refusal = refusal_to_wire(refusal, Some(self.endpoint.hint()));
+                let _ = self.tell(dispatch_down::Kind::Refusal(refusal)).await;
+            }
+        }
+    }
+
+    async fn serve(&self, deadline: Instant) -> Result<(), Stop> {
+        let target = self.target()?;
+        let since = Instant::now();
+        let waiting = Waiting {
+            target: target.clone(),
+            priority: self.start.priority,
+            since,
+            deadline,
+        };
+        let mut place = self.endpoint.enter(waiting)?;
+        let late = || late(Step::Queue, Refusal::not_run);
+        self.bounded(deadline, late, async { Ok(place.granted().await?) }).await?;
+        let load_wait = since.elapsed();
+        let mut res = self.send(&mut place, &target, deadline).await?;
+        let mut answer = Answer::new(&res);
+        self.begin(&res, load_wait).await?;
+        answer.body = res.take_body();
+        self.relay(&mut place, answer, deadline).await?;
+        place.left_engine();
+        drop(place);
+        let end = End { hint: Some(self.endpoint.hint()) };
+        self.tell(dispatch_down::Kind::End(end)).await
+    }
+
+    /// Returns the exact adapter, if it is declared here too.
+    fn target(&self) -> Result<Target, Refusal> {
+        if let Some(service) = &self.start.service {
+            return Ok(Target::new(&service.service, SERVICE_VERSION));
+        }
+        let Some(model) = &self.start.model else {
+            return Err(Refusal::not_run(Step::Resolve, "the request names no target"));
+        };
+        let target = Target::new(&model.adapter, &model.version);
+        match self.endpoint.in_force.state().weights(&target) {
+            Some(_) => Ok(target),
+            None => {
+                let text = format!("`{target}` is not declared here yet");
+                let refusal = Refusal::not_run(Step::Resolve, text).elsewhere();
+                Err(refusal.retry_after(Duration::from_secs(1)))
+            }
+        }
+    }
+
+    /// Sends the request and checks that the right engine begins to answer.
+    async fn send(
+        &self,
+        place: &mut Place,
+        target: &Target,
+        deadline: Instant,
+    ) -> Result<Response, Stop> {
+        let run = self.endpoint.incarnation();
+        let req = self.request(place)?;
+        let sock = self.endpoint.backend.connect().await.map_err(|e| {
+            self.endpoint.unreachable();
+            let refusal = Refusal::not_run(Step::Send, e.to_string()).elsewhere();
+            refusal.retry_after(Duration::from_secs(1))
+        })?;
+        if self.endpoint.incarnation() != run {
+            let text = "the engine restarted before the request was sent";
+            return Err(Refusal::not_run(Step::Send, text).elsewhere().into());
+        }
+        place.entered_engine();
+        let late = || late(Step::Begin, Refusal::unknown);
+        let exchange = async {
+            let sent = self.endpoint.backend.send(sock, req).await;
+            sent.map_err(|e| Stop::from(Refusal::unknown(Step::Begin, e.to_string())))
+        };
+        let res = self.bounded(deadline, late, exchange).await?;
+        self.check(place, &res, target, run.as_deref())?;
+        Ok(res)
+    }
+
+    /// Checks the head of an answer.
+    fn check(
+        &self,
+        place: &mut Place,
+        res: &Response,
+        target: &Target,
+        run: Option<&str>,
+    ) -> Result<(), Refusal> {
+        if self.start.service.is_some() {
+            return Ok(());
+        }
+        let status = res.status() as u16;
+        if let 404 | 429 | 503 = status {
+            place.left_engine();
+            if status == 404 {
+                self.endpoint.lost(target);
+            }
+            let text = format!("the engine did not take the request: {status}");
+            let refusal = Refusal::not_run(Step::Begin, text).elsewhere();
+            return Err(refusal.retry_after(Duration::from_millis(500)));
+        }
+        if status != 200 {
+            return Ok(());
+        }
+        let header = |name: &str| res.header(name).map(|v| v.as_str());
+        let exact = header(ADAPTER) == Some(&target.to_string());
+        if exact && header(INCARNATION) == run {
+            return Ok(());
+        }
+        let text = "another adapter or another run of the engine began to answer";
+        Err(Refusal::failed(Step::Begin, text).elsewhere())
+    }
+
+    fn request(&self, place: &Place) -> Result<Request, Refusal> {
+        let backend = &self.endpoint.backend;
+        let built = match (&self.start.model, &self.start.service) {
+            (Some(model), _) => backend.model_request(model),
+            (None, Some(service)) => backend.service_request(service),
+            (None, None) => {
+                let text = "the request names no target";
+                return Err(Refusal::not_run(Step::Resolve, text));
+            }
+        };
+        let built = built.map_err(|e| Refusal::not_run(Step::Send, e.to_string()));
+        let mut req = built?;
+        req.insert_header(REQUEST, self.endpoint.request_id(place.id));
+        req.insert_header(PRIORITY, self.start.priority.to_string());
+        req.insert_header("traceparent", self.trace.to_string());
+        if !self.start.body.is_empty() {
+            req.set_body(self.start.body.to_vec());
+            req.insert_header("content-type", self.start.content_type.as_str());
+        }
+        Ok(req)
+    }
+
+    async fn begin(&self, res: &Response, load_wait: Duration) -> Result<(), Stop> {
+        let content_type = res.header("content-type").map(|v| v.as_str().to_owned());
+        let begin = Begin {
+            status: (res.status() as u16).into(),
+            content_type: content_type.unwrap_or_default(),
+            hint: Some(self.endpoint.hint()),
+            load_wait_us: load_wait.as_micros() as u64,
+        };
+        self.tell(dispatch_down::Kind::Begin(begin)).await
+    }
+
+    /// Relays an answer to its end; a broken stream of an engine is resumed.
+    async fn relay(
+        &self,
+        place: &mut Place,
+        mut answer: Answer,
+        deadline: Instant,
+    ) -> Result<(), Stop> {
+        let mut resumes = 0;
+        loop {
+            let late = || late(Step::Stream, Refusal::failed);
+            let broken = match self.bounded(deadline, late, self.copy(&mut answer)).await {
+                Ok(()) if answer.is_whole() => return Ok(()),
+                Ok(()) => "the answer was cut off".to_owned(),
+                Err(Stop::Refused(r)) if r.elsewhere => r.message,
+                Err(stop) => return Err(stop),
+            };
+            resumes += 1;
+            let resumable = self.start.model.is_some() && answer.events;
+            if !resumable || resumes > MAX_RESUMES {
+                return Err(Refusal::failed(Step::Stream, broken).into());
+            }
+            tracing::info!(offset = answer.sent, "resuming a broken answer");
+            Timer::after(RESUME_WAIT).await;
+            answer.body = self.resume(place, answer.sent).await?;
+        }
+    }
+
+    /// Copies what comes; a broken connection is a refusal marked `elsewhere`.
+    async fn copy(&self, answer: &mut Answer) -> Result<(), Stop> {
+        let mut buf = vec![0; MAX_CHUNK];
+        loop {
+            let read = answer.body.read(&mut buf).await;
+            let n = read.map_err(|e| {
+                Refusal::failed(Step::Stream, format!("the endpoint broke off: {e}"))
+                    .elsewhere()
+            })?;
+            if n == 0 {
+                return Ok(());
+            }
+            answer.took(&buf[..n]);
+            if !self.credit.take(units(n)).await {
+                return Err(Stop::Gone);
+            }
+            let chunk = Bytes::copy_from_slice(&buf[..n]);
+            self.tell(dispatch_down::Kind::Chunk(chunk)).await?;
+        }
+    }
+
+    /// Gets the rest of an answer from the same run of the engine.
+    async fn resume(&self, place: &Place, offset: u64) -> Result<Body, Refusal> {
+        let backend = &self.endpoint.backend;
+        let fail = |cause: String| {
+            let text = format!("the answer can't be resumed: {cause}");
+            Refusal::failed(Step::Stream, text)
+        };
+        let run = self.endpoint.incarnation();
+        let id = self.endpoint.request_id(place.id);
+        let req = backend.resume_request(&id, offset);
+        let req = req.map_err(|e| fail(e.to_string()))?;
+        let sock = backend.connect().await.map_err(|e| fail(e.to_string()))?;
+        let mut res = backend.send(sock, req).await.map_err(|e| fail(e.to_string()))?;
+        let same_run = res.header(INCARNATION).map(|v| v.as_str()) == run.as_deref();
+        match res.status() as u16 {
+            200 if same_run => Ok(res.take_body()),
+            200 => Err(fail("the engine restarted".into())),
+            status => Err(fail(format!("the engine answered {status}"))),
+        }
+    }
+
+    /// Runs `work` until it ends, the deadline passes or the entry goes.
+    async fn bounded<T>(
+        &self,
+        deadline: Instant,
+        late: impl FnOnce() -> Refusal,
+        work: impl std::future::Future<Output = Result<T, Stop>>,
+    ) -> Result<T, Stop> {
+        let gone = async {
+            self.credit.closed().await;
+            Err(Stop::Gone)
+        };
+        let timer = async {
+            Timer::at(deadline).await;
+            Err(late().into())
+        };
+        work.or(gone).or(timer).await
+    }
+
+    async fn tell(&self, kind: dispatch_down::Kind) -> Result<(), Stop> {
+        let message = DispatchDown { kind: Some(kind) };
+        self.down.send(Ok(message)).await.map_err(|_| Stop::Gone)
+    }
+}
+
+impl Answer {
+    fn new(res: &Response) -> Self {
+        let events = res.header("content-type").is_some_and(|v| {
+            v.as_str().starts_with(EVENT_STREAM)
+        });
+        let len = res.len().map(|len| len as u64);
+        Self { body: Body::empty(), sent: 0, len, events, tail: Tail::default() }
+    }
+
+    fn took(&mut self, chunk: &[u8]) {
+        self.sent += chunk.len() as u64;
+        if self.events {
+            self.tail.push(chunk);
+        }
+    }
+
+    fn is_whole(&self) -> bool {
+        match self.events {
+            true => self.tail.0 == STREAM_END,
+            false => self.len.is_none_or(|len| len == self.sent),
+        }
+    }
+}
+
+impl Tail {
+    fn push(&mut self, chunk: &[u8]) {
+        self.0.extend_from_slice(chunk);
+        let extra = self.0.len().saturating_sub(STREAM_END.len());
+        self.0.drain(..extra);
+    }
+}
+
+fn late(step: Step, outcome: fn(Step, &'static str) -> Refusal) -> Refusal {
+    outcome(step, "the deadline passed")
+}
--- /dev/null
+++ b/crates/larkspring/src/agent/mod.rs
@@ -0,0 +1,151 @@
+//! The agent: the process beside an endpoint through which all of its requests go.
+//!
+//! It has the last word for its endpoint. At the moment of use it checks the adapter,
+//! the run of the engine, the deadline and whether it still takes requests.
+
+mod backend;
+mod endpoint;
+mod job;
+mod poll;
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::Stream;
+use larkspring_proto::agent::agent_server::{Agent as AgentRpc, AgentServer};
+use larkspring_proto::agent::{DispatchDown, DispatchUp};
+use quick_error::quick_error;
+use smol::net::TcpListener;
+use smol::{channel, Timer};
+use tonic::{Request, Response, Status, Streaming};
+
+use self::endpoint::Endpoint;
+use crate::exec;
+use crate::in_force::InForce;
+use crate::platform::objects::HttpObjects;
+use crate::rpc::serve::serve;
+use crate::settings::{AgentCfg, Settings};
+use crate::telemetry::Metrics;
+
+quick_error! {
+    /// Why a process can't start.
+    #[derive(Debug)]
+    pub enum StartError {
+        /// The settings lack the part for the process.
+        Settings(part: &'static str) { display("settings: `{part}` is missing") }
+        /// The address can't be listened on.
+        Listen(addr: SocketAddr, cause: std::io::Error) {
+            display("listen on {addr}: {cause}")
+        }
+    }
+}
+
+/// A running agent.
+#[derive(Debug)]
+pub struct Agent {
+    /// The address that it listens on.
+    pub addr: SocketAddr,
+    endpoint: Arc<Endpoint>,
+    stopper: crate::rpc::serve::Stopper,
+    grace: Duration,
+    _tasks: Vec<smol::Task<()>>,
+}
+
+impl Agent {
+    /// Starts an agent in the background.
+    pub async fn start(settings: &Settings) -> Result<Self, StartError> {
+        let cfg = settings.agent.clone().ok_or(StartError::Settings("agent"))?;
+        let listener = TcpListener::bind(cfg.listen)
+            .await
+            .map_err(|e| StartError::Listen(cfg.listen, e))?;
+        let addr = listener.local_addr().unwrap_or(cfg.listen);
+        let objects =
+            HttpObjects::new(&settings.platform.objects, settings.platform.timeout);
+        let in_force = Arc::new(InForce::default());
+        let metrics = Metrics::new(&settings.telemetry);
+        let grace = cfg.stop_grace;
+        let endpoint = Arc::new(Endpoint::new(cfg, in_force.clone(), metrics));
+        let follow = {
+            let objects = objects.clone();
+            exec::spawn(async move { in_force.follow(&objects).await })
+        };
+        let polls = exec::spawn(poll::run(endpoint.clone(), objects));
+        let service = AgentServer::new(Service { endpoint: endpoint.clone() });
+        let stopper = serve(listener, service);
+        tracing::info!(%addr, endpoint = endpoint.name(), "agent started");
+        Ok(Self { addr, endpoint, stopper, grace, _tasks: vec![follow, polls] })
+    }
+
+    /// Stops as planned: what waits is refused and what runs goes on to its end.
+    pub async fn stop(self) {
+        self.endpoint.drain();
+        tracing::info!(endpoint = self.endpoint.name(), "agent stops");
+        self.endpoint.idle(self.grace).await;
+        self.stopper.stop(self.grace).await;
+    }
+}
+
+/// Runs an agent until `stop` completes.
+pub async fn run(
+    settings: &Settings,
+    stop: impl Future<Output = ()>,
+) -> Result<(), StartError> {
+    let agent = Agent::start(settings).await?;
+    stop.await;
+    agent.stop().await;
+    Ok(())
+}
+
+/// The serving side of the calls of entries.
+struct Service {
+    endpoint: Arc<Endpoint>,
+}
+
+/// Messages to an entry that are ready and not yet taken by the connection.
+const READY_MESSAGES: usize = 4;
+/// Time for a call to send its first message.
+const START_TIMEOUT: Duration = Duration::from_secs(5);
+
+#[tonic::async_trait]
+impl AgentRpc for Service {
+    type DispatchStream =
+        Pin<Box<dyn Stream<Item = Result<DispatchDown, Status>> + Send>>;
+
+    async fn dispatch(
+        &self,
+        req: Request<Streaming<DispatchUp>>,
+    ) -> Result<Response<Self::DispatchStream>, Status> {
+        let (tx, rx) = channel::bounded(READY_MESSAGES);
+        let job = job::run(self.endpoint.clone(), req.into_inner(), tx);
+        exec::spawn(job).detach();
+        Ok(Response::new(Box::pin(rx)))
+    }
+}
+
+/// Waits for a duration and then returns nothing.
+async fn after<T>(limit: Duration) -> Option<T> {
+    Timer::after(limit).await;
+    None
+}
+
+/// Returns the limits of the core from settings.
+fn limits(cfg: &AgentCfg) -> larkspring_core::slots::Limits {
+    larkspring_core::slots::Limits {
+        slots: cfg.slots,
+        max_running: cfg.max_running,
+        max_waiting: cfg.max_waiting,
+        max_loading: MAX_LOADING,
+        patience: PATIENCE,
+        settle: SETTLE,
+    }
+}
+
+/// Loads under way at a time in one engine.
+const MAX_LOADING: usize = 2;
+/// Wait of a request after which a busy adapter makes room for its own.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Time after the start in which the engine's reports may still miss requests.
+const SETTLE: Duration = Duration::from_secs(3);
--- /dev/null
+++ b/crates/larkspring/src/agent/poll.rs
@@ -0,0 +1,94 @@
+//! Background work of an agent: its epoch, and the reports of its engine.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use larkspring_core::ids::Target;
+use smol::Timer;
+
+use super::backend::Report;
+use super::endpoint::Endpoint;
+use crate::platform::objects::ObjectApi;
+use crate::platform::PlatformError;
+
+/// Reports that may be missed before the engine counts as unreachable.
+const MISSES: u32 = 2;
+const EPOCH_RETRY: Duration = Duration::from_millis(500);
+/// Stands for the run of a plain service, which has none.
+const SERVICE_RUN: &str = "service";
+
+/// Version of the pseudo-adapter that stands for a plain service.
+pub const SERVICE_VERSION: &str = "-";
+
+/// Takes an epoch and then follows the engine for ever.
+pub async fn run(endpoint: Arc<Endpoint>, objects: impl ObjectApi) {
+    endpoint.in_force.reached(1).await;
+    if let Some(service) = endpoint.service() {
+        return follow_service(endpoint, &service).await;
+    }
+    let epoch = take_epoch(&endpoint, &objects).await;
+    endpoint.set_epoch(epoch);
+    tracing::info!(epoch, "epoch taken");
+    let mut misses = 0;
+    loop {
+        match endpoint.backend.report().await {
+            Ok(report) => {
+                misses = 0;
+                endpoint.reported(&report);
+            }
+            Err(e) => {
+                misses += 1;
+                tracing::debug!(error = %e, "no report");
+                if misses >= MISSES || e.nothing_sent() {
+                    endpoint.unreachable();
+                }
+            }
+        }
+        drain_if_declared(&endpoint);
+        Timer::after(endpoint.cfg().poll).await;
+    }
+}
+
+/// A plain service counts as an engine whose one adapter is always loaded.
+async fn follow_service(endpoint: Arc<Endpoint>, service: &str) {
+    let report = Report {
+        incarnation: SERVICE_RUN.into(),
+        resident: vec![Target::new(service, SERVICE_VERSION).to_string()],
+        running: vec![],
+    };
+    loop {
+        endpoint.reported(&report);
+        drain_if_declared(&endpoint);
+        Timer::after(endpoint.cfg().poll).await;
+    }
+}
+
+fn drain_if_declared(endpoint: &Arc<Endpoint>) {
+    if endpoint.is_declared_leaving() {
+        endpoint.drain();
+    }
+}
+
+/// Raises the epoch of the endpoint by one and returns it; retries until it could.
+async fn take_epoch(endpoint: &Endpoint, objects: &impl ObjectApi) -> u64 {
+    loop {
+        match try_epoch(endpoint, objects).await {
+            Ok(epoch) => return epoch,
+            Err(e) => tracing::warn!(error = %e, "no epoch yet"),
+        }
+        Timer::after(EPOCH_RETRY).await;
+    }
+}
+
+/// The version of the object is the epoch: it grows with each conditional write.
+///
+/// After a write whose reply was lost the next try takes a higher epoch, which is as
+/// good.
+async fn try_epoch(
+    endpoint: &Endpoint,
+    objects: &impl ObjectApi,
+) -> Result<u64, PlatformError> {
+    let name = format!("epoch/{}", endpoint.name());
+    let seen = objects.get(&name).await?.map_or(0, |o| o.version);
+    objects.put(&name, seen, b"{}".to_vec()).await
+}
--- /dev/null
+++ b/crates/larkspring/src/entry/answer.rs
@@ -0,0 +1,179 @@
+//! The answer to a caller, relayed as it comes under the caller's own pace.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::{Buf, Bytes};
+use futures_lite::{ready, AsyncBufRead, AsyncRead};
+use http_types::{Body, Response};
+use larkspring_core::outcome::{Refusal, Step};
+use larkspring_proto::agent::dispatch_down::Kind;
+use parking_lot::Mutex;
+use smol::Timer;
+
+use super::dispatch::{Begun, Call};
+use super::limits::Permit;
+use super::refuse;
+use crate::rpc::credit::units;
+use crate::wire::refusal_from_wire;
+
+const EVENT_STREAM: &str = "text/event-stream";
+/// Time by which the agent's own answer to a missed deadline may come later.
+const AGENT_GRACE: Duration = Duration::from_secs(1);
+/// Credit is sent back in portions of at least this many units.
+const CREDIT_PORTION: u32 = 16;
+
+/// Builds the response that relays an answer.
+pub fn respond(begun: Begun, permit: Permit) -> Response {
+    let mut res = Response::new(begun.begin.status as u16);
+    let content_type = begun.begin.content_type.clone();
+    let events = content_type.starts_with(EVENT_STREAM);
+    let deadline = begun.deadline;
+    let relay = Relay::new(begun.call, permit, events, deadline);
+    res.set_body(Body::from_reader(Exclusive(Mutex::new(relay)), None));
+    if !content_type.is_empty() {
+        res.insert_header("content-type", content_type.as_str());
+    }
+    res
+}
+
+/// Reads an answer from an agent.
+///
+/// A broken answer ends in an error, upon which the connection to the caller closes
+/// without its last chunk, so that it can't be taken for a whole one.
+struct Relay {
+    call: Option<Call>,
+    /// Released with the end of the answer.
+    permit: Option<Permit>,
+    events: bool,
+    chunk: Bytes,
+    /// Units that were read and not yet granted again.
+    owed: u32,
+    broken: Option<String>,
+    timer: Timer,
+}
+
+impl Relay {
+    fn new(call: Call, permit: Permit, events: bool, deadline: Instant) -> Self {
+        Self {
+            call: Some(call),
+            permit: Some(permit),
+            events,
+            chunk: Bytes::new(),
+            owed: 0,
+            broken: None,
+            timer: Timer::at(deadline + AGENT_GRACE),
+        }
+    }
+
+    fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while self.chunk.is_empty() {
+            if let Some(cause) = self.broken.take() {
+                return Poll::Ready(Err(io::Error::other(cause)));
+            }
+            let Some(call) = &mut self.call else { return Poll::Ready(Ok(())) };
+            let next = match call.poll_next(cx) {
+                Poll::Ready(next) => next,
+                Poll::Pending => {
+                    ready!(Pin::new(&mut self.timer).poll_timer(cx));
+                    let text = "the deadline passed";
+                    self.break_off(Refusal::failed(Step::Stream, text));
+                    continue;
+                }
+            };
+            match next {
+                Some(Ok(Kind::Chunk(chunk))) => self.take(chunk),
+                Some(Ok(Kind::End(end))) => {
+                    call.learn(end.hint);
+                    self.finish();
+                }
+                Some(Ok(Kind::Refusal(mut refusal))) => {
+                    call.learn(refusal.hint.take());
+                    let peer = call.peer().to_owned();
+                    self.break_off(refusal_from_wire(refusal, &peer));
+                }
+                Some(Ok(Kind::Begin(_))) | None => {
+                    let text = "the agent ended the call in the middle of the answer";
+                    self.break_off(Refusal::failed(Step::Stream, text));
+                }
+                Some(Err(status)) => {
+                    let text = format!("the call to the agent broke: {status}");
+                    self.break_off(Refusal::failed(Step::Stream, text));
+                }
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    fn take(&mut self, chunk: Bytes) {
+        self.owed += units(chunk.len());
+        self.chunk = chunk;
+        if self.owed >= CREDIT_PORTION {
+            if let Some(call) = &self.call {
+                call.grant(self.owed);
+            }
+            self.owed = 0;
+        }
+    }
+
+    fn finish(&mut self) {
+        self.call = None;
+        self.permit = None;
+    }
+
+    /// Ends the answer as broken; a stream of events says so in its last event.
+    fn break_off(&mut self, refusal: Refusal) {
+        tracing::info!(%refusal, "an answer broke off");
+        if self.events {
+            let body = refuse::body(&refusal);
+            self.chunk = format!("event: error\ndata: {body}\n\n").into();
+        }
+        self.broken = Some(refusal.to_string());
+        self.finish();
+    }
+}
+
+/// Polls a timer without its value.
+trait PollTimer {
+    fn poll_timer(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()>;
+}
+
+impl PollTimer for Timer {
+    fn poll_timer(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        std::future::Future::poll(self, cx).map(drop)
+    }
+}
+
+/// Makes a reader shareable, as http-types asks; it is only used by one task.
+struct Exclusive(Mutex<Relay>);
+
+impl AsyncRead for Exclusive {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let relay = self.0.get_mut();
+        ready!(relay.poll_chunk(cx))?;
+        let n = relay.chunk.len().min(buf.len());
+        relay.chunk.copy_to_slice(&mut buf[..n]);
+        Poll::Ready(Ok(n))
+    }
+}
+
+impl AsyncBufRead for Exclusive {
+    fn poll_fill_buf(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<&[u8]>> {
+        let relay = self.get_mut().0.get_mut();
+        ready!(relay.poll_chunk(cx))?;
+        Poll::Ready(Ok(&relay.chunk))
+    }
+
+    fn consume(mut self: Pin<&mut Self>, n: usize) {
+        self.0.get_mut().chunk.advance(n);
+    }
+}
--- /dev/null
+++ b/crates/larkspring/src/entry/dispatch.rs
@@ -0,0 +1,279 @@
+//! The attempts at a request: choosing an endpoint, sending, and trying another.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures_lite::FutureExt;
+use http::Uri;
+use larkspring_core::declared::Endpoint;
+use larkspring_core::ids::EndpointId;
+use larkspring_core::outcome::{Outcome, Refusal, Step};
+use larkspring_core::retry::backoff;
+use larkspring_proto::agent::agent_client::AgentClient;
+use larkspring_proto::agent::{
+    dispatch_down, dispatch_up, Begin, Credit, DispatchDown, DispatchUp, Hint,
+    ModelTarget, ServiceTarget, Start,
+};
+use smol::channel::{self, Sender};
+use smol::Timer;
+use tonic::{Status, Streaming};
+
+use super::inbound::{Inbound, To};
+use super::Inner;
+use crate::rpc::channel::nothing_sent;
+use crate::rpc::credit::INITIAL_UNITS;
+use crate::wire::{hint_from_wire, refusal_from_wire};
+
+/// An answer that has begun.
+pub struct Begun {
+    /// Its head.
+    pub begin: Begin,
+    /// The call that carries the rest.
+    pub call: Call,
+    /// When the caller gives up.
+    pub deadline: Instant,
+}
+
+/// One call to an agent; dropping it cancels the call.
+pub struct Call {
+    entry: Arc<Inner>,
+    endpoint: Arc<Endpoint>,
+    up: Sender<DispatchUp>,
+    down: Option<Streaming<DispatchDown>>,
+}
+
+/// Attempts at a request that goes to one endpoint after another.
+const MAX_ATTEMPTS: usize = 4;
+const FIRST_BACKOFF: Duration = Duration::from_millis(10);
+const LONGEST_BACKOFF: Duration = Duration::from_millis(250);
+/// Time by which an agent's own answer to a missed deadline may come later.
+const AGENT_GRACE: Duration = Duration::from_millis(500);
+/// When to come back where no endpoint could be chosen.
+const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
+
+/// Dispatches a request until an answer begins or no attempt is left.
+pub async fn run(entry: &Arc<Inner>, req: Inbound) -> Result<Begun, Refusal> {
+    entry.budget.lock().earn();
+    let mut tried: Vec<EndpointId> = Vec::new();
+    let mut rng = fastrand::Rng::new();
+    loop {
+        let last = match choose(entry, &req, &tried, &mut rng) {
+            Ok(endpoint) => {
+                tried.push(endpoint.name.clone());
+                match attempt(entry, &req, endpoint).await {
+                    Ok(begun) => return Ok(begun),
+                    Err(refusal) => refusal,
+                }
+            }
+            Err(refusal) => return Err(refusal),
+        };
+        let wait =
+            backoff(FIRST_BACKOFF, LONGEST_BACKOFF, tried.len() as u32, &mut rng);
+        let in_time = Instant::now() + wait < req.deadline;
+        let allowed = may_retry(&req, &last) && tried.len() < MAX_ATTEMPTS && in_time;
+        if !allowed || !has_other(entry, &req, &tried, &mut rng) {
+            return Err(last);
+        }
+        if !entry.budget.lock().spend() {
+            entry.metrics.count("retries", "outcome", "no_budget");
+            return Err(last);
+        }
+        entry.metrics.count("retries", "outcome", "sent");
+        tracing::info!(refusal = %last, "another endpoint is tried");
+        Timer::after(wait).await;
+    }
+}
+
+/// Whether another attempt keeps the promise for the request.
+fn may_retry(req: &Inbound, last: &Refusal) -> bool {
+    match last.outcome {
+        Outcome::NotRun => last.elsewhere,
+        Outcome::Unknown => req.repeatable,
+        Outcome::Failed => req.repeatable && last.elsewhere,
+    }
+}
+
+fn choose(
+    entry: &Inner,
+    req: &Inbound,
+    tried: &[EndpointId],
+    rng: &mut fastrand::Rng,
+) -> Result<Arc<Endpoint>, Refusal> {
+    let state = entry.in_force.state();
+    let (endpoints, target) = match &req.to {
+        To::Model { target, base, .. } => (state.engines(base), Some(target.hash())),
+        To::Service { service, .. } => (state.service_endpoints(service), None),
+    };
+    let chosen = entry.router.choose(Instant::now(), endpoints, target, tried, rng);
+    chosen.ok_or_else(|| {
+        let refusal = Refusal::not_run(Step::Choose, "no endpoint takes the request now");
+        refusal.retry_after(NO_ENDPOINT_RETRY)
+    })
+}
+
+fn has_other(
+    entry: &Inner,
+    req: &Inbound,
+    tried: &[EndpointId],
+    rng: &mut fastrand::Rng,
+) -> bool {
+    choose(entry, req, tried, rng).is_ok()
+}
+
+/// Makes one attempt at one endpoint, up to the beginning of its answer.
+async fn attempt(
+    entry: &Arc<Inner>,
+    req: &Inbound,
+    endpoint: Arc<Endpoint>,
+) -> Result<Begun, Refusal> {
+    let work = begin(entry, req, endpoint.clone());
+    let late = async {
+        Timer::at(req.deadline + AGENT_GRACE).await;
+        let text = "the deadline passed and the agent did not answer";
+        Err(Refusal::unknown(Step::Begin, text).peer(&*endpoint.name))
+    };
+    work.or(late).await
+}
+
+async fn begin(
+    entry: &Arc<Inner>,
+    req: &Inbound,
+    endpoint: Arc<Endpoint>,
+) -> Result<Begun, Refusal> {
+    let peer = endpoint.name.clone();
+    let mut call = open(entry, req, endpoint).await?;
+    match call.next().await {
+        Some(Ok(dispatch_down::Kind::Begin(begin))) => {
+            call.learn(begin.hint.clone());
+            Ok(Begun { begin, call, deadline: req.deadline })
+        }
+        Some(Ok(dispatch_down::Kind::Refusal(mut refusal))) => {
+            call.learn(refusal.hint.take());
+            Err(refusal_from_wire(refusal, &peer))
+        }
+        Some(Ok(_)) | None => {
+            let text = "the agent ended the call without an answer";
+            Err(Refusal::unknown(Step::Begin, text).peer(&*peer))
+        }
+        Some(Err(status)) => {
+            Err(Refusal::unknown(Step::Begin, status.to_string()).peer(&*peer))
+        }
+    }
+}
+
+/// Sends the request to the endpoint's agent.
+async fn open(
+    entry: &Arc<Inner>,
+    req: &Inbound,
+    endpoint: Arc<Endpoint>,
+) -> Result<Call, Refusal> {
+    let peer = endpoint.name.clone();
+    let not_sent = |cause: String| {
+        entry.router.unreachable(Instant::now(), &peer);
+        let refusal = Refusal::not_run(Step::Connect, cause).elsewhere();
+        refusal.peer(&*peer).retry_after(NO_ENDPOINT_RETRY)
+    };
+    let channel = entry.pool.get(&endpoint.agent).await;
+    let channel = channel.map_err(|e| not_sent(e.to_string()))?;
+    let origin = Uri::try_from(format!("http://{}", endpoint.agent));
+    let origin = origin.map_err(|e| not_sent(e.to_string()))?;
+    let (up, messages) = channel::unbounded();
+    let start = start_message(entry, req);
+    let _ = up.try_send(DispatchUp { kind: Some(dispatch_up::Kind::Start(start)) });
+    entry.router.sent(&endpoint.name);
+    let mut call = Call { entry: entry.clone(), endpoint, up, down: None };
+    let mut client = AgentClient::with_origin(channel, origin);
+    match client.dispatch(messages).await {
+        Ok(res) => call.down = Some(res.into_inner()),
+        Err(status) if nothing_sent(&status) => {
+            return Err(not_sent(status.message().into()))
+        }
+        Err(status) => {
+            let refusal = Refusal::unknown(Step::Send, status.to_string());
+            return Err(refusal.peer(&*peer).elsewhere());
+        }
+    }
+    Ok(call)
+}
+
+fn start_message(entry: &Inner, req: &Inbound) -> Start {
+    let left = req.deadline.saturating_duration_since(Instant::now());
+    let mut start = Start {
+        attempt: entry.attempt_id(),
+        caller: req.caller.name.to_string(),
+        deadline_ms: left.as_millis() as u64,
+        priority: req.priority,
+        body: req.body.clone(),
+        content_type: req.content_type.clone(),
+        traceparent: req.trace.to_string(),
+        revision: entry.in_force.state().revision,
+        credit: INITIAL_UNITS,
+        repeatable: req.repeatable,
+        max_tokens: req.max_tokens,
+        ..Start::default()
+    };
+    match &req.to {
+        To::Model { target, path, .. } => {
+            start.model = Some(ModelTarget {
+                adapter: target.adapter.to_string(),
+                version: target.version.to_string(),
+                path: (*path).into(),
+            });
+        }
+        To::Service { service, method, path } => {
+            start.service = Some(ServiceTarget {
+                service: service.clone(),
+                method: method.to_string(),
+                path: path.clone(),
+            });
+        }
+    }
+    start
+}
+
+impl Call {
+    /// Returns the next message; `None` if the agent ended the call.
+    pub async fn next(&mut self) -> Option<Result<dispatch_down::Kind, Status>> {
+        std::future::poll_fn(|cx| self.poll_next(cx)).await
+    }
+
+    /// Polls for the next message.
+    pub fn poll_next(
+        &mut self,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<dispatch_down::Kind, Status>>> {
+        use futures_lite::Stream;
+        let Some(down) = &mut self.down else { return std::task::Poll::Ready(None) };
+        std::pin::Pin::new(down).poll_next(cx).map(|next| match next? {
+            Ok(DispatchDown { kind: Some(kind) }) => Some(Ok(kind)),
+            Ok(_) => Some(Err(Status::internal("an empty message"))),
+            Err(status) => Some(Err(status)),
+        })
+    }
+
+    /// Name of the endpoint that is asked.
+    pub fn peer(&self) -> &str {
+        &self.endpoint.name
+    }
+
+    /// Allows the agent to send `units` more.
+    pub fn grant(&self, units: u32) {
+        let credit = dispatch_up::Kind::Credit(Credit { units });
+        // A call that has ended needs no credit.
+        let _ = self.up.try_send(DispatchUp { kind: Some(credit) });
+    }
+
+    /// Takes in what the agent said of its endpoint.
+    pub fn learn(&self, hint: Option<Hint>) {
+        if let Some(hint) = hint {
+            let name = &self.endpoint.name;
+            self.entry.router.learn(Instant::now(), name, hint_from_wire(hint));
+        }
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        self.entry.router.done(&self.endpoint.name);
+    }
+}
--- /dev/null
+++ b/crates/larkspring/src/entry/mod.rs
@@ -0,0 +1,250 @@
+//! The entry: the process that callers reach.
+//!
+//! All entries are alike. Each checks a request, chooses an endpoint on what it has
+//! learned, and relays the answer; the endpoint's agent has the last word.
+
+mod answer;
+mod dispatch;
+mod inbound;
+mod limits;
+mod refuse;
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use event_listener::Event;
+use futures_lite::FutureExt;
+use http_types::{Body, Method, Request, Response};
+use larkspring_core::declared::Caller;
+use larkspring_core::outcome::{Refusal, Step};
+use larkspring_core::retry::RetryBudget;
+use larkspring_core::route::Router;
+use parking_lot::Mutex;
+use serde_json::json;
+use smol::net::TcpListener;
+use smol::{Task, Timer};
+use tracing::Instrument;
+
+use self::inbound::Inbound;
+use self::limits::CallerLimits;
+use crate::agent::StartError;
+use crate::exec;
+use crate::http::head::HeadError;
+use crate::http::server::{serve, Handler, Limits};
+use crate::in_force::InForce;
+use crate::platform::objects::HttpObjects;
+use crate::rpc::channel::Pool;
+use crate::settings::{EntryCfg, Settings};
+use crate::telemetry::{Metrics, TraceParent};
+
+/// A running entry.
+#[derive(Debug)]
+pub struct Entry {
+    /// The address that it listens on.
+    pub addr: SocketAddr,
+    inner: Arc<Inner>,
+    _tasks: Vec<Task<()>>,
+}
+
+/// State that the requests of an entry share.
+#[derive(Debug)]
+pub(crate) struct Inner {
+    cfg: EntryCfg,
+    in_force: Arc<InForce>,
+    router: Router,
+    pool: Pool,
+    budget: Mutex<RetryBudget>,
+    limits: CallerLimits,
+    metrics: Metrics,
+    name: String,
+    next: AtomicU64,
+    stopping: AtomicBool,
+    ended: Event,
+}
+
+/// Time for a connection to an agent to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time that a caller's connection may wait between requests.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
+/// Connections beyond the streams, for callers between requests.
+const SPARE_CONNECTIONS: usize = 1000;
+/// When to come back to an entry that stops: at once, through another one.
+const STOPPING_RETRY: Duration = Duration::from_millis(100);
+
+impl Entry {
+    /// Starts an entry in the background.
+    pub async fn start(settings: &Settings) -> Result<Self, StartError> {
+        let cfg = settings.entry.clone().ok_or(StartError::Settings("entry"))?;
+        let listener = TcpListener::bind(cfg.listen)
+            .await
+            .map_err(|e| StartError::Listen(cfg.listen, e))?;
+        let addr = listener.local_addr().unwrap_or(cfg.listen);
+        let objects =
+            HttpObjects::new(&settings.platform.objects, settings.platform.timeout);
+        let inner = Arc::new(Inner::new(cfg, settings));
+        let follow = {
+            let in_force = inner.in_force.clone();
+            exec::spawn(async move { in_force.follow(&objects).await })
+        };
+        let http = serve(listener, inner.http_limits(), inner.clone());
+        let tasks = vec![follow, exec::spawn(http)];
+        tracing::info!(%addr, "entry started");
+        Ok(Self { addr, inner, _tasks: tasks })
+    }
+
+    /// Stops as planned: new requests are refused and those in progress end.
+    pub async fn stop(self) {
+        tracing::info!(addr = %self.addr, "entry stops");
+        self.inner.stopping.store(true, Ordering::Release);
+        let idle = self.inner.limits.idle();
+        let late = async {
+            Timer::after(self.inner.cfg.stop_grace).await;
+        };
+        idle.or(late).await;
+    }
+}
+
+/// Runs an entry until `stop` completes.
+pub async fn run(
+    settings: &Settings,
+    stop: impl Future<Output = ()>,
+) -> Result<(), StartError> {
+    let entry = Entry::start(settings).await?;
+    stop.await;
+    entry.stop().await;
+    Ok(())
+}
+
+impl Inner {
+    fn new(cfg: EntryCfg, settings: &Settings) -> Self {
+        Self {
+            in_force: Arc::default(),
+            router: Router::new(cfg.routing),
+            pool: Pool::new(cfg.max_agent_connections, CONNECT_TIMEOUT),
+            budget: Mutex::new(RetryBudget::new(cfg.retry_percent)),
+            limits: CallerLimits::new(cfg.max_streams, cfg.max_streams_per_caller),
+            metrics: Metrics::new(&settings.telemetry),
+            name: format!("{:016x}", fastrand::u64(..)),
+            next: AtomicU64::new(1),
+            stopping: AtomicBool::new(false),
+            ended: Event::new(),
+            cfg,
+        }
+    }
+
+    fn http_limits(&self) -> Limits {
+        Limits {
+            max_body: self.cfg.max_body,
+            read_timeout: self.cfg.head_timeout,
+            idle_timeout: IDLE_TIMEOUT,
+            stall_timeout: self.cfg.stall_timeout,
+            max_connections: self.cfg.max_streams + SPARE_CONNECTIONS,
+        }
+    }
+
+    /// Returns a number for an attempt that no other attempt has.
+    fn attempt_id(&self) -> String {
+        format!("{}-{}", self.name, self.next.fetch_add(1, Ordering::Relaxed))
+    }
+
+    async fn answer(self: &Arc<Self>, req: Request) -> Result<Response, Refusal> {
+        if req.method() == Method::Get && req.url().path() == "/health" {
+            return Ok(self.health());
+        }
+        if self.stopping.load(Ordering::Acquire) {
+            let refusal = Refusal::not_run(Step::Admit, "this entry is stopping");
+            return Err(refusal.retry_after(STOPPING_RETRY));
+        }
+        let caller = self.caller(&req)?;
+        if req.method() == Method::Get && req.url().path() == "/v1/models" {
+            return Ok(self.models(&caller));
+        }
+        let received = Instant::now();
+        let inbound = Inbound::read(self, req, caller, received).await?;
+        let trace = inbound.trace.clone();
+        let span = tracing::info_span!("entry", trace = trace.trace, span = trace.span,
+            caller = &*inbound.caller.name, target = inbound.target_name());
+        self.serve(inbound).instrument(span).await
+    }
+
+    async fn serve(self: &Arc<Self>, inbound: Inbound) -> Result<Response, Refusal> {
+        let permit = self.limits.enter(&inbound.caller)?;
+        let attempt = self.attempt_id();
+        let trace = inbound.trace.to_string();
+        let begun = dispatch::run(self, inbound).await?;
+        let mut res = answer::respond(begun, permit);
+        res.insert_header("larkspring-attempt", attempt);
+        res.insert_header("traceparent", trace);
+        Ok(res)
+    }
+
+    fn caller(&self, req: &Request) -> Result<Arc<Caller>, Refusal> {
+        let header = req.header("authorization").map(|v| v.as_str());
+        let key = header.and_then(|v| v.strip_prefix("Bearer "));
+        let refused = || Refusal::not_run(Step::Authenticate, "a valid key is needed");
+        let state = self.in_force.state();
+        if state.revision == 0 {
+            let text = "no declared state is in force yet";
+            let refusal = Refusal::not_run(Step::Resolve, text);
+            return Err(refusal.retry_after(Duration::from_secs(1)));
+        }
+        key.and_then(|key| state.caller(key)).ok_or_else(refused)
+    }
+
+    fn models(&self, caller: &Caller) -> Response {
+        let names = self.in_force.state().models(caller);
+        let list: Vec<_> =
+            names.iter().map(|n| json!({ "id": n, "object": "model" })).collect();
+        json_answer(200, &json!({ "object": "list", "data": list }))
+    }
+
+    fn health(&self) -> Response {
+        let stopping = self.stopping.load(Ordering::Acquire);
+        let revision = self.in_force.state().revision;
+        let status = if stopping || revision == 0 { 503 } else { 200 };
+        json_answer(status, &json!({ "revision": revision, "stopping": stopping }))
+    }
+}
+
+impl Handler for Inner {
+    async fn handle(self: Arc<Self>, req: Request, _: SocketAddr) -> Response {
+        let started = Instant::now();
+        let parent = req.header("traceparent").map(|v| v.as_str().to_owned());
+        let res = match self.answer(req).await {
+            Ok(res) => {
+                self.metrics.count("answers", "outcome", "ok");
+                res
+            }
+            Err(refusal) => {
+                self.metrics.count("answers", "outcome", refusal.outcome.name());
+                tracing::info!(%refusal, "refused");
+                let trace = TraceParent::next(parent.as_deref());
+                let mut res = refuse::response(&refusal);
+                res.insert_header("traceparent", trace.to_string());
+                res
+            }
+        };
+        self.metrics.time("first_byte", started.elapsed());
+        res
+    }
+
+    fn refuse(&self, error: &HeadError) -> Response {
+        self.metrics.count("answers", "outcome", "unreadable");
+        refuse::unreadable(error)
+    }
+
+    fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+}
+
+/// Builds an answer with a JSON body.
+fn json_answer(status: u16, value: &serde_json::Value) -> Response {
+    let mut res = Response::new(status);
+    res.set_body(Body::from_string(value.to_string()));
+    res.insert_header("content-type", "application/json");
+    res
+}
--- /dev/null
+++ b/crates/larkspring/src/http/client.rs
@@ -0,0 +1,104 @@
+//! Requests to endpoints and the platform.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_lite::{AsyncReadExt, FutureExt};
+use http_types::{Method, Request, Response, Url};
+use quick_error::quick_error;
+use smol::net::TcpStream;
+use smol::Timer;
+
+quick_error! {
+    /// Why a request has no answer, with the peer.
+    #[derive(Debug)]
+    pub enum HttpError {
+        /// The address can't be read.
+        Address(addr: String) { display("bad address `{addr}`") }
+        /// No connection; the peer got nothing of the request.
+        Connect(addr: String, cause: String) { display("connect to {addr}: {cause}") }
+        /// The connection broke; the peer may have got the request.
+        Exchange(addr: String, cause: String) { display("exchange with {addr}: {cause}") }
+        /// No answer in time; the peer may have got the request.
+        Timeout(addr: String) { display("no answer from {addr} in time") }
+        /// The answer is over its limit, in bytes.
+        TooLarge(addr: String, max: usize) {
+            display("the answer of {addr} is over {max} bytes")
+        }
+    }
+}
+
+impl HttpError {
+    /// Whether it is proved that the peer got nothing.
+    pub fn nothing_sent(&self) -> bool {
+        matches!(self, Self::Address(_) | Self::Connect(..))
+    }
+}
+
+/// Most bytes of an answer that is read whole.
+pub const MAX_ANSWER: usize = 2 * 1024 * 1024;
+
+/// Builds a request to `addr`; `path` begins with a slash.
+pub fn request(method: Method, addr: &str, path: &str) -> Result<Request, HttpError> {
+    let url = Url::parse(&format!("http://{addr}{path}"));
+    let url = url.map_err(|_| HttpError::Address(addr.into()))?;
+    Ok(Request::new(method, url))
+}
+
+/// Opens a connection within `limit`.
+pub async fn connect(addr: &str, limit: Duration) -> Result<TcpStream, HttpError> {
+    let parsed: SocketAddr = addr.parse().map_err(|_| HttpError::Address(addr.into()))?;
+    let late = async {
+        Timer::after(limit).await;
+        Err(std::io::ErrorKind::TimedOut.into())
+    };
+    let sock = TcpStream::connect(parsed).or(late).await;
+    let sock = sock.map_err(|e| HttpError::Connect(addr.into(), e.to_string()))?;
+    let _ = sock.set_nodelay(true);
+    Ok(sock)
+}
+
+/// Sends a request on an open connection and returns the answer's head.
+pub async fn exchange(
+    sock: TcpStream,
+    addr: &str,
+    req: Request,
+) -> Result<Response, HttpError> {
+    let res = async_h1::connect(sock, req).await;
+    res.map_err(|e| HttpError::Exchange(addr.into(), e.to_string()))
+}
+
+/// Sends a request and reads the whole answer within `limit`.
+pub async fn fetch(
+    addr: &str,
+    req: Request,
+    limit: Duration,
+) -> Result<(Response, Vec<u8>), HttpError> {
+    let work = async {
+        let sock = connect(addr, limit).await?;
+        let mut res = exchange(sock, addr, req).await?;
+        let body = read_whole(addr, &mut res).await?;
+        Ok((res, body))
+    };
+    let late = async {
+        Timer::after(limit).await;
+        Err(HttpError::Timeout(addr.into()))
+    };
+    work.or(late).await
+}
+
+/// Reads a body to its declared end.
+async fn read_whole(addr: &str, res: &mut Response) -> Result<Vec<u8>, HttpError> {
+    let len = res.len();
+    let mut body = Vec::new();
+    let mut reader = res.take_body().take(MAX_ANSWER as u64 + 1);
+    let read = reader.read_to_end(&mut body).await;
+    read.map_err(|e| HttpError::Exchange(addr.into(), e.to_string()))?;
+    if body.len() > MAX_ANSWER {
+        return Err(HttpError::TooLarge(addr.into(), MAX_ANSWER));
+    }
+    if len.is_some_and(|len| len != body.len()) {
+        return Err(HttpError::Exchange(addr.into(), "the answer was cut off".into()));
+    }
+    Ok(body)
+}
--- /dev/null
+++ b/crates/larkspring/src/http/head.rs
@@ -0,0 +1,118 @@
+//! Checks of a request's head before the library reads it.
+//!
+//! async-h1 closes the connection without an answer on some faults and accepts others;
+//! each is found here by `httparse`, so that it gets an answer of its own.
+
+use httparse::{Header, Request, Status, EMPTY_HEADER};
+use quick_error::quick_error;
+
+/// Most bytes of a head.
+pub const MAX_HEAD: usize = 8 * 1024;
+const MAX_HEADERS: usize = 64;
+
+/// What the connection needs to know of a whole head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Head {
+    /// Bytes of the head.
+    pub len: usize,
+    /// Bytes of the body that follows.
+    pub body_len: usize,
+    /// Whether the caller keeps the connection for more requests.
+    pub keep_alive: bool,
+    /// Whether the caller waits for a `100 Continue` before it sends the body.
+    pub expects_continue: bool,
+}
+
+quick_error! {
+    /// Why a head is refused.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum HeadError {
+        /// The head is over its limit.
+        HeadTooLarge { display("the head is over {MAX_HEAD} bytes") }
+        /// The body is over its limit, in bytes.
+        BodyTooLarge(max: usize) { display("the body is over {max} bytes") }
+        /// The body has no length.
+        LengthRequired { display("the body needs a Content-Length") }
+        /// The version is not served.
+        Version { display("only HTTP/1.1 is served") }
+        /// The head breaks the protocol.
+        Malformed(what: &'static str) { display("malformed request: {what}") }
+        /// The request did not come whole in time.
+        Slow { display("the request did not come whole in time") }
+        /// The caller closed the connection in the middle of its request.
+        Cut { display("the request was cut off") }
+    }
+}
+
+impl HeadError {
+    /// Returns the HTTP status for the error.
+    pub fn status(&self) -> u16 {
+        match self {
+            Self::HeadTooLarge => 431,
+            Self::BodyTooLarge(_) => 413,
+            Self::LengthRequired => 411,
+            Self::Version => 505,
+            Self::Malformed(_) | Self::Cut => 400,
+            Self::Slow => 408,
+        }
+    }
+}
+
+/// Reads a head from the start of `buf`; `None` if more bytes are needed.
+pub fn check(buf: &[u8], max_body: usize) -> Result<Option<Head>, HeadError> {
+    let mut headers = [EMPTY_HEADER; MAX_HEADERS];
+    let mut req = Request::new(&mut headers);
+    let parsed = req.parse(buf).map_err(|e| match e {
+        httparse::Error::TooManyHeaders => HeadError::HeadTooLarge,
+        httparse::Error::Version => HeadError::Version,
+        _ => HeadError::Malformed("the head can't be read"),
+    })?;
+    let len = match parsed {
+        Status::Complete(len) if len <= MAX_HEAD => len,
+        Status::Partial if buf.len() <= MAX_HEAD => return Ok(None),
+        _ => return Err(HeadError::HeadTooLarge),
+    };
+    if req.version != Some(1) {
+        return Err(HeadError::Version);
+    }
+    let headers = &*req.headers;
+    if count(headers, "host") != 1 {
+        return Err(HeadError::Malformed("exactly one Host is needed"));
+    }
+    if count(headers, "transfer-encoding") > 0 {
+        return Err(HeadError::LengthRequired);
+    }
+    let body_len = body_len(headers, max_body)?;
+    let keep_alive = !has(headers, "connection", "close");
+    let expects_continue = has(headers, "expect", "100-continue");
+    Ok(Some(Head { len, body_len, keep_alive, expects_continue }))
+}
+
+fn body_len(headers: &[Header<'_>], max_body: usize) -> Result<usize, HeadError> {
+    match count(headers, "content-length") {
+        0 => return Ok(0),
+        1 => {}
+        _ => return Err(HeadError::Malformed("more than one Content-Length")),
+    }
+    let value = find(headers, "content-length").unwrap_or_default();
+    if value.is_empty() || !value.iter().all(u8::is_ascii_digit) {
+        return Err(HeadError::Malformed("the Content-Length is no number"));
+    }
+    let text = std::str::from_utf8(value).unwrap_or_default();
+    match text.parse::<usize>() {
+        Ok(len) if len <= max_body => Ok(len),
+        _ => Err(HeadError::BodyTooLarge(max_body)),
+    }
+}
+
+fn find<'a>(headers: &[Header<'a>], name: &str) -> Option<&'a [u8]> {
+    headers.iter().find(|h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value)
+}
+
+fn count(headers: &[Header<'_>], name: &str) -> usize {
+    headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name)).count()
+}
+
+fn has(headers: &[Header<'_>], name: &str, value: &str) -> bool {
+    find(headers, name).is_some_and(|v| v.eq_ignore_ascii_case(value.as_bytes()))
+}
--- /dev/null
+++ b/crates/larkspring/src/in_force.rs
@@ -0,0 +1,132 @@
+//! The declared state in force in this process, and how it follows the object API.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use larkspring_core::declared::{Part, State};
+use larkspring_core::ids::Revision;
+use larkspring_core::retry::backoff;
+use larkspring_proto::declared::{Chunk, Root};
+use smol::Timer;
+
+use crate::platform::objects::{ObjectApi, ObjectVersion};
+use crate::platform::PlatformError;
+
+/// Name of the object that holds the root.
+pub const ROOT: &str = "config/root";
+/// How long one watch waits at the object API.
+const WATCH: Duration = Duration::from_secs(10);
+const FIRST_WAIT: Duration = Duration::from_millis(100);
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+
+/// The state in force; its revision never goes down.
+#[derive(Debug, Default)]
+pub struct InForce {
+    state: ArcSwap<State>,
+    changed: event_listener::Event,
+}
+
+impl InForce {
+    /// Returns the state in force.
+    pub fn state(&self) -> Arc<State> {
+        self.state.load_full()
+    }
+
+    /// Puts a state in force, unless one as new already is; says whether it did.
+    pub fn apply(&self, revision: Revision, parts: Vec<Arc<Part>>) -> bool {
+        let state = Arc::new(State::build(revision, parts));
+        let before = self.state.rcu(|old| match old.revision < revision {
+            true => state.clone(),
+            false => old.clone(),
+        });
+        self.changed.notify(usize::MAX);
+        before.revision < revision
+    }
+
+    /// Waits until a state of at least `revision` is in force.
+    pub async fn reached(&self, revision: Revision) {
+        loop {
+            let listener = self.changed.listen();
+            if self.state.load().revision >= revision {
+                return;
+            }
+            listener.await;
+        }
+    }
+
+    /// Follows the object API for ever; during its outages what is in force stays.
+    pub async fn follow(&self, api: &dyn ObjectApi) {
+        let mut seen = 0;
+        let mut failures = 0;
+        loop {
+            match self.step(api, seen).await {
+                Ok(version) => {
+                    seen = version;
+                    failures = 0;
+                }
+                Err(e) => {
+                    tracing::warn!(error = %e, "the declared state can't be followed");
+                    let mut rng = fastrand::Rng::new();
+                    let wait = backoff(FIRST_WAIT, LONGEST_WAIT, failures, &mut rng);
+                    failures += 1;
+                    Timer::after(wait).await;
+                }
+            }
+        }
+    }
+
+    async fn step(
+        &self,
+        api: &dyn ObjectApi,
+        seen: ObjectVersion,
+    ) -> Result<ObjectVersion, PlatformError> {
+        let Some(object) = api.watch(ROOT, seen, WATCH).await? else { return Ok(seen) };
+        let root: Root = decode("read the root", &object.value)?;
+        let parts = self.fetch_parts(api, &root).await?;
+        if self.apply(root.revision, parts) {
+            tracing::info!(revision = root.revision, "in force");
+        }
+        Ok(object.version)
+    }
+
+    /// Returns the parts of a root; those already held are not read again.
+    async fn fetch_parts(
+        &self,
+        api: &dyn ObjectApi,
+        root: &Root,
+    ) -> Result<Vec<Arc<Part>>, PlatformError> {
+        let state = self.state();
+        let held: HashMap<_, _> = state.parts().iter().map(|p| (&p.hash, p)).collect();
+        let mut parts = Vec::with_capacity(root.chunks.len());
+        for hash in &root.chunks {
+            let part = match held.get(hash) {
+                Some(part) => Arc::clone(part),
+                None => Arc::new(Part::index(hash, &fetch_chunk(api, hash).await?)),
+            };
+            parts.push(part);
+        }
+        Ok(parts)
+    }
+}
+
+/// Returns the name of the object that holds a chunk.
+pub fn chunk_name(hash: &str) -> String {
+    format!("config/chunk-{hash}")
+}
+
+async fn fetch_chunk(api: &dyn ObjectApi, hash: &str) -> Result<Chunk, PlatformError> {
+    let step = "read a chunk";
+    let object = api.get(&chunk_name(hash)).await?;
+    let missing = || PlatformError::Answer(step, format!("chunk {hash} is missing"));
+    decode(step, &object.ok_or_else(missing)?.value)
+}
+
+fn decode<T: serde::de::DeserializeOwned>(
+    step: &'static str,
+    value: &[u8],
+) -> Result<T, PlatformError> {
+    let parsed = serde_json::from_slice(value);
+    parsed.map_err(|e| PlatformError::Answer(step, e.to_string()))
+}
--- /dev/null
+++ b/crates/larkspring/src/operate/mod.rs
@@ -0,0 +1,4 @@
+//! Declarations of operators: read and checked from files, and written as one change.
+
+pub mod declare;
+pub mod publish;
--- /dev/null
+++ b/crates/larkspring/src/telemetry.rs
@@ -0,0 +1,111 @@
+//! Logs as JSON lines, spans of each hop and metrics.
+
+use std::fmt::Display;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cadence::{
+    BufferedUdpMetricSink, Counted, Gauged, NopMetricSink, QueuingMetricSink,
+    StatsdClient, Timed,
+};
+use tracing_subscriber::fmt::format::FmtSpan;
+
+use crate::settings::TelemetryCfg;
+
+/// Prefix of every metric.
+const PREFIX: &str = "larkspring";
+
+/// Starts the log of the process; later calls change nothing.
+pub fn start_log(cfg: &TelemetryCfg) {
+    let level = cfg.level.parse().unwrap_or(tracing::Level::INFO);
+    let spans = if cfg.spans { FmtSpan::CLOSE } else { FmtSpan::NONE };
+    let log = tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_max_level(level)
+        .with_span_events(spans)
+        .with_writer(std::io::stderr);
+    // In one process with several roles the first one starts the log.
+    let _ = log.try_init();
+}
+
+/// Sends metrics to a statsd address, or nowhere.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    client: Arc<StatsdClient>,
+}
+
+impl Metrics {
+    /// Opens the way to the address in the settings, if there is one.
+    pub fn new(cfg: &TelemetryCfg) -> Self {
+        let client = match udp_sink(&cfg.statsd) {
+            Some(sink) => StatsdClient::from_sink(PREFIX, sink),
+            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+        };
+        Self { client: Arc::new(client) }
+    }
+
+    /// Counts an event with one tag.
+    pub fn count(&self, name: &str, tag: &str, value: &str) {
+        self.client.count_with_tags(name, 1).with_tag(tag, value).send();
+    }
+
+    /// Records how long something took.
+    pub fn time(&self, name: &str, took: Duration) {
+        let _ = self.client.time(name, took.as_millis() as u64);
+    }
+
+    /// Records a present value.
+    pub fn gauge(&self, name: &str, value: u64) {
+        let _ = self.client.gauge(name, value);
+    }
+}
+
+fn udp_sink(addr: &str) -> Option<QueuingMetricSink> {
+    if addr.is_empty() {
+        return None;
+    }
+    let sock = UdpSocket::bind("0.0.0.0:0").ok()?;
+    sock.set_nonblocking(true).ok()?;
+    let sink = BufferedUdpMetricSink::from(addr, sock).ok()?;
+    Some(QueuingMetricSink::from(sink))
+}
+
+/// Place of a request in a distributed trace, as in W3C Trace Context.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TraceParent {
+    /// Hex digits of the whole trace.
+    pub trace: String,
+    /// Hex digits of the span of this hop.
+    pub span: String,
+}
+
+const TRACE_LEN: usize = 32;
+const SPAN_LEN: usize = 16;
+
+impl TraceParent {
+    /// Starts the span of this hop, within the trace of `header` if that is valid.
+    pub fn next(header: Option<&str>) -> Self {
+        let trace = header.and_then(trace_of);
+        let new = || format!("{:032x}", fastrand::u128(1..));
+        Self {
+            trace: trace.unwrap_or_else(new),
+            span: format!("{:016x}", fastrand::u64(1..)),
+        }
+    }
+}
+
+impl Display for TraceParent {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "00-{}-{}-01", self.trace, self.span)
+    }
+}
+
+fn trace_of(header: &str) -> Option<String> {
+    let mut parts = header.split('-');
+    let (_, trace, span) = (parts.next()?, parts.next()?, parts.next()?);
+    let hex = |s: &str| s.bytes().all(|b| b.is_ascii_hexdigit());
+    let valid = trace.len() == TRACE_LEN && span.len() == SPAN_LEN;
+    (valid && hex(trace) && hex(span)).then(|| trace.to_ascii_lowercase())
+}
