--- a/crates/larkspring-cli/src/dev.rs
+++ b/crates/larkspring-cli/src/dev.rs
@@ -133,7 +133,11 @@
 }
 
 fn version(n: usize, name: &str) -> Version {
-    Version { name: name.into(), weights: format!("tenant-{n:04}/{name}"), retired: false }
+    Version {
+        name: name.into(),
+        weights: format!("tenant-{n:04}/{name}"),
+        retired: false,
+    }
 }
 
 fn endpoint(name: &str, agent: &Agent) -> Endpoint {
--- a/crates/larkspring-cli/src/main.rs
+++ b/crates/larkspring-cli/src/main.rs
@@ -38,7 +38,12 @@
         Command::Standin(args) => standin::run(&args),
         Command::Completions { shell } => {
             let mut cmd = Cli::command();
-            clap_complete::generate(shell, &mut cmd, "larkspring", &mut std::io::stdout());
+            clap_complete::generate(
+                shell,
+                &mut cmd,
+                "larkspring",
+                &mut std::io::stdout(),
+            );
             Ok(())
         }
     }
--- a/crates/larkspring-cli/src/operate.rs
+++ b/crates/larkspring-cli/src/operate.rs
@@ -42,7 +42,8 @@
 /// Makes a folder of declarations the declared state.
 pub fn apply(args: &ApplyArgs) -> Result<(), AnyError> {
     let all = declare::read_dir(&args.declarations)?;
-    let change = args.change.clone().unwrap_or_else(|| format!("{:032x}", fastrand::u128(..)));
+    let change =
+        args.change.clone().unwrap_or_else(|| format!("{:032x}", fastrand::u128(..)));
     let revision = exec::run(1, async {
         let api = HttpObjects::new(&args.objects.to_string(), API_TIMEOUT);
         let present = publish::present(&api).await?;
--- a/crates/larkspring-cli/src/process.rs
+++ b/crates/larkspring-cli/src/process.rs
@@ -1,25 +1,33 @@
 //! The processes: settings, log, run until asked to stop.
 
+use larkspring::agent::Agent;
+use larkspring::entry::Entry;
 use larkspring::settings::{self, Settings};
-use larkspring::{agent, entry, exec, stop, telemetry};
+use larkspring::{exec, stop, telemetry};
 
 use crate::args::ProcessArgs;
 use crate::AnyError;
 
-/// Runs an entry.
+/// Runs an entry until asked to stop; its address is printed first.
 pub fn entry(args: &ProcessArgs) -> Result<(), AnyError> {
     let settings = prepare(args)?;
     exec::run(settings.threads, async {
-        entry::run(&settings, stop_requested()).await?;
+        let entry = Entry::start(&settings).await?;
+        println!("{}", entry.addr);
+        stop_requested().await;
+        entry.stop().await;
         Ok(())
     })
 }
 
-/// Runs an agent.
+/// Runs an agent until asked to stop; its address is printed first.
 pub fn agent(args: &ProcessArgs) -> Result<(), AnyError> {
     let settings = prepare(args)?;
     exec::run(settings.threads, async {
-        agent::run(&settings, stop_requested()).await?;
+        let agent = Agent::start(&settings).await?;
+        println!("{}", agent.addr);
+        stop_requested().await;
+        agent.stop().await;
         Ok(())
     })
 }
--- /dev/null
+++ b/crates/larkspring-cli/tests/common/client.rs
@@ -0,0 +1,227 @@
+//! A plain blocking HTTP client, so that tests see the bytes as they are.
+
+use std::fmt::{self, Debug, Formatter};
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::time::Duration;
+
+use serde_json::{json, Value};
+
+use super::KEY;
+
+/// Last bytes of a body that a failed check shows.
+const SHOWN: usize = 400;
+const TIMEOUT: Duration = Duration::from_secs(60);
+
+/// A connection and all the bytes that came on it.
+pub struct Conn {
+    sock: TcpStream,
+    raw: Vec<u8>,
+}
+
+/// An answer as it came, up to the close of the connection.
+#[derive(Default)]
+pub struct Answer {
+    /// 0 if there was no answer.
+    pub status: u16,
+    pub head: String,
+    /// Body, chunks joined.
+    pub body: String,
+    /// Whether the body came to its end.
+    pub whole: bool,
+}
+
+impl Answer {
+    /// The error of a refusal.
+    pub fn error(&self) -> Value {
+        let body: Value = serde_json::from_str(&self.body).unwrap_or_default();
+        body["error"].clone()
+    }
+
+    /// The outcome of a refusal.
+    pub fn outcome(&self) -> String {
+        self.error()["outcome"].as_str().unwrap_or_default().to_owned()
+    }
+
+    /// The text of an answer, streamed or whole.
+    pub fn text(&self) -> String {
+        if let Ok(body) = serde_json::from_str::<Value>(&self.body) {
+            return text_of(&body);
+        }
+        let events = self.body.split("\n\n").filter_map(|e| e.strip_prefix("data: "));
+        let parsed = events.filter_map(|e| serde_json::from_str::<Value>(e).ok());
+        parsed.map(|event| text_of(&event)).collect()
+    }
+
+    /// Value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let lines = self.head.lines().filter_map(|l| l.split_once(": "));
+        lines.into_iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v)
+    }
+
+    /// Whether a streamed answer says that it is complete.
+    pub fn done(&self) -> bool {
+        self.body.contains("[DONE]")
+    }
+}
+
+impl Debug for Answer {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let start = self.body.len().saturating_sub(SHOWN);
+        let end = self.body.get(start..).unwrap_or_default();
+        let shown = (self.status, self.whole, end);
+        write!(f, "{shown:?}")
+    }
+}
+
+fn text_of(body: &Value) -> String {
+    let choice = &body["choices"][0];
+    let places =
+        [&choice["text"], &choice["delta"]["content"], &choice["message"]["content"]];
+    places.iter().filter_map(|v| v.as_str()).collect()
+}
+
+/// Opens a connection and sends a request on it.
+pub fn send(addr: &str, request: &str) -> Conn {
+    let mut sock = TcpStream::connect(addr).unwrap();
+    sock.set_read_timeout(Some(TIMEOUT)).unwrap();
+    // The peer may refuse and close before it has read everything.
+    let _ = sock.write_all(request.as_bytes());
+    Conn { sock, raw: Vec::new() }
+}
+
+impl Conn {
+    /// Reads an answer up to the close of the connection.
+    pub fn read(mut self) -> Answer {
+        let _ = self.sock.read_to_end(&mut self.raw);
+        parse(&self.raw)
+    }
+
+    /// Reads until `text` has come; returns all that came.
+    pub fn read_until(&mut self, text: &str) -> io::Result<String> {
+        let mut buf = [0; 512];
+        loop {
+            let came = String::from_utf8_lossy(&self.raw);
+            if came.contains(text) {
+                return Ok(came.into_owned());
+            }
+            match self.sock.read(&mut buf)? {
+                0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+                n => self.raw.extend_from_slice(&buf[..n]),
+            }
+        }
+    }
+
+    /// Closes the sending side.
+    pub fn half_close(&self) {
+        let _ = self.sock.shutdown(Shutdown::Write);
+    }
+}
+
+/// Sends a request as it is, closes the sending side if asked, and reads the answer.
+pub fn raw(addr: &str, request: &str, half_close: bool) -> Answer {
+    let conn = send(addr, request);
+    if half_close {
+        conn.half_close();
+    }
+    conn.read()
+}
+
+/// Text of a request.
+pub fn request(method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> String {
+    let mut text =
+        format!("{method} {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n");
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    if !body.is_empty() {
+        text.push_str(&format!("content-length: {}\r\n", body.len()));
+    }
+    format!("{text}\r\n{body}")
+}
+
+/// Text of a completion request.
+pub fn completion(key: &str, body: &Value, headers: &[(&str, &str)]) -> String {
+    let bearer = format!("Bearer {key}");
+    let mut all = vec![("authorization", bearer.as_str())];
+    all.extend(headers);
+    let path = match body.get("messages") {
+        Some(_) => "/v1/chat/completions",
+        None => "/v1/completions",
+    };
+    request("POST", path, &all, &body.to_string())
+}
+
+/// Sends a completion request and reads the answer.
+pub fn complete(addr: &str, key: &str, body: &Value, headers: &[(&str, &str)]) -> Answer {
+    send(addr, &completion(key, body, headers)).read()
+}
+
+/// Body of a streamed completion request.
+pub fn streamed(model: &str, prompt: &str, tokens: u64) -> Value {
+    json!({ "model": model, "prompt": prompt, "max_tokens": tokens, "stream": true })
+}
+
+/// The text that the engine gives for a request.
+pub fn expected(target: &str, prompt: &str, tokens: u64) -> String {
+    let rest: String = (1..tokens).map(|n| format!(" {n}")).collect();
+    format!("{target}|{prompt}|{rest}")
+}
+
+/// Calls a path with the first caller's key.
+pub fn call(addr: &str, method: &str, path: &str) -> Answer {
+    let bearer = format!("Bearer {KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    send(addr, &request(method, path, &headers, "")).read()
+}
+
+/// Reads JSON of a stand-in.
+pub fn get(addr: &str, path: &str) -> Value {
+    let answer = send(addr, &request("GET", path, &[], "")).read();
+    serde_json::from_str(&answer.body).unwrap()
+}
+
+/// Sends JSON to a stand-in.
+pub fn post(addr: &str, path: &str, body: &Value) {
+    let answer = send(addr, &request("POST", path, &[], &body.to_string())).read();
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
+
+/// Status of a path.
+pub fn status(addr: &str, path: &str) -> u16 {
+    send(addr, &request("GET", path, &[], "")).read().status
+}
+
+fn parse(raw: &[u8]) -> Answer {
+    let text = String::from_utf8_lossy(raw);
+    let Some((head, rest)) = text.split_once("\r\n\r\n") else {
+        return Answer::default();
+    };
+    let status = head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+    let mut answer = Answer { status, head: head.into(), ..Answer::default() };
+    if answer.header("transfer-encoding") == Some("chunked") {
+        (answer.body, answer.whole) = join_chunks(rest);
+    } else {
+        let len = answer.header("content-length").and_then(|v| v.parse().ok());
+        answer.whole = len == Some(rest.len());
+        answer.body = rest.into();
+    }
+    answer
+}
+
+fn join_chunks(mut rest: &str) -> (String, bool) {
+    let mut body = String::new();
+    while let Some((size, after)) = rest.split_once("\r\n") {
+        let Ok(size) = usize::from_str_radix(size, 16) else { return (body, false) };
+        if size == 0 {
+            return (body, true);
+        }
+        let Some(chunk) = after.get(..size) else {
+            body.push_str(after);
+            return (body, false);
+        };
+        body.push_str(chunk);
+        rest = after.get(size + 2..).unwrap_or_default();
+    }
+    (body, false)
+}
--- /dev/null
+++ b/crates/larkspring-cli/tests/common/mod.rs
@@ -0,0 +1,344 @@
+//! A deployment of separate processes on loopback, with the stand-ins, for tests.
+#![allow(dead_code)]
+
+pub mod client;
+
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use larkspring_core::declared::key_hash;
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+use tempfile::TempDir;
+
+use self::client::{get, post};
+
+pub const KEY: &str = "key-of-agency";
+pub const OTHER_KEY: &str = "key-of-delta";
+/// Limit of a wait for a state; generous, since no verdict depends on time.
+const LIMIT: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(10);
+
+/// What a deployment consists of.
+pub struct Plan {
+    pub engines: usize,
+    pub entries: usize,
+    pub slots: usize,
+    /// Faults of each engine at its start.
+    pub engine: Value,
+    /// Faults of the weight store at its start.
+    pub weights: Value,
+    /// More lines of each entry's and agent's settings, indented.
+    pub entry_settings: &'static str,
+    pub agent_settings: &'static str,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            engines: 1,
+            entries: 1,
+            slots: 4,
+            engine: json!({ "step_us": 1000 }),
+            weights: json!({ "rate": 1000.0, "concurrency": 100, "load_ms": 5 }),
+            entry_settings: "",
+            agent_settings: "",
+        }
+    }
+}
+
+/// A running deployment; everything ends with it.
+pub struct Cluster {
+    pub objects: Proc,
+    pub weights: Proc,
+    pub service: Proc,
+    pub engines: Vec<Proc>,
+    pub agents: Vec<Proc>,
+    pub service_agent: Proc,
+    pub entries: Vec<Proc>,
+    pub dir: TempDir,
+    plan: Plan,
+}
+
+/// One process and the address that it printed.
+pub struct Proc {
+    child: Child,
+    args: Vec<String>,
+    pub addr: String,
+}
+
+impl Cluster {
+    pub fn start(plan: Plan) -> Self {
+        let dir = tempfile::tempdir().unwrap();
+        let objects = Proc::start(&["standin", "objects"]);
+        let weights = Proc::start(&["standin", "weights"]);
+        post(&weights.addr, "/faults", &plan.weights);
+        let service = Proc::start(&["standin", "service"]);
+        let mut engines = Vec::new();
+        let mut agents = Vec::new();
+        for n in 0..plan.engines {
+            let engine = Proc::start(&["standin", "engine", "--weights", &weights.addr]);
+            let mut faults = plan.engine.clone();
+            faults["slots"] = json!(plan.slots);
+            post(&engine.addr, "/faults", &faults);
+            let name = format!("engine-{n}");
+            agents.push(start_agent(&dir, &plan, &name, &engine.addr, &objects.addr));
+            engines.push(engine);
+        }
+        let name = "service-0";
+        let service_agent = start_agent(&dir, &plan, name, &service.addr, &objects.addr);
+        let entries = Vec::new();
+        let mut cluster = Self {
+            objects,
+            weights,
+            service,
+            engines,
+            agents,
+            service_agent,
+            entries,
+            dir,
+            plan,
+        };
+        cluster.declare(&cluster.declaration(""));
+        for _ in 0..cluster.plan.entries {
+            cluster.add_entry();
+        }
+        cluster.wait_ready();
+        cluster
+    }
+
+    pub fn entry(&self) -> &str {
+        &self.entries[0].addr
+    }
+
+    /// Starts one more entry.
+    pub fn add_entry(&mut self) {
+        let n = self.entries.len();
+        let file = self.dir.path().join(format!("entry-{n}.yaml"));
+        let text = format!(
+            "hall: h\nvm: vm-entry-{n}\nplatform:\n  objects: {}\n  timeout_ms: 500\n\
+             telemetry:\n  spans: true\nentry:\n  listen: 127.0.0.1:0\n{}",
+            self.objects.addr, self.plan.entry_settings
+        );
+        std::fs::write(&file, text).unwrap();
+        let entry = Proc::start(&["entry", "--settings", file.to_str().unwrap()]);
+        self.entries.push(entry);
+    }
+
+    /// The declarations; `engine_lines` is added to each engine's endpoint.
+    pub fn declaration(&self, engine_lines: &str) -> String {
+        let mut text = String::from("adapters:\n");
+        for n in 0..20 {
+            let _ = write!(
+                text,
+                "- name: a{n}\n  base: base\n  default_version: v1\n  versions:\n  \
+                 - name: v1\n    weights: a{n}/v1\n  - name: v2\n    weights: a{n}/v2\n"
+            );
+        }
+        text.push_str(
+            "- name: once\n  base: base\n  default_version: v1\n  not_repeatable: true\n  \
+             versions:\n  - name: v1\n    weights: once/v1\n\
+             - name: secret\n  base: base\n  default_version: v1\n  groups: [agency]\n  \
+             versions:\n  - name: v1\n    weights: secret/v1\n",
+        );
+        let _ = write!(
+            text,
+            "callers:\n- name: agency\n  key_sha256: {}\n  groups: [agency]\n\
+             - name: delta\n  key_sha256: {}\n\
+             services:\n- name: loggers\n  not_repeatable: ['POST /config']\nendpoints:\n",
+            key_hash(KEY),
+            key_hash(OTHER_KEY)
+        );
+        for (n, agent) in self.agents.iter().enumerate() {
+            let _ = write!(
+                text,
+                "- name: engine-{n}\n  hall: h\n  vm: vm-{n}\n  agent: {}\n  \
+                 base: base\n  checks_fences: true\n{engine_lines}",
+                agent.addr
+            );
+        }
+        let _ = write!(
+            text,
+            "- name: service-0\n  hall: h\n  vm: vm-s\n  agent: {}\n  service: loggers\n",
+            self.service_agent.addr
+        );
+        text
+    }
+
+    /// Makes a text of declarations the declared state.
+    pub fn declare(&self, text: &str) {
+        let dir = self.dir.path().join("declarations");
+        std::fs::create_dir_all(&dir).unwrap();
+        std::fs::write(dir.join("all.yaml"), text).unwrap();
+        let dir = dir.to_str().unwrap();
+        let out = run(&["apply", dir, "--objects", &self.objects.addr]);
+        assert!(out.status.success(), "{out:?}");
+    }
+
+    /// Starts the agent of an engine again, at its old address.
+    pub fn restart_agent(&mut self, n: usize) {
+        let name = format!("engine-{n}");
+        let addr = self.agents[n].addr.clone();
+        let file = self.dir.path().join(format!("{name}.yaml"));
+        let text = std::fs::read_to_string(&file).unwrap();
+        let text = text.replace("listen: 127.0.0.1:0", &format!("listen: {addr}"));
+        std::fs::write(&file, text).unwrap();
+        self.agents[n] = Proc::start(&["agent", "--settings", file.to_str().unwrap()]);
+    }
+
+    /// Reads what an engine saw.
+    pub fn engine_stats(&self, n: usize) -> Value {
+        get(&self.engines[n].addr, "/stats")
+    }
+
+    /// Sets faults of an engine, on top of those of the plan.
+    pub fn engine_faults(&self, n: usize, more: Value) {
+        let mut faults = self.plan.engine.clone();
+        faults["slots"] = json!(self.plan.slots);
+        for (key, value) in more.as_object().unwrap() {
+            faults[key] = value.clone();
+        }
+        post(&self.engines[n].addr, "/faults", &faults);
+    }
+
+    /// Number of times that engines ran a prompt.
+    pub fn runs_of(&self, prompt: &str) -> usize {
+        let ends = format!(" {prompt}");
+        let stats = (0..self.engines.len()).map(|n| self.engine_stats(n));
+        stats
+            .map(|stats| {
+                let runs = stats["runs"].as_array().unwrap().clone();
+                runs.iter().filter(|r| r.as_str().unwrap().ends_with(&ends)).count()
+            })
+            .sum()
+    }
+
+    fn wait_ready(&self) {
+        for entry in &self.entries {
+            until("an entry is ready", || client::status(&entry.addr, "/health") == 200);
+        }
+        for n in 0..self.engines.len() {
+            until("an engine's agent is ready", || {
+                let body = json!({ "model": format!("a{n}"), "prompt": "warm-up",
+                    "max_tokens": 1 });
+                client::complete(self.entry(), KEY, &body, &[]).status == 200
+            });
+        }
+        until("the service's agent is ready", || {
+            let warm_up = client::call(self.entry(), "GET", "/services/loggers/warm-up");
+            warm_up.status == 200
+        });
+    }
+}
+
+fn start_agent(
+    dir: &TempDir,
+    plan: &Plan,
+    name: &str,
+    backend: &str,
+    objects: &str,
+) -> Proc {
+    let file = dir.path().join(format!("{name}.yaml"));
+    let text = format!(
+        "hall: h\nvm: vm-{name}\nplatform:\n  objects: {objects}\n  timeout_ms: 500\n\
+         telemetry:\n  spans: true\nagent:\n  listen: 127.0.0.1:0\n  endpoint: {name}\n  \
+         backend: {backend}\n  slots: {}\n  poll_ms: 50\n{}",
+        plan.slots, plan.agent_settings
+    );
+    std::fs::write(&file, text).unwrap();
+    Proc::start(&["agent", "--settings", file.to_str().unwrap()])
+}
+
+impl Proc {
+    /// Starts the program and waits for its address.
+    pub fn start(args: &[&str]) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_larkspring"))
+            .args(args)
+            .stdout(Stdio::piped())
+            .stderr(log_of(args))
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+        let addr = line.trim().to_owned();
+        assert!(!addr.is_empty(), "{args:?} printed no address");
+        Self { child, args: args.iter().map(|a| a.to_string()).collect(), addr }
+    }
+
+    /// Kills the process outright.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Asks the process to stop as planned.
+    pub fn ask_to_stop(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Pauses the process.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Waits until the process has ended.
+    pub fn wait_end(&mut self) {
+        until("a process ends", || self.child.try_wait().unwrap().is_some());
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
+    /// Resident memory in KB.
+    pub fn resident_kb(&self) -> u64 {
+        let status = format!("/proc/{}/status", self.child.id());
+        let text = std::fs::read_to_string(status).unwrap();
+        let line = text.lines().find(|l| l.starts_with("VmRSS:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32).unwrap();
+        kill_process(pid, signal).unwrap();
+    }
+}
+
+impl Drop for Proc {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Keeps the log of a process with settings beside them, for spans and for a look.
+fn log_of(args: &[&str]) -> Stdio {
+    let Some(settings) = args.iter().skip_while(|a| **a != "--settings").nth(1) else {
+        return Stdio::null();
+    };
+    let file = Path::new(settings).with_extension("log");
+    let log = std::fs::OpenOptions::new().create(true).append(true).open(file);
+    log.unwrap().into()
+}
+
+/// Runs a command of the program to its end.
+pub fn run(args: &[&str]) -> std::process::Output {
+    Command::new(env!("CARGO_BIN_EXE_larkspring")).args(args).output().unwrap()
+}
+
+/// Waits until a state is seen.
+pub fn until(what: &str, mut seen: impl FnMut() -> bool) {
+    let end = Instant::now() + LIMIT;
+    while !seen() {
+        assert!(Instant::now() < end, "not seen: {what}");
+        std::thread::park_timeout(POLL);
+    }
+}
--- /dev/null
+++ b/crates/larkspring-cli/tests/faults.rs
@@ -0,0 +1,283 @@
+//! Faults on the path of a request, made on separate processes.
+
+mod common;
+
+use std::thread;
+
+use common::client::{complete, completion, expected, post, send, streamed};
+use common::{until, Cluster, Plan, KEY};
+use serde_json::json;
+
+const LONG: u64 = 1_000_000;
+
+#[test]
+fn hang_up_while_streaming_cancels_and_releases_the_pin() {
+    let cluster = Cluster::start(Plan { slots: 1, ..Plan::default() });
+    let mut sock =
+        send(cluster.entry(), &completion(KEY, &streamed("a0", "left", LONG), &[]));
+    sock.read_until("a0@v1|left|").unwrap();
+    drop(sock);
+    until("the engine was told", || cluster.engine_stats(0)["cancelled"] == 1);
+    // The one slot is free again only if the pin is gone.
+    let answer = complete(cluster.entry(), KEY, &streamed("a1", "next", 2), &[]);
+    assert_eq!(answer.text(), expected("a1@v1", "next", 2));
+    assert_eq!(cluster.engine_stats(0)["unloads_in_use"], 0);
+}
+
+#[test]
+fn hang_up_while_waiting_leaves_the_queue() {
+    let cluster = Cluster::start(Plan { slots: 1, ..Plan::default() });
+    let mut holder =
+        send(cluster.entry(), &completion(KEY, &streamed("a0", "holder", LONG), &[]));
+    holder.read_until("a0@v1|holder|").unwrap();
+    let waiting =
+        send(cluster.entry(), &completion(KEY, &streamed("a1", "gone", 2), &[]));
+    drop(waiting);
+    drop(holder);
+    let answer = complete(cluster.entry(), KEY, &streamed("a2", "after", 2), &[]);
+    assert_eq!(answer.text(), expected("a2@v1", "after", 2));
+    assert_eq!(cluster.runs_of("gone"), 0);
+}
+
+#[test]
+fn broken_engine_answer_is_resumed_or_ends_visibly_broken() {
+    struct Case {
+        resumable: bool,
+        restart: bool,
+        whole: bool,
+    }
+    let cases = [
+        Case { resumable: true, restart: false, whole: true },
+        Case { resumable: false, restart: false, whole: false },
+        Case { resumable: true, restart: true, whole: false },
+    ];
+    let cluster = Cluster::start(Plan::default());
+    for case in cases {
+        let tokens = if case.restart { LONG } else { 50 };
+        let broken = if case.restart { json!(null) } else { json!(7) };
+        cluster.engine_faults(
+            0,
+            json!({ "break_after": broken, "resumable": case.resumable }),
+        );
+        let mut sock =
+            send(cluster.entry(), &completion(KEY, &streamed("a0", "cut", tokens), &[]));
+        if case.restart {
+            sock.read_until("a0@v1|cut|").unwrap();
+            post(&cluster.engines[0].addr, "/restart", &json!({}));
+        }
+        let answer = sock.read();
+        if case.whole {
+            assert_eq!(answer.text(), expected("a0@v1", "cut", 50));
+        }
+        assert_eq!(answer.done(), case.whole, "{answer:?}");
+        assert_eq!(answer.whole, case.whole, "{answer:?}");
+        assert_ne!(answer.body.contains("event: error"), case.whole);
+    }
+}
+
+#[test]
+fn engine_process_that_dies_ends_its_answers_visibly_broken() {
+    let mut cluster = Cluster::start(Plan::default());
+    let mut sock =
+        send(cluster.entry(), &completion(KEY, &streamed("a0", "killed", LONG), &[]));
+    sock.read_until("a0@v1|killed|").unwrap();
+    cluster.engines[0].kill();
+    let answer = sock.read();
+    assert!(!answer.done() && !answer.whole, "{answer:?}");
+    let refused = complete(cluster.entry(), KEY, &streamed("a0", "late", 1), &[]);
+    assert_eq!((refused.status, &*refused.outcome()), (503, "not-run"));
+    assert!(refused.header("retry-after").is_some());
+}
+
+#[test]
+fn agent_that_dies_is_passed_over_or_refused_as_not_run() {
+    let mut cluster = Cluster::start(Plan { engines: 2, ..Plan::default() });
+    cluster.agents[0].kill();
+    for n in 0..8 {
+        let body = streamed(&format!("a{n}"), "one-left", 2);
+        let answer = complete(cluster.entry(), KEY, &body, &[]);
+        assert_eq!(answer.text(), expected(&format!("a{n}@v1"), "one-left", 2));
+    }
+    cluster.agents[1].kill();
+    let answer = complete(cluster.entry(), KEY, &streamed("a0", "none-left", 2), &[]);
+    assert_eq!((answer.status, &*answer.outcome()), (503, "not-run"), "{answer:?}");
+    assert_eq!(cluster.runs_of("none-left"), 0);
+}
+
+#[test]
+fn agent_that_dies_in_mid_answer_leaves_it_visibly_broken() {
+    let mut cluster = Cluster::start(Plan::default());
+    let mut sock =
+        send(cluster.entry(), &completion(KEY, &streamed("a0", "cut", LONG), &[]));
+    sock.read_until("a0@v1|cut|").unwrap();
+    cluster.agents[0].kill();
+    let answer = sock.read();
+    assert!(!answer.done() && !answer.whole, "{answer:?}");
+    assert!(answer.body.contains("\"outcome\":\"failed\""));
+}
+
+#[test]
+fn stalled_callers_leave_the_others_alone() {
+    let settings = "  max_streams_per_caller: 2000\n";
+    let agent_settings = "  max_running: 1000\n";
+    let cluster = Cluster::start(Plan {
+        engine: json!({ "step_us": 200, "max_batch": 1000, "over_knee_us": 0 }),
+        entry_settings: settings,
+        agent_settings,
+        ..Plan::default()
+    });
+    let mut stalled: Vec<_> = (0..300)
+        .map(|n| {
+            let body = streamed("a0", &format!("stalled{n}"), LONG);
+            send(cluster.entry(), &completion(KEY, &body, &[]))
+        })
+        .collect();
+    for sock in &mut stalled {
+        sock.read_until("|").unwrap();
+    }
+    // The engine stops giving tokens to an answer that nobody reads, so that from some
+    // time on only the reading caller gets any.
+    until("the stalled answers stand still", || {
+        let before = cluster.engine_stats(0)["tokens"].clone();
+        let body = streamed("a0", "probe", 20);
+        let probe = complete(cluster.entry(), KEY, &body, &[]);
+        assert_eq!(probe.text(), expected("a0@v1", "probe", 20), "{probe:?}");
+        let after = cluster.engine_stats(0)["tokens"].clone();
+        after.as_u64().unwrap() - before.as_u64().unwrap() < 40
+    });
+    let body = streamed("a0", "reading", 2000);
+    let answer = complete(cluster.entry(), KEY, &body, &[]);
+    assert_eq!(answer.text(), expected("a0@v1", "reading", 2000));
+    for sock in &mut stalled[..5] {
+        sock.read_until(" 900\"").unwrap();
+    }
+}
+
+#[test]
+fn failed_load_is_retried_elsewhere_or_refused_as_not_run() {
+    struct Case {
+        name: &'static str,
+        fault: serde_json::Value,
+        both: bool,
+        status: u16,
+    }
+    let cases = [
+        Case {
+            name: "one",
+            fault: json!({ "fail_loads": 1000 }),
+            both: false,
+            status: 200,
+        },
+        Case {
+            name: "both",
+            fault: json!({ "fail_loads": 1000 }),
+            both: true,
+            status: 503,
+        },
+        Case {
+            name: "wrong",
+            fault: json!({ "load_wrong": "a9@v2" }),
+            both: true,
+            status: 503,
+        },
+    ];
+    for (n, case) in cases.iter().enumerate() {
+        let cluster = Cluster::start(Plan { engines: 2, ..Plan::default() });
+        cluster.engine_faults(0, case.fault.clone());
+        if case.both {
+            cluster.engine_faults(1, case.fault.clone());
+        }
+        let model = format!("a{}", 10 + n);
+        let answer = complete(cluster.entry(), KEY, &streamed(&model, case.name, 2), &[]);
+        assert_eq!(answer.status, case.status, "{}: {answer:?}", case.name);
+        match case.status {
+            200 => {
+                assert_eq!(answer.text(), expected(&format!("{model}@v1"), case.name, 2))
+            }
+            _ => {
+                assert_eq!(answer.outcome(), "not-run", "{}", case.name);
+                assert_eq!(cluster.runs_of(case.name), 0, "{}", case.name);
+            }
+        }
+    }
+}
+
+#[test]
+fn deadline_ends_a_request_with_its_true_outcome() {
+    struct Case {
+        name: &'static str,
+        fault: serde_json::Value,
+        outcome: &'static str,
+        status: u16,
+        runs: usize,
+    }
+    let frozen_load = json!({ "rate": 1000.0, "concurrency": 1, "load_ms": 600_000 });
+    let cases = [
+        Case {
+            name: "hanging",
+            fault: json!({ "hang": true }),
+            outcome: "unknown",
+            status: 502,
+            runs: 1,
+        },
+        Case {
+            name: "loading",
+            fault: json!({}),
+            outcome: "not-run",
+            status: 503,
+            runs: 0,
+        },
+    ];
+    let cluster = Cluster::start(Plan::default());
+    post(&cluster.weights.addr, "/faults", &frozen_load);
+    for case in cases {
+        cluster.engine_faults(0, case.fault);
+        let model = if case.runs == 1 { "a0" } else { "a5" };
+        let headers =
+            [("larkspring-deadline-ms", "1000"), ("larkspring-repeatable", "no")];
+        let tokens = if case.runs == 1 { LONG } else { 2 };
+        let body = streamed(model, case.name, tokens);
+        let answer = complete(cluster.entry(), KEY, &body, &headers);
+        assert_eq!(answer.status, case.status, "{}: {answer:?}", case.name);
+        assert_eq!(answer.outcome(), case.outcome, "{}", case.name);
+        assert_eq!(cluster.runs_of(case.name), case.runs, "{}", case.name);
+    }
+    until("the hanging request was cancelled", || {
+        cluster.engine_stats(0)["cancelled"] == 1
+    });
+}
+
+#[test]
+fn planned_stop_cuts_off_nothing_and_takes_nothing_new() {
+    let mut cluster = Cluster::start(Plan { engines: 2, entries: 2, ..Plan::default() });
+    let asks: Vec<_> = (0..6)
+        .map(|n| {
+            let body = streamed(&format!("a{n}"), "slowly", 800);
+            let mut sock = send(cluster.entry(), &completion(KEY, &body, &[]));
+            sock.read_until("|slowly|").unwrap();
+            (n, sock)
+        })
+        .collect();
+    cluster.agents[0].ask_to_stop();
+    cluster.entries[0].ask_to_stop();
+    let readers: Vec<_> = asks
+        .into_iter()
+        .map(|(n, sock)| (n, thread::spawn(move || sock.read())))
+        .collect();
+    for n in 0..8 {
+        let body = streamed(&format!("a{n}"), "meanwhile", 2);
+        let answer = complete(&cluster.entries[1].addr, KEY, &body, &[]);
+        assert_eq!(
+            answer.text(),
+            expected(&format!("a{n}@v1"), "meanwhile", 2),
+            "{answer:?}"
+        );
+    }
+    for (n, reader) in readers {
+        let answer = reader.join().unwrap();
+        assert!(answer.whole && answer.done(), "a{n}: {answer:?}");
+        assert!(answer.body.contains(" 799\""), "a{n}");
+    }
+    cluster.agents[0].wait_end();
+    cluster.entries[0].wait_end();
+}
--- /dev/null
+++ b/crates/larkspring-cli/tests/path.rs
@@ -0,0 +1,254 @@
+//! The path of a request through separate processes: exact answers and honest errors.
+
+mod common;
+
+use std::thread;
+
+use common::client::{
+    call, complete, completion, expected, raw, request, send, streamed,
+};
+use common::{until, Cluster, Plan, KEY, OTHER_KEY};
+use serde_json::{json, Value};
+
+#[test]
+fn named_adapter_answers_whole_and_streamed() {
+    struct Case {
+        model: &'static str,
+        target: &'static str,
+        chat: bool,
+        stream: bool,
+    }
+    let cases = [
+        Case { model: "a1", target: "a1@v1", chat: false, stream: false },
+        Case { model: "a1@v1", target: "a1@v1", chat: false, stream: true },
+        Case { model: "a1@v2", target: "a1@v2", chat: false, stream: true },
+        Case { model: "a2@v2", target: "a2@v2", chat: true, stream: false },
+        Case { model: "a2", target: "a2@v1", chat: true, stream: true },
+        Case { model: "secret", target: "secret@v1", chat: false, stream: true },
+    ];
+    let cluster = Cluster::start(Plan { engines: 2, entries: 2, ..Plan::default() });
+    for entry in &cluster.entries {
+        for case in &cases {
+            let mut body =
+                json!({ "model": case.model, "max_tokens": 5, "stream": case.stream });
+            match case.chat {
+                true => body["messages"] = json!([{ "role": "user", "content": "hi" }]),
+                false => body["prompt"] = json!("hi"),
+            }
+            let answer = complete(&entry.addr, KEY, &body, &[]);
+            assert_eq!(answer.status, 200, "{}: {answer:?}", case.model);
+            assert_eq!(answer.text(), expected(case.target, "hi", 5));
+            assert!(answer.whole, "{answer:?}");
+            assert_eq!(answer.done(), case.stream);
+        }
+    }
+}
+
+#[test]
+fn refusals_name_outcome_and_step() {
+    struct Case {
+        key: &'static str,
+        body: Value,
+        header: (&'static str, &'static str),
+        status: u16,
+        step: &'static str,
+    }
+    let case = |key, body, header, status, step| Case { key, body, header, status, step };
+    let ask = |model: &str| json!({ "model": model, "prompt": "never" });
+    let none = ("x-none", "");
+    let cases = [
+        case(KEY, ask("nobody"), none, 404, "resolve"),
+        case(KEY, ask("a1@v9"), none, 404, "resolve"),
+        case(KEY, ask("a1@"), none, 404, "resolve"),
+        case(OTHER_KEY, ask("secret"), none, 403, "admit"),
+        case("wrong", ask("a1"), none, 401, "authenticate"),
+        case("", ask("a1"), none, 401, "authenticate"),
+        case(KEY, json!({ "prompt": "never" }), none, 400, "read"),
+        case(KEY, json!("never"), none, 400, "read"),
+        case(KEY, ask("a1"), ("larkspring-deadline-ms", "soon"), 400, "read"),
+        case(KEY, ask("a1"), ("larkspring-priority", "10"), 400, "read"),
+        case(KEY, ask("a1"), ("larkspring-repeatable", "perhaps"), 400, "read"),
+        case(KEY, ask("a1"), ("idempotency-key", ""), 400, "read"),
+    ];
+    let cluster = Cluster::start(Plan::default());
+    for case in cases {
+        let answer = complete(cluster.entry(), case.key, &case.body, &[case.header]);
+        assert_eq!(answer.status, case.status, "{}: {answer:?}", case.body);
+        assert_eq!(answer.outcome(), "not-run", "{}", case.body);
+        assert_eq!(answer.error()["step"], case.step, "{}", case.body);
+    }
+    assert_eq!(cluster.runs_of("never"), 0);
+}
+
+#[test]
+fn unreadable_requests_get_an_answer_and_never_run() {
+    struct Case {
+        name: &'static str,
+        request: String,
+        half_close: bool,
+        status: u16,
+    }
+    let case = |name, request: &str, half_close, status| Case {
+        name,
+        request: request.into(),
+        half_close,
+        status,
+    };
+    let body = json!({ "model": "a1", "prompt": "never" }).to_string();
+    let post = format!(
+        "POST /v1/completions HTTP/1.1\r\nauthorization: Bearer {KEY}\r\nhost: x\r\n"
+    );
+    let len = body.len();
+    let long = format!("{post}x: {}\r\n\r\n", "y".repeat(9000));
+    let many = format!("{post}{}\r\n", "x: y\r\n".repeat(70));
+    let cases = [
+        case("garbage", "{{{}\r\n\r\n", false, 400),
+        case("no host", "GET /v1/models HTTP/1.1\r\n\r\n", false, 400),
+        case("two hosts", &format!("{post}host: y\r\n\r\n"), false, 400),
+        case("old version", "GET /v1/models HTTP/1.0\r\nhost: x\r\n\r\n", false, 505),
+        case("long head", &long, false, 431),
+        case("many headers", &many, false, 431),
+        case(
+            "two lengths",
+            &format!("{post}content-length: 3\r\ncontent-length: {len}\r\n\r\n{body}"),
+            false,
+            400,
+        ),
+        case(
+            "odd length",
+            &format!("{post}content-length: +{len}\r\n\r\n{body}"),
+            false,
+            400,
+        ),
+        case(
+            "length and encoding",
+            &format!(
+                "{post}content-length: {len}\r\ntransfer-encoding: chunked\r\n\r\n{body}"
+            ),
+            false,
+            411,
+        ),
+        case(
+            "chunked body without its end",
+            &format!("{post}transfer-encoding: chunked\r\n\r\n{len:x}\r\n{body}\r\n"),
+            true,
+            411,
+        ),
+        case(
+            "large body",
+            &format!("{post}content-length: 99999999\r\n\r\n"),
+            false,
+            413,
+        ),
+        case(
+            "short body",
+            &format!("{post}content-length: {}\r\n\r\n{body}", len + 1),
+            true,
+            400,
+        ),
+        case(
+            "slow body",
+            &format!("{post}content-length: {}\r\n\r\n{body}", len + 1),
+            false,
+            408,
+        ),
+        case("slow head", "POST /v1/comp", false, 408),
+        case("cut head", "POST /v1/comp", true, 400),
+    ];
+    let settings = "  head_timeout_ms: 1500\n";
+    let cluster = Cluster::start(Plan { entry_settings: settings, ..Plan::default() });
+    for case in cases {
+        let answer = raw(cluster.entry(), &case.request, case.half_close);
+        assert_eq!(answer.status, case.status, "{}: {answer:?}", case.name);
+        assert_eq!(answer.outcome(), "not-run", "{}", case.name);
+        assert!(answer.whole, "{}", case.name);
+    }
+    assert_eq!(cluster.runs_of("never"), 0);
+}
+
+#[test]
+fn pipelined_requests_are_answered_in_order() {
+    let cluster = Cluster::start(Plan::default());
+    let body = |n| json!({ "model": "a1", "prompt": n, "max_tokens": 2 });
+    let first = completion(KEY, &body("first"), &[]).replace("connection: close\r\n", "");
+    let last = completion(KEY, &body("last"), &[]);
+    let mut sock = send(cluster.entry(), &format!("{first}{first}{last}"));
+    let raw = sock.read_until("a1@v1|last|").unwrap();
+    let at = |text: &str| raw.find(text).unwrap();
+    assert!(at("a1@v1|first|") < at("a1@v1|last|"));
+    assert_eq!(raw.matches("a1@v1|first|").count(), 2);
+}
+
+#[test]
+fn interleaved_answers_never_mix() {
+    let cluster = Cluster::start(Plan { engines: 2, entries: 2, ..Plan::default() });
+    let asks = (0..48).map(|n| {
+        let entry = cluster.entries[n % 2].addr.clone();
+        let key = if n % 3 == 0 { OTHER_KEY } else { KEY };
+        thread::spawn(move || {
+            let model = format!("a{}@v{}", n % 4, 1 + n % 2);
+            let prompt = format!("p{n}");
+            let body = streamed(&model, &prompt, 40);
+            (complete(&entry, key, &body, &[]), expected(&model, &prompt, 40))
+        })
+    });
+    for ask in asks.collect::<Vec<_>>() {
+        let (answer, expected) = ask.join().unwrap();
+        assert_eq!(answer.text(), expected, "{answer:?}");
+        assert!(answer.whole && answer.done());
+    }
+}
+
+#[test]
+fn services_are_reached_under_their_path() {
+    let cluster = Cluster::start(Plan::default());
+    let answer = call(cluster.entry(), "GET", "/services/loggers/readings/7?since=3");
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(answer.body, r#"{"ran":"GET /readings/7?since=3"}"#);
+    let answer = call(cluster.entry(), "GET", "/services/nobody/x");
+    assert_eq!((answer.status, &*answer.outcome()), (404, "not-run"));
+}
+
+#[test]
+fn one_trace_shows_every_hop() {
+    let cluster = Cluster::start(Plan::default());
+    let trace = "0123456789abcdef0123456789abcdef";
+    let parent = format!("00-{trace}-0123456789abcdef-01");
+    let body = streamed("a1", "traced", 2);
+    let answer = complete(cluster.entry(), KEY, &body, &[("traceparent", &parent)]);
+    assert!(answer.header("traceparent").unwrap().contains(trace), "{answer:?}");
+    for log in ["entry-0.log", "engine-0.log"] {
+        let file = cluster.dir.path().join(log);
+        until("the span is logged", || {
+            let text = std::fs::read_to_string(&file).unwrap();
+            text.lines().any(|line| line.contains(trace) && line.contains("close"))
+        });
+    }
+}
+
+#[test]
+fn keys_and_bodies_stay_out_of_the_logs() {
+    let cluster = Cluster::start(Plan::default());
+    complete(cluster.entry(), KEY, &streamed("a1", "private", 2), &[]);
+    complete(cluster.entry(), "wrong-key", &streamed("a1", "private", 2), &[]);
+    for log in ["entry-0.log", "engine-0.log"] {
+        let text = std::fs::read_to_string(cluster.dir.path().join(log)).unwrap();
+        for secret in [KEY, "wrong-key", "private"] {
+            assert!(!text.contains(secret), "{log} holds {secret}");
+        }
+    }
+}
+
+#[test]
+fn models_lists_what_the_caller_may_reach() {
+    let cluster = Cluster::start(Plan::default());
+    let list = |key: &str| {
+        let bearer = format!("Bearer {key}");
+        let headers = [("authorization", bearer.as_str())];
+        let text = request("GET", "/v1/models", &headers, "");
+        send(cluster.entry(), &text).read().body
+    };
+    assert!(list(KEY).contains("secret@v1"));
+    assert!(!list(OTHER_KEY).contains("secret@v1"));
+    assert!(list(OTHER_KEY).contains("a1@v2"));
+}
--- a/crates/larkspring-core/src/retry.rs
+++ b/crates/larkspring-core/src/retry.rs
@@ -39,7 +39,12 @@
 }
 
 /// Returns a jittered wait that doubles from `first` with each `attempt`, up to `limit`.
-pub fn backoff(first: Duration, limit: Duration, attempt: u32, rng: &mut Rng) -> Duration {
+pub fn backoff(
+    first: Duration,
+    limit: Duration,
+    attempt: u32,
+    rng: &mut Rng,
+) -> Duration {
     let full = first.saturating_mul(1 << attempt.min(16)).min(limit);
     full.mul_f64(0.5 + 0.5 * rng.f64())
 }
--- a/crates/larkspring-core/src/slots.rs
+++ b/crates/larkspring-core/src/slots.rs
@@ -18,6 +18,8 @@
     waiting: BTreeMap<AttemptId, Waiting>,
     running: HashMap<AttemptId, Running>,
     failures: HashMap<Target, Failure>,
+    /// When adapters were unloaded, for as long as late reports may still list them.
+    unloaded: HashMap<Target, Instant>,
     load_time: Duration,
     service_time: Duration,
     draining: bool,
@@ -98,7 +100,9 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
-    Loading { since: Instant },
+    Loading {
+        since: Instant,
+    },
     Resident,
     /// Resident, but no request may start; unloaded when the last pin goes.
     Retiring,
@@ -136,6 +140,7 @@
             waiting: BTreeMap::new(),
             running: HashMap::new(),
             failures: HashMap::new(),
+            unloaded: HashMap::new(),
             load_time: FIRST_LOAD_TIME,
             service_time: FIRST_SERVICE_TIME,
             draining: false,
@@ -215,15 +220,17 @@
     }
 
     /// Records the end of an unload; a failed one leaves the adapter resident.
-    pub fn unloaded(&mut self, target: &Target, ok: bool) {
+    pub fn unloaded(&mut self, now: Instant, target: &Target, ok: bool) {
         let Some(adapter) = self.adapters.get_mut(target) else { return };
         if adapter.phase != Phase::Unloading {
             return;
         }
-        match ok {
-            true => drop(self.adapters.remove(target)),
-            false => adapter.phase = Phase::Resident,
+        if !ok {
+            adapter.phase = Phase::Resident;
+            return;
         }
+        self.adapters.remove(target);
+        self.unloaded.insert(target.clone(), now);
     }
 
     /// Records that the engine does not hold an adapter that was thought resident.
@@ -246,7 +253,12 @@
             self.incarnation = Some(run.clone());
             self.adapters.clear();
         }
+        self.unloaded.retain(|_, at| now.saturating_duration_since(*at) < settle);
         for held in holds {
+            let known = self.adapters.contains_key(&held.target);
+            if !known && self.unloaded.contains_key(&held.target) {
+                continue;
+            }
             let fresh = || Residency::new(now, Phase::Resident);
             let adapter = self.adapters.entry(held.target.clone()).or_insert_with(fresh);
             adapter.foreign = held.foreign;
--- /dev/null
+++ b/crates/larkspring-core/tests/slots.rs
@@ -0,0 +1,277 @@
+//! Behaviour of an agent's slots, one event after another, on a clock of the test.
+
+use std::time::{Duration, Instant};
+
+use larkspring_core::ids::{Incarnation, Target};
+use larkspring_core::outcome::{Outcome, Step};
+use larkspring_core::slots::{Action, Held, Limits, Slots, Waiting};
+
+const MINUTE: Duration = Duration::from_secs(60);
+const SETTLE: Duration = Duration::from_secs(3);
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// Slots with their clock.
+struct Agent {
+    slots: Slots,
+    now: Instant,
+    next: u64,
+}
+
+impl Agent {
+    /// An agent past its settling time, whose engine holds `held`.
+    fn new(slots: usize, held: &[&str]) -> Self {
+        let mut agent = Self::unsettled(slots, held);
+        agent.pass(SETTLE);
+        agent
+    }
+
+    fn unsettled(slots: usize, held: &[&str]) -> Self {
+        let limits = Limits {
+            slots,
+            max_running: 2,
+            max_waiting: 4,
+            max_loading: 1,
+            patience: PATIENCE,
+            settle: SETTLE,
+        };
+        let slots = Slots::new(limits);
+        let mut agent = Self { slots, now: Instant::now(), next: 0 };
+        agent.report("run-1", held);
+        agent
+    }
+
+    fn pass(&mut self, time: Duration) {
+        self.now += time;
+    }
+
+    fn report(&mut self, run: &str, held: &[&str]) {
+        let held: Vec<_> =
+            held.iter().map(|name| Held { target: target(name), foreign: 0 }).collect();
+        self.slots.engine_is(self.now, &Incarnation::from(run), &held);
+    }
+
+    /// Lets a request in; returns its number.
+    fn ask(&mut self, name: &str) -> u64 {
+        self.ask_with(name, 5)
+    }
+
+    fn ask_with(&mut self, name: &str, priority: u32) -> u64 {
+        self.next += 1;
+        let req = self.request(name, priority, MINUTE);
+        self.slots.admit(self.now, self.next, req).unwrap();
+        self.next
+    }
+
+    fn request(&self, name: &str, priority: u32, limit: Duration) -> Waiting {
+        let deadline = self.now + limit;
+        Waiting { target: target(name), priority, since: self.now, deadline }
+    }
+
+    fn does(&mut self) -> Vec<Action> {
+        self.slots.schedule(self.now)
+    }
+
+    fn loaded(&mut self, name: &str, ok: bool) {
+        self.slots.loaded(self.now, &target(name), ok);
+    }
+
+    fn unloaded(&mut self, name: &str) {
+        self.slots.unloaded(self.now, &target(name), true);
+    }
+
+    fn ended(&mut self, id: u64) {
+        self.slots.ended(self.now, id);
+    }
+}
+
+fn target(name: &str) -> Target {
+    Target::new(name, "v1")
+}
+
+fn load(name: &str) -> Action {
+    Action::Load(target(name))
+}
+
+fn unload(name: &str) -> Action {
+    Action::Unload(target(name))
+}
+
+#[test]
+fn resident_adapter_starts_at_once() {
+    let mut agent = Agent::new(2, &["a"]);
+    let id = agent.ask("a");
+    assert_eq!(agent.does(), [Action::Start(id)]);
+    assert_eq!(agent.slots.pins(&target("a")), 1);
+}
+
+#[test]
+fn one_load_serves_all_who_wait() {
+    let mut agent = Agent::new(2, &[]);
+    let (first, second) = (agent.ask("a"), agent.ask("a"));
+    assert_eq!(agent.does(), [load("a")]);
+    assert_eq!(agent.does(), []);
+    agent.loaded("a", true);
+    assert_eq!(agent.does(), [Action::Start(first), Action::Start(second)]);
+}
+
+#[test]
+fn pinned_adapter_is_not_unloaded() {
+    let mut agent = Agent::new(1, &["a"]);
+    let user = agent.ask("a");
+    assert_eq!(agent.does(), [Action::Start(user)]);
+    let next = agent.ask("b");
+    assert_eq!(agent.does(), []);
+    agent.ended(user);
+    assert_eq!(agent.does(), [unload("a")]);
+    agent.unloaded("a");
+    assert_eq!(agent.does(), [load("b")]);
+    agent.loaded("b", true);
+    assert_eq!(agent.does(), [Action::Start(next)]);
+}
+
+#[test]
+fn adapter_used_by_an_earlier_agent_is_not_unloaded() {
+    let mut agent = Agent::new(1, &["a"]);
+    let run = Incarnation::from("run-1");
+    let used = [Held { target: target("a"), foreign: 1 }];
+    agent.slots.engine_is(agent.now, &run, &used);
+    agent.ask("b");
+    assert_eq!(agent.does(), []);
+    agent.report("run-1", &["a"]);
+    assert_eq!(agent.does(), [unload("a")]);
+}
+
+#[test]
+fn new_agent_unloads_nothing_before_it_has_settled() {
+    let mut agent = Agent::unsettled(1, &["a"]);
+    agent.ask("b");
+    assert_eq!(agent.does(), []);
+    agent.pass(SETTLE);
+    assert_eq!(agent.does(), [unload("a")]);
+}
+
+#[test]
+fn late_report_does_not_bring_back_an_unloaded_adapter() {
+    let mut agent = Agent::new(1, &["a"]);
+    agent.ask("b");
+    assert_eq!(agent.does(), [unload("a")]);
+    agent.unloaded("a");
+    agent.report("run-1", &["a"]);
+    agent.ask("a");
+    assert_eq!(agent.does(), [load("b")]);
+}
+
+#[test]
+fn busy_adapter_makes_room_for_one_that_waits_long() {
+    let mut agent = Agent::new(1, &["a"]);
+    let first = agent.ask("a");
+    assert_eq!(agent.does(), [Action::Start(first)]);
+    let cold = agent.ask("b");
+    agent.pass(PATIENCE);
+    assert_eq!(agent.does(), []);
+    // From now on no request for `a` starts, so that its last pin goes.
+    agent.ask("a");
+    assert_eq!(agent.does(), []);
+    agent.ended(first);
+    assert_eq!(agent.does(), [unload("a")]);
+    agent.unloaded("a");
+    assert_eq!(agent.does(), [load("b")]);
+    agent.loaded("b", true);
+    assert_eq!(agent.does()[0], Action::Start(cold));
+}
+
+#[test]
+fn urgent_requests_go_first() {
+    let mut agent = Agent::new(4, &["a", "b"]);
+    let ids = [agent.ask_with("a", 7), agent.ask_with("b", 1), agent.ask_with("a", 3)];
+    assert_eq!(agent.does(), [Action::Start(ids[1]), Action::Start(ids[2])]);
+}
+
+#[test]
+fn least_used_adapter_is_unloaded_first() {
+    let mut agent = Agent::new(2, &["a", "b"]);
+    for name in ["a", "a", "b"] {
+        let id = agent.ask(name);
+        assert_eq!(agent.does(), [Action::Start(id)]);
+        agent.ended(id);
+    }
+    agent.ask("c");
+    assert_eq!(agent.does(), [unload("b")]);
+}
+
+#[test]
+fn new_run_of_the_engine_holds_nothing() {
+    let mut agent = Agent::new(2, &["a"]);
+    let user = agent.ask("a");
+    assert_eq!(agent.does(), [Action::Start(user)]);
+    agent.report("run-2", &[]);
+    let other = agent.ask("a");
+    assert_eq!(agent.does(), [load("a")]);
+    agent.loaded("a", true);
+    // The end of a request of the old run releases no pin of the new one.
+    assert_eq!(agent.does(), [Action::Start(other)]);
+    agent.ended(user);
+    assert_eq!(agent.slots.pins(&target("a")), 1);
+}
+
+#[test]
+fn failed_load_refuses_those_who_wait_and_backs_off() {
+    let mut agent = Agent::new(2, &[]);
+    let id = agent.ask("a");
+    assert_eq!(agent.does(), [load("a")]);
+    agent.loaded("a", false);
+    let actions = agent.does();
+    let [Action::Refuse(refused, refusal)] = &actions[..] else { panic!("{actions:?}") };
+    assert_eq!((*refused, refusal.outcome), (id, Outcome::NotRun));
+    assert_eq!(refusal.step, Step::Load);
+    assert!(refusal.elsewhere);
+    let again = agent.slots.admit(agent.now, 9, agent.request("a", 5, MINUTE));
+    assert!(again.unwrap_err().retry_after.is_some());
+    agent.pass(MINUTE);
+    agent.ask("a");
+    assert_eq!(agent.does(), [load("a")]);
+}
+
+#[test]
+fn requests_that_cannot_be_served_are_refused_at_once() {
+    struct Case {
+        name: &'static str,
+        prepare: fn(&mut Agent),
+        limit: Duration,
+    }
+    let fill = |agent: &mut Agent| {
+        for _ in 0..4 {
+            agent.ask("a");
+        }
+    };
+    let case = |name, prepare, limit| Case { name, prepare, limit };
+    let cases = [
+        case("draining", |a: &mut Agent| a.slots.drain(), MINUTE),
+        case("unreachable", |a: &mut Agent| a.slots.engine_lost(), MINUTE),
+        case("full", fill, MINUTE),
+        case("too late", |_: &mut Agent| (), Duration::from_millis(1)),
+    ];
+    for case in cases {
+        let mut agent = Agent::new(2, &[]);
+        (case.prepare)(&mut agent);
+        let req = agent.request("b", 5, case.limit);
+        let refusal = agent.slots.admit(agent.now, 99, req).unwrap_err();
+        assert_eq!(refusal.outcome, Outcome::NotRun, "{}", case.name);
+        assert_eq!(refusal.step, Step::Queue, "{}", case.name);
+        assert!(refusal.retry_after.is_some(), "{}", case.name);
+    }
+}
+
+#[test]
+fn draining_refuses_what_waits_and_lets_run_what_runs() {
+    let mut agent = Agent::new(1, &["a"]);
+    let runs = agent.ask("a");
+    assert_eq!(agent.does(), [Action::Start(runs)]);
+    let waits = agent.ask("b");
+    agent.slots.drain();
+    let actions = agent.does();
+    assert!(matches!(actions[..], [Action::Refuse(id, _)] if id == waits), "{actions:?}");
+    assert!(!agent.slots.is_idle());
+    agent.ended(runs);
+    assert!(agent.slots.is_idle());
+}
--- a/crates/larkspring-standin/src/engine.rs
+++ b/crates/larkspring-standin/src/engine.rs
@@ -169,6 +169,15 @@
     weights: String,
 }
 
+/// A refusal: its status and why.
+struct Denied(u16, &'static str);
+
+impl From<Denied> for Response {
+    fn from(denied: Denied) -> Self {
+        text(denied.0, denied.1)
+    }
+}
+
 fn default_tokens() -> u64 {
     16
 }
@@ -240,7 +249,7 @@
         });
         let (head, hang) = match self.state.lock().enter(&run) {
             Ok(entered) => entered,
-            Err(res) => return res,
+            Err(denied) => return denied.into(),
         };
         if hang {
             std::future::pending::<()>().await;
@@ -274,7 +283,9 @@
 
     fn cancel(&self, id: &str) -> Response {
         let mut state = self.state.lock();
-        let Some(run) = state.runs.remove(id) else { return text(404, "no such request") };
+        let Some(run) = state.runs.remove(id) else {
+            return text(404, "no such request");
+        };
         if !run.out.lock().done {
             state.stats.cancelled += 1;
         }
@@ -288,8 +299,8 @@
             Ok(order) => order,
             Err(res) => return res,
         };
-        if let Err(res) = self.state.lock().begin_load(epoch) {
-            return res;
+        if let Err(denied) = self.state.lock().begin_load(epoch) {
+            return denied.into();
         }
         let run = self.state.lock().stats.incarnation.clone();
         let fetched = self.fetch_weights(&order.weights).await;
@@ -324,10 +335,11 @@
             Err(res) => return res,
         };
         let mut state = self.state.lock();
-        if let Err(res) = state.check_epoch(epoch) {
-            return res;
+        if let Err(denied) = state.check_epoch(epoch) {
+            return denied.into();
         }
-        let in_use = |run: &Arc<Run>| run.adapter == order.adapter && !run.out.lock().done;
+        let in_use =
+            |run: &Arc<Run>| run.adapter == order.adapter && !run.out.lock().done;
         if state.runs.values().any(in_use) {
             state.stats.unloads_in_use += 1;
         }
@@ -391,9 +403,9 @@
         base + Duration::from_micros(self.faults.over_knee_us) * over
     }
 
-    fn enter(&mut self, run: &Arc<Run>) -> Result<(Response, bool), Response> {
+    fn enter(&mut self, run: &Arc<Run>) -> Result<(Response, bool), Denied> {
         if !self.loaded.contains(&run.adapter) {
-            return Err(text(404, "the adapter is not loaded"));
+            return Err(Denied(404, "the adapter is not loaded"));
         }
         self.runs.retain(|_, run| !run.is_read());
         self.stats.runs.push(format!("{} {}", run.adapter, run.prompt));
@@ -408,19 +420,19 @@
         res
     }
 
-    fn begin_load(&mut self, epoch: u64) -> Result<(), Response> {
+    fn begin_load(&mut self, epoch: u64) -> Result<(), Denied> {
         self.check_epoch(epoch)?;
         if self.loaded.len() + self.loading >= self.faults.slots {
-            return Err(text(409, "no free slot"));
+            return Err(Denied(409, "no free slot"));
         }
         self.loading += 1;
         Ok(())
     }
 
-    fn check_epoch(&mut self, epoch: u64) -> Result<(), Response> {
+    fn check_epoch(&mut self, epoch: u64) -> Result<(), Denied> {
         if self.faults.checks_fences && epoch < self.epoch {
             self.stats.fenced += 1;
-            return Err(text(403, "an old epoch"));
+            return Err(Denied(403, "an old epoch"));
         }
         self.epoch = self.epoch.max(epoch);
         Ok(())
--- a/crates/larkspring/src/agent/backend.rs
+++ b/crates/larkspring/src/agent/backend.rs
@@ -78,18 +78,17 @@
         Self { addr: addr.into() }
     }
 
-    /// Its address.
-    pub fn addr(&self) -> &str {
-        &self.addr
-    }
-
     /// Opens a connection for a request.
     pub async fn connect(&self) -> Result<TcpStream, HttpError> {
         connect(&self.addr, CONNECT_TIMEOUT).await
     }
 
     /// Sends a request on an open connection and returns the answer's head.
-    pub async fn send(&self, sock: TcpStream, req: Request) -> Result<Response, HttpError> {
+    pub async fn send(
+        &self,
+        sock: TcpStream,
+        req: Request,
+    ) -> Result<Response, HttpError> {
         exchange(sock, &self.addr, req).await
     }
 
@@ -135,8 +134,7 @@
         target: &Target,
         epoch: u64,
     ) -> Result<OrderDone, HttpError> {
-        let order =
-            AdapterOrder { adapter: target.to_string(), weights: String::new() };
+        let order = AdapterOrder { adapter: target.to_string(), weights: String::new() };
         self.order("/v1/unload_lora_adapter", &order, epoch, ORDER_TIMEOUT).await
     }
 
@@ -169,7 +167,10 @@
         }
     }
 
-    fn decode<T: serde::de::DeserializeOwned>(&self, body: &[u8]) -> Result<T, HttpError> {
+    fn decode<T: serde::de::DeserializeOwned>(
+        &self,
+        body: &[u8],
+    ) -> Result<T, HttpError> {
         let parsed = serde_json::from_slice(body);
         parsed.map_err(|e| HttpError::Exchange(self.addr.clone(), e.to_string()))
     }
--- a/crates/larkspring/src/agent/endpoint.rs
+++ b/crates/larkspring/src/agent/endpoint.rs
@@ -257,7 +257,7 @@
         if let Err(e) = &done {
             tracing::warn!(adapter = %target, error = %e, "unload failed");
         }
-        self.slots.lock().unloaded(&target, done.is_ok());
+        self.slots.lock().unloaded(Instant::now(), &target, done.is_ok());
         self.drive();
     }
 
--- a/crates/larkspring/src/agent/job.rs
+++ b/crates/larkspring/src/agent/job.rs
@@ -48,8 +48,13 @@
     credit.grant(start.credit);
     let reader = exec::spawn(read_credit(up, credit.clone()));
     let trace = TraceParent::next(Some(&start.traceparent));
-    let span = tracing::info_span!("agent", trace = trace.trace, span = trace.span,
-        attempt = start.attempt, endpoint = endpoint.name());
+    let span = tracing::info_span!(
+        "agent",
+        trace = trace.trace,
+        span = trace.span,
+        attempt = start.attempt,
+        endpoint = endpoint.name()
+    );
     let job = Job { endpoint, start, credit, down, trace };
     job.run().instrument(span).await;
     drop(reader);
@@ -270,7 +275,8 @@
         let mut resumes = 0;
         loop {
             let late = || late(Step::Stream, Refusal::failed);
-            let broken = match self.bounded(deadline, late, self.copy(&mut answer)).await {
+            let broken = match self.bounded(deadline, late, self.copy(&mut answer)).await
+            {
                 Ok(()) if answer.is_whole() => return Ok(()),
                 Ok(()) => "the answer was cut off".to_owned(),
                 Err(Stop::Refused(r)) if r.elsewhere => r.message,
@@ -355,9 +361,9 @@
 
 impl Answer {
     fn new(res: &Response) -> Self {
-        let events = res.header("content-type").is_some_and(|v| {
-            v.as_str().starts_with(EVENT_STREAM)
-        });
+        let events = res
+            .header("content-type")
+            .is_some_and(|v| v.as_str().starts_with(EVENT_STREAM));
         let len = res.len().map(|len| len as u64);
         Self { body: Body::empty(), sent: 0, len, events, tail: Tail::default() }
     }
--- a/crates/larkspring/src/agent/mod.rs
+++ b/crates/larkspring/src/agent/mod.rs
@@ -8,7 +8,6 @@
 mod job;
 mod poll;
 
-use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -88,17 +87,6 @@
     }
 }
 
-/// Runs an agent until `stop` completes.
-pub async fn run(
-    settings: &Settings,
-    stop: impl Future<Output = ()>,
-) -> Result<(), StartError> {
-    let agent = Agent::start(settings).await?;
-    stop.await;
-    agent.stop().await;
-    Ok(())
-}
-
 /// The serving side of the calls of entries.
 struct Service {
     endpoint: Arc<Endpoint>,
--- a/crates/larkspring/src/entry/dispatch.rs
+++ b/crates/larkspring/src/entry/dispatch.rs
@@ -67,8 +67,7 @@
             }
             Err(refusal) => return Err(refusal),
         };
-        let wait =
-            backoff(FIRST_BACKOFF, LONGEST_BACKOFF, tried.len() as u32, &mut rng);
+        let wait = backoff(FIRST_BACKOFF, LONGEST_BACKOFF, tried.len() as u32, &mut rng);
         let in_time = Instant::now() + wait < req.deadline;
         let allowed = may_retry(&req, &last) && tried.len() < MAX_ATTEMPTS && in_time;
         if !allowed || !has_other(entry, &req, &tried, &mut rng) {
--- a/crates/larkspring/src/entry/inbound.rs
+++ b/crates/larkspring/src/entry/inbound.rs
@@ -86,7 +86,11 @@
         let body = body.map_err(|e| bad(&format!("the body can't be read: {e}")))?;
         let parent = req.header("traceparent").map(|v| v.as_str());
         let mut inbound = Self {
-            to: To::Service { service: String::new(), method: req.method(), path: "".into() },
+            to: To::Service {
+                service: String::new(),
+                method: req.method(),
+                path: "".into(),
+            },
             deadline: received + deadline(entry, &req)?,
             priority: priority(&req, &caller)?,
             key: key(&req)?,
@@ -143,8 +147,7 @@
         let (service, rest) = rest.split_once('/').unwrap_or((rest, ""));
         let mut path = format!("/{rest}");
         let state = entry.in_force.state();
-        let once =
-            state.service_call(service, method.as_ref(), &path, &self.caller)?;
+        let once = state.service_call(service, method.as_ref(), &path, &self.caller)?;
         self.repeatable &= !once;
         if let Some(query) = query {
             path = format!("{path}?{query}");
--- a/crates/larkspring/src/entry/mod.rs
+++ b/crates/larkspring/src/entry/mod.rs
@@ -9,13 +9,11 @@
 mod limits;
 mod refuse;
 
-use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use event_listener::Event;
 use futures_lite::FutureExt;
 use http_types::{Body, Method, Request, Response};
 use larkspring_core::declared::Caller;
@@ -62,7 +60,6 @@
     name: String,
     next: AtomicU64,
     stopping: AtomicBool,
-    ended: Event,
 }
 
 /// Time for a connection to an agent to open.
@@ -107,17 +104,6 @@
     }
 }
 
-/// Runs an entry until `stop` completes.
-pub async fn run(
-    settings: &Settings,
-    stop: impl Future<Output = ()>,
-) -> Result<(), StartError> {
-    let entry = Entry::start(settings).await?;
-    stop.await;
-    entry.stop().await;
-    Ok(())
-}
-
 impl Inner {
     fn new(cfg: EntryCfg, settings: &Settings) -> Self {
         Self {
@@ -130,7 +116,6 @@
             name: format!("{:016x}", fastrand::u64(..)),
             next: AtomicU64::new(1),
             stopping: AtomicBool::new(false),
-            ended: Event::new(),
             cfg,
         }
     }
@@ -165,8 +150,13 @@
         let received = Instant::now();
         let inbound = Inbound::read(self, req, caller, received).await?;
         let trace = inbound.trace.clone();
-        let span = tracing::info_span!("entry", trace = trace.trace, span = trace.span,
-            caller = &*inbound.caller.name, target = inbound.target_name());
+        let span = tracing::info_span!(
+            "entry",
+            trace = trace.trace,
+            span = trace.span,
+            caller = &*inbound.caller.name,
+            target = inbound.target_name()
+        );
         self.serve(inbound).instrument(span).await
     }
 
--- a/crates/larkspring/src/http/server.rs
+++ b/crates/larkspring/src/http/server.rs
@@ -14,9 +14,12 @@
 
 use futures_lite::future;
 use futures_lite::io::Cursor;
-use futures_lite::{ready, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt};
+use futures_lite::{
+    ready, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt,
+};
 use http_types::{Request, Response};
 use parking_lot::Mutex;
+use rustix::net::sockopt::set_socket_send_buffer_size;
 use smol::net::{TcpListener, TcpStream};
 use smol::Timer;
 
@@ -71,6 +74,7 @@
         let (handler, limits, open) = (handler.clone(), limits.clone(), open.clone());
         exec::spawn(async move {
             let _ = sock.set_nodelay(true);
+            let _ = set_socket_send_buffer_size(&sock, SEND_BUFFER);
             let mut conn = Connection { sock, peer, limits, buf: Vec::new() };
             // A broken connection concerns its caller alone.
             let _ = conn.run(handler).await;
@@ -80,6 +84,9 @@
     }
 }
 
+/// Bytes of an answer that the system holds for a caller that does not take them.
+const SEND_BUFFER: usize = 64 * 1024;
+
 struct Connection {
     sock: TcpStream,
     peer: SocketAddr,
@@ -281,7 +288,10 @@
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
         Pin::new(&mut self.sock).poll_flush(cx)
     }
 
--- a/crates/larkspring/src/operate/declare.rs
+++ b/crates/larkspring/src/operate/declare.rs
@@ -25,9 +25,8 @@
 
 /// Reads all `.yaml` files of a folder as one declaration.
 pub fn read_dir(dir: &Path) -> Result<Chunk, DeclareError> {
-    let fail = |e: std::io::Error| {
-        DeclareError::Read(dir.display().to_string(), e.to_string())
-    };
+    let fail =
+        |e: std::io::Error| DeclareError::Read(dir.display().to_string(), e.to_string());
     let mut paths = Vec::new();
     for item in std::fs::read_dir(dir).map_err(fail)? {
         let path = item.map_err(fail)?.path();
--- a/crates/larkspring/src/platform/mod.rs
+++ b/crates/larkspring/src/platform/mod.rs
@@ -11,7 +11,8 @@
 use crate::http::client::HttpError;
 
 /// A future that a trait of this module returns.
-pub type Answer<'a, T> = Pin<Box<dyn Future<Output = Result<T, PlatformError>> + Send + 'a>>;
+pub type Answer<'a, T> =
+    Pin<Box<dyn Future<Output = Result<T, PlatformError>> + Send + 'a>>;
 
 quick_error! {
     /// Why a call to the platform failed, with the step and the peer.
--- a/crates/larkspring/src/rpc/channel.rs
+++ b/crates/larkspring/src/rpc/channel.rs
@@ -122,7 +122,8 @@
         .keep_alive_timeout(PROBE_TIMEOUT)
         .handshake(FuturesIo::new(sock))
         .await;
-    let (tx, conn) = shaken.map_err(|e| HttpError::Connect(addr.into(), e.to_string()))?;
+    let (tx, conn) =
+        shaken.map_err(|e| HttpError::Connect(addr.into(), e.to_string()))?;
     exec::spawn(async move {
         // Each stream on the connection learns of its end by itself.
         let _ = conn.await;
--- a/crates/larkspring/src/settings.rs
+++ b/crates/larkspring/src/settings.rs
@@ -235,11 +235,7 @@
             let text = "one of error, warn, info, debug, trace is needed";
             self.fault("telemetry.level", text);
         }
-        TelemetryCfg {
-            statsd: raw.statsd.clone(),
-            spans: raw.spans,
-            level: level.into(),
-        }
+        TelemetryCfg { statsd: raw.statsd.clone(), spans: raw.spans, level: level.into() }
     }
 
     fn named(&mut self, key: &str, value: &str) {
