--- a/crates/larkspring-cli/tests/common/mod.rs
+++ b/crates/larkspring-cli/tests/common/mod.rs
@@ -120,8 +120,10 @@
         let file = self.dir.path().join(format!("entry-{n}.yaml"));
         let text = format!(
             "hall: h\nvm: vm-entry-{n}\nplatform:\n  objects: {}\n  timeout_ms: 500\n\
-             telemetry:\n  spans: true\nentry:\n  listen: 127.0.0.1:0\n{}",
-            self.objects.addr, self.plan.entry_settings
+             telemetry:\n  spans: true\nentry:\n  listen: 127.0.0.1:0\n  control: {}\n{}",
+            self.objects.addr,
+            free_addr(),
+            self.plan.entry_settings
         );
         std::fs::write(&file, text).unwrap();
         let entry = Proc::start(&["entry", "--settings", file.to_str().unwrap()]);
@@ -189,6 +191,22 @@
         self.agents[n] = Proc::start(&["agent", "--settings", file.to_str().unwrap()]);
     }
 
+    /// Starts an entry again, with its old address for other entries.
+    pub fn restart_entry(&mut self, n: usize) {
+        self.entries[n].kill();
+        let args = self.entries[n].args.clone();
+        let args: Vec<_> = args.iter().map(String::as_str).collect();
+        self.entries[n] = Proc::start(&args);
+    }
+
+    /// Waits until the entries hold all partitions of the keys among them.
+    pub fn wait_keys(&self) {
+        until("all partitions are held", || {
+            let held = self.entries.iter().map(|entry| entry.key_partitions());
+            held.sum::<u64>() == 64
+        });
+    }
+
     /// Reads what an engine saw.
     pub fn engine_stats(&self, n: usize) -> Value {
         get(&self.engines[n].addr, "/stats")
@@ -274,6 +292,11 @@
         let _ = self.child.wait();
     }
 
+    /// Partitions of the keys that an entry holds.
+    pub fn key_partitions(&self) -> u64 {
+        get(&self.addr, "/health")["key_partitions"].as_u64().unwrap()
+    }
+
     /// Asks the process to stop as planned.
     pub fn ask_to_stop(&self) {
         self.signal(Signal::TERM);
@@ -329,6 +352,12 @@
     log.unwrap().into()
 }
 
+/// An address that is free now.
+fn free_addr() -> String {
+    let sock = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    sock.local_addr().unwrap().to_string()
+}
+
 /// Runs a command of the program to its end.
 pub fn run(args: &[&str]) -> std::process::Output {
     Command::new(env!("CARGO_BIN_EXE_larkspring")).args(args).output().unwrap()
--- /dev/null
+++ b/crates/larkspring-cli/tests/once.rs
@@ -0,0 +1,260 @@
+//! At most once, on separate processes: the same key through several entries, and with
+//! each process on the way killed, paused or cut off from the object API.
+
+mod common;
+
+use std::thread;
+
+use common::client::{complete, completion, expected, post, send, streamed, Answer};
+use common::{until, Cluster, Plan, KEY};
+use serde_json::json;
+use uuid::Uuid;
+
+const LONG: u64 = 1_000_000;
+
+fn cluster(entries: usize) -> Cluster {
+    let cluster = Cluster::start(Plan { entries, ..Plan::default() });
+    cluster.wait_keys();
+    cluster
+}
+
+/// Sends a request that runs at most once under `key`.
+fn ask(entry: &str, key: &str, prompt: &str, tokens: u64) -> Answer {
+    let body = streamed("once", prompt, tokens);
+    complete(entry, KEY, &body, &[("idempotency-key", key)])
+}
+
+fn fresh_key() -> String {
+    Uuid::now_v7().to_string()
+}
+
+#[test]
+fn same_key_through_several_entries_at_once_runs_once() {
+    let cluster = cluster(3);
+    for (n, key) in [fresh_key(), "plain-key".into()].into_iter().enumerate() {
+        let prompt = format!("race{n}");
+        let asks = (0..12).map(|n| {
+            let entry = cluster.entries[n % 3].addr.clone();
+            let (key, prompt) = (key.clone(), prompt.clone());
+            thread::spawn(move || ask(&entry, &key, &prompt, 30))
+        });
+        let asks: Vec<_> = asks.collect();
+        let answers: Vec<_> = asks.into_iter().map(|a| a.join().unwrap()).collect();
+        assert_eq!(cluster.runs_of(&prompt), 1, "{answers:?}");
+        let whole = answers.iter().filter(|a| a.status == 200);
+        for answer in whole.clone() {
+            assert_eq!(answer.text(), expected("once@v1", &prompt, 30));
+        }
+        assert!(whole.count() >= 1);
+        for answer in answers.iter().filter(|a| a.status != 200) {
+            assert_eq!((answer.status, &*answer.outcome()), (409, "unknown"));
+            assert!(answer.header("retry-after").is_some(), "{answer:?}");
+        }
+    }
+}
+
+#[test]
+fn resend_after_the_end_gets_the_same_answer() {
+    let cluster = cluster(2);
+    for key in [fresh_key(), "plain".into()] {
+        let first = ask(&cluster.entries[0].addr, &key, &key, 5);
+        assert_eq!(first.text(), expected("once@v1", &key, 5));
+        until("the claim is settled", || {
+            let resend = ask(&cluster.entries[1].addr, &key, &key, 5);
+            resend.status == 200
+                && resend.body == first.body
+                && resend.header("larkspring-replayed") == Some("yes")
+        });
+        assert_eq!(cluster.runs_of(&key), 1);
+    }
+}
+
+#[test]
+fn key_used_for_another_request_is_refused() {
+    let cluster = cluster(1);
+    let key = fresh_key();
+    assert_eq!(ask(cluster.entry(), &key, "one", 2).status, 200);
+    let other = ask(cluster.entry(), &key, "two", 2);
+    assert_eq!((other.status, &*other.outcome()), (409, "failed"), "{other:?}");
+    assert_eq!(cluster.runs_of("two"), 0);
+}
+
+#[test]
+fn caller_that_hung_up_finds_its_answer() {
+    let cluster = cluster(2);
+    let key = fresh_key();
+    let body = streamed("once", "hung-up", 300);
+    let headers = [("idempotency-key", key.as_str())];
+    let mut conn = send(cluster.entry(), &completion(KEY, &body, &headers));
+    conn.read_until("|hung-up|").unwrap();
+    drop(conn);
+    until("the answer is found", || {
+        let resend = ask(&cluster.entries[1].addr, &key, "hung-up", 300);
+        resend.status == 200 && resend.text() == expected("once@v1", "hung-up", 300)
+    });
+    assert_eq!(cluster.runs_of("hung-up"), 1);
+}
+
+#[test]
+fn unclear_end_stays_unclear() {
+    let mut cluster = cluster(2);
+    cluster.engine_faults(0, json!({ "hang": true }));
+    let key = fresh_key();
+    let headers = [("idempotency-key", key.as_str()), ("larkspring-deadline-ms", "1000")];
+    let body = streamed("once", "unclear", LONG);
+    let first = complete(cluster.entry(), KEY, &body, &headers);
+    assert_eq!(first.outcome(), "unknown", "{first:?}");
+    cluster.engine_faults(0, json!({}));
+    for entry in &cluster.entries {
+        let resend = complete(&entry.addr, KEY, &body, &headers);
+        assert_eq!((resend.status, &*resend.outcome()), (409, "unknown"));
+    }
+    assert_eq!(cluster.runs_of("unclear"), 1);
+    // The same with an agent that dies under the request.
+    let key = fresh_key();
+    let headers = [("idempotency-key", key.as_str())];
+    let body = streamed("once", "agent-died", LONG);
+    let mut conn = send(cluster.entry(), &completion(KEY, &body, &headers));
+    conn.read_until("|agent-died|").unwrap();
+    cluster.agents[0].kill();
+    assert!(!conn.read().done());
+    cluster.restart_agent(0);
+    until("the agent serves again", || {
+        complete(cluster.entry(), KEY, &streamed("a0", "back", 1), &[]).status == 200
+    });
+    let resend = ask(&cluster.entries[1].addr, &key, "agent-died", LONG);
+    assert_eq!((resend.status, &*resend.outcome()), (409, "unknown"));
+    assert_eq!(cluster.runs_of("agent-died"), 1);
+}
+
+#[test]
+fn proved_refusal_leaves_the_key_free() {
+    let mut cluster = cluster(2);
+    let key = fresh_key();
+    cluster.agents[0].kill();
+    let refused = ask(cluster.entry(), &key, "later", 2);
+    assert_eq!((refused.status, &*refused.outcome()), (503, "not-run"), "{refused:?}");
+    cluster.restart_agent(0);
+    until("the request runs", || {
+        let resend = ask(&cluster.entries[1].addr, &key, "later", 2);
+        resend.text() == expected("once@v1", "later", 2)
+    });
+    assert_eq!(cluster.runs_of("later"), 1);
+}
+
+#[test]
+fn object_api_outage_stops_no_claim() {
+    let cluster = cluster(2);
+    post(&cluster.objects.addr, "/faults", &json!({ "outage": true }));
+    for n in 0..40 {
+        let (key, prompt) = (fresh_key(), format!("outage{n}"));
+        let first = ask(&cluster.entries[n % 2].addr, &key, &prompt, 2);
+        assert_eq!(first.text(), expected("once@v1", &prompt, 2), "{first:?}");
+        let resend = ask(&cluster.entries[(n + 1) % 2].addr, &key, &prompt, 2);
+        assert!(matches!(resend.status, 200 | 409), "{resend:?}");
+        assert_eq!(cluster.runs_of(&prompt), 1);
+    }
+}
+
+#[test]
+fn keys_of_an_entry_that_died_never_run_again_and_new_ones_do() {
+    let mut cluster = cluster(2);
+    let keys: Vec<_> = (0..20).map(|n| (fresh_key(), format!("died{n}"))).collect();
+    for (key, prompt) in &keys {
+        assert_eq!(ask(cluster.entry(), key, prompt, 2).status, 200);
+    }
+    // The new run at the same address proves the end of the old one.
+    cluster.restart_entry(0);
+    until("the entry is ready", || {
+        common::client::status(cluster.entry(), "/health") == 200
+    });
+    cluster.wait_keys();
+    for entry in &cluster.entries {
+        for (key, prompt) in &keys {
+            let resend = ask(&entry.addr, key, prompt, 2);
+            assert!(matches!(resend.status, 200 | 409), "{resend:?}");
+            assert_eq!(cluster.runs_of(prompt), 1);
+        }
+    }
+    until("new keys run", || {
+        let answers = (0..20).map(|_| ask(cluster.entry(), &fresh_key(), "new", 1));
+        answers.into_iter().all(|a| a.status == 200)
+    });
+}
+
+#[test]
+fn entry_that_was_paused_past_its_lease_grants_nothing_twice() {
+    let settings = "  key_lease_ms: 1000\n  clock_skew_ms: 100\n";
+    let cluster =
+        Cluster::start(Plan { entries: 2, entry_settings: settings, ..Plan::default() });
+    cluster.wait_keys();
+    let keys: Vec<_> = (0..40).map(|n| (fresh_key(), format!("paused{n}"))).collect();
+    cluster.entries[0].freeze();
+    until("the other entry holds all partitions", || {
+        cluster.entries[1].key_partitions() == 64
+    });
+    let of_two: Vec<_> = (0..40).map(|n| (fresh_key(), format!("after{n}"))).collect();
+    for (key, prompt) in keys.iter().chain(&of_two) {
+        ask(&cluster.entries[1].addr, key, prompt, 2);
+    }
+    // The paused entry resumes and may still think that it is in charge.
+    cluster.entries[0].resume();
+    for (key, prompt) in keys.iter().chain(&of_two) {
+        ask(&cluster.entries[0].addr, key, prompt, 2);
+        assert!(cluster.runs_of(prompt) <= 1, "{prompt}");
+    }
+    until("new keys run again", || {
+        ask(&cluster.entries[0].addr, &fresh_key(), "again", 1).status == 200
+    });
+}
+
+#[test]
+fn lost_replies_of_the_object_api_do_no_harm() {
+    let cluster = Cluster::start(Plan { entries: 2, ..Plan::default() });
+    post(&cluster.objects.addr, "/faults", &json!({ "lose_replies": 6 }));
+    cluster.wait_keys();
+    for n in 0..20 {
+        let (key, prompt) = (fresh_key(), format!("lost{n}"));
+        for entry in &cluster.entries {
+            ask(&entry.addr, &key, &prompt, 1);
+        }
+        assert_eq!(cluster.runs_of(&prompt), 1);
+    }
+}
+
+#[test]
+fn service_call_marked_not_repeatable_runs_once() {
+    let cluster = cluster(2);
+    let call = |entry: &str, key: &str| {
+        let bearer = format!("Bearer {KEY}");
+        let headers = [("authorization", bearer.as_str()), ("idempotency-key", key)];
+        let path = "/services/loggers/config/7";
+        let text = common::client::request("POST", path, &headers, "night");
+        send(entry, &text).read()
+    };
+    let runs = || {
+        let runs = common::client::get(&cluster.service.addr, "/stats");
+        let runs = runs.as_array().unwrap().clone();
+        runs.iter().filter(|r| r["call"] == "POST /config/7").count()
+    };
+    let key = fresh_key();
+    assert_eq!(call(cluster.entry(), &key).status, 200);
+    until("the answer is kept", || call(&cluster.entries[1].addr, &key).status == 200);
+    assert_eq!(runs(), 1);
+    // One that runs and never answers is not sent again.
+    post(&cluster.service.addr, "/faults", &json!({ "hang": 1 }));
+    let key = fresh_key();
+    let bearer = format!("Bearer {KEY}");
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("idempotency-key", key.as_str()),
+        ("larkspring-deadline-ms", "1000"),
+    ];
+    let text =
+        common::client::request("POST", "/services/loggers/config/7", &headers, "x");
+    let answer = send(cluster.entry(), &text).read();
+    assert_eq!((answer.status, &*answer.outcome()), (502, "unknown"), "{answer:?}");
+    let resend = send(&cluster.entries[1].addr, &text).read();
+    assert_eq!((resend.status, &*resend.outcome()), (409, "unknown"), "{resend:?}");
+    assert_eq!(runs(), 2);
+}
--- a/crates/larkspring-core/src/claims.rs
+++ b/crates/larkspring-core/src/claims.rs
@@ -1,72 +1,201 @@
 //! Which requests have run, for those that run at most once.
+//!
+//! One table holds the keys of the partitions of one entry. A key stays for the time of
+//! retention, and its answer for as long as there is room.
 
 use std::collections::{HashMap, VecDeque};
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use crate::tenure::{millis, Millis};
 
 /// Keys that were claimed and how their requests ended.
 #[derive(Debug)]
-pub struct Claims {
-    keep: Duration,
-    limit: usize,
-    held: HashMap<ClaimKey, Claim>,
-    order: VecDeque<(Instant, ClaimKey)>,
+pub struct Claims<A> {
+    limits: ClaimLimits,
+    held: HashMap<ClaimKey, Claim<A>>,
+    /// Keys in the order of their claims, with the time of the claim.
+    order: VecDeque<(Millis, ClaimKey)>,
+    /// Keys with an answer, the oldest first.
+    answered: VecDeque<ClaimKey>,
+    answer_bytes: usize,
+}
+
+/// Bounds of a table.
+#[derive(Debug, Clone, Copy)]
+pub struct ClaimLimits {
+    /// How long a key is kept at least.
+    pub retention: Duration,
+    /// Keys that are kept.
+    pub keys: usize,
+    /// Bytes of answers that are kept.
+    pub answer_bytes: usize,
 }
 
 /// Caller and key, hashed to 128 bits.
 pub type ClaimKey = u128;
 
-/// What is known of a claimed key.
+/// A try to claim a key.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// The key.
+    pub key: ClaimKey,
+    /// Hash of the request, by which a key used twice shows.
+    pub request: u64,
+    /// Name of the attempt; the same one may ask again.
+    pub attempt: String,
+    /// When an attempt that was not settled counts as unclear.
+    pub deadline: Millis,
+}
+
+/// Answer to a try to claim a key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Claim {
-    /// An attempt holds the key and has not ended.
+pub enum Verdict {
+    /// The key is the asker's; the request may run.
+    Granted,
+    /// Another attempt is under way.
     Running,
     /// The request ran to a whole answer.
     Ran,
     /// An endpoint may have run the request.
     Unknown,
+    /// The key was used for another request.
+    Mismatch,
+    /// The table is full; nothing is known of the key.
+    Full,
+    /// The asked process does not hold the key's partition.
+    Foreign,
 }
 
-/// Answer to a try to claim a key.
+const VERDICTS: [Verdict; 7] = [
+    Verdict::Granted,
+    Verdict::Running,
+    Verdict::Ran,
+    Verdict::Unknown,
+    Verdict::Mismatch,
+    Verdict::Full,
+    Verdict::Foreign,
+];
+
+impl Verdict {
+    /// Returns the number used in messages.
+    pub fn code(self) -> u32 {
+        self as u32 + 1
+    }
+
+    /// Reads the number used in messages; a foreign number is `Unknown`.
+    pub fn from_code(code: u32) -> Self {
+        let place = (code as usize).wrapping_sub(1);
+        VERDICTS.get(place).copied().unwrap_or(Self::Unknown)
+    }
+}
+
+/// How the attempt that held a key ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Claimed {
-    /// The key is the asker's; the request may run.
-    Granted,
-    /// Another attempt came first.
-    Taken(Claim),
-    /// The table is full; nothing is known of the key.
-    Full,
+pub enum Settled {
+    /// It was proved that no endpoint got the request.
+    NotRun,
+    /// It ran to a whole answer.
+    Ran,
+    /// An endpoint may have run it.
+    Unknown,
 }
 
-impl Claims {
-    /// Creates a table that keeps `limit` keys at most, each for `keep` at least.
-    pub fn new(keep: Duration, limit: usize) -> Self {
-        Self { keep, limit, held: HashMap::new(), order: VecDeque::new() }
+impl Settled {
+    /// Returns the number used in messages.
+    pub fn code(self) -> u32 {
+        match self {
+            Self::NotRun => 1,
+            Self::Ran => 2,
+            Self::Unknown => 3,
+        }
     }
 
-    /// Claims a key, or says who came first.
-    pub fn claim(&mut self, now: Instant, key: ClaimKey) -> Claimed {
-        self.forget(now);
-        if let Some(claim) = self.held.get(&key) {
-            return Claimed::Taken(*claim);
+    /// Reads the number used in messages; a foreign number is `Unknown`.
+    pub fn from_code(code: u32) -> Self {
+        match code {
+            1 => Self::NotRun,
+            2 => Self::Ran,
+            _ => Self::Unknown,
         }
-        if self.held.len() >= self.limit {
-            return Claimed::Full;
+    }
+}
+
+#[derive(Debug)]
+struct Claim<A> {
+    claimed: Millis,
+    request: u64,
+    attempt: String,
+    deadline: Millis,
+    settled: Option<Settled>,
+    answer: Option<(A, usize)>,
+}
+
+impl<A: Clone> Claims<A> {
+    /// Creates an empty table.
+    pub fn new(limits: ClaimLimits) -> Self {
+        Self {
+            limits,
+            held: HashMap::new(),
+            order: VecDeque::new(),
+            answered: VecDeque::new(),
+            answer_bytes: 0,
         }
-        self.held.insert(key, Claim::Running);
-        self.order.push_back((now, key));
-        Claimed::Granted
     }
 
-    /// Records how the attempt that holds the key ended.
-    pub fn settle(&mut self, key: ClaimKey, claim: Claim) {
-        if let Some(held) = self.held.get_mut(&key) {
-            *held = claim;
+    /// Claims a key of which all is known, or says who came first, with the answer.
+    pub fn claim(&mut self, now: Millis, ask: Ask) -> (Verdict, Option<A>) {
+        self.forget(now);
+        if let Some(claim) = self.held.get(&ask.key) {
+            return (claim.verdict(now, &ask), claim.answer.clone().map(|(a, _)| a));
+        }
+        if self.held.len() >= self.limits.keys {
+            return (Verdict::Full, None);
         }
+        self.order.push_back((now, ask.key));
+        let claim = Claim {
+            claimed: now,
+            request: ask.request,
+            attempt: ask.attempt,
+            deadline: ask.deadline,
+            settled: None,
+            answer: None,
+        };
+        self.held.insert(ask.key, claim);
+        (Verdict::Granted, None)
     }
 
-    /// Gives back the key of a request that was proved not to have run.
-    pub fn release(&mut self, key: ClaimKey) {
-        self.held.remove(&key);
+    /// Says what is known of a key, without claiming it; `None` if nothing.
+    pub fn look(&mut self, now: Millis, ask: &Ask) -> Option<(Verdict, Option<A>)> {
+        self.forget(now);
+        let claim = self.held.get(&ask.key)?;
+        Some((claim.verdict(now, ask), claim.answer.clone().map(|(a, _)| a)))
+    }
+
+    /// Records how the attempt that holds a key ended; others' words change nothing.
+    pub fn settle(
+        &mut self,
+        key: ClaimKey,
+        attempt: &str,
+        settled: Settled,
+        answer: Option<(A, usize)>,
+    ) {
+        let Some(claim) = self.held.get_mut(&key) else { return };
+        if claim.attempt != attempt || claim.settled.is_some() {
+            return;
+        }
+        if settled == Settled::NotRun {
+            self.held.remove(&key);
+            return;
+        }
+        claim.settled = Some(settled);
+        if let Some((answer, len)) =
+            answer.filter(|(_, n)| *n <= self.limits.answer_bytes)
+        {
+            claim.answer = Some((answer, len));
+            self.answered.push_back(key);
+            self.answer_bytes += len;
+            self.drop_answers();
+        }
     }
 
     /// Number of keys that are kept.
@@ -79,13 +208,47 @@
         self.held.is_empty()
     }
 
-    fn forget(&mut self, now: Instant) {
+    fn forget(&mut self, now: Millis) {
+        let keep = millis(self.limits.retention);
         while let Some((at, key)) = self.order.front().copied() {
-            if now.saturating_duration_since(at) < self.keep {
+            if now < at + keep {
                 return;
             }
             self.order.pop_front();
-            self.held.remove(&key);
+            // The key may have been given back and claimed again since.
+            if self.held.get(&key).is_some_and(|claim| claim.claimed == at) {
+                self.remove_answer(key);
+                self.held.remove(&key);
+            }
+        }
+    }
+
+    fn drop_answers(&mut self) {
+        while self.answer_bytes > self.limits.answer_bytes {
+            let Some(key) = self.answered.pop_front() else { return };
+            self.remove_answer(key);
+        }
+    }
+
+    fn remove_answer(&mut self, key: ClaimKey) {
+        let claim = self.held.get_mut(&key);
+        if let Some((_, len)) = claim.and_then(|claim| claim.answer.take()) {
+            self.answer_bytes -= len;
+        }
+    }
+}
+
+impl<A> Claim<A> {
+    fn verdict(&self, now: Millis, ask: &Ask) -> Verdict {
+        if self.request != ask.request {
+            return Verdict::Mismatch;
+        }
+        match self.settled {
+            Some(Settled::Ran) => Verdict::Ran,
+            Some(_) => Verdict::Unknown,
+            None if self.attempt == ask.attempt => Verdict::Granted,
+            None if now >= self.deadline => Verdict::Unknown,
+            None => Verdict::Running,
         }
     }
 }
--- a/crates/larkspring-core/src/lib.rs
+++ b/crates/larkspring-core/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod retry;
 pub mod route;
 pub mod slots;
+pub mod tenure;
--- /dev/null
+++ b/crates/larkspring-core/tests/once.rs
@@ -0,0 +1,216 @@
+//! At most once: tenures that share no birth, and claims that are granted once.
+
+use std::time::Duration;
+
+use larkspring_core::claims::{Ask, ClaimLimits, Claims, Settled, Verdict};
+use larkspring_core::tenure::{
+    renewal, standing, takeover, Holder, Millis, Standing, Terms,
+};
+use larkspring_proto::keys::Tenure;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const TERMS: Terms = Terms {
+    lease: Duration::from_millis(1000),
+    retention: Duration::from_millis(5000),
+    skew: Duration::from_millis(10),
+};
+
+fn run(id: u64) -> Tenure {
+    Tenure { holder: format!("entry-{id}"), run: id, ..Tenure::default() }
+}
+
+fn tenure(from_ms: Millis, until_ms: Millis, since_ms: Millis) -> Tenure {
+    Tenure { from_ms, until_ms, since_ms, ..run(1) }
+}
+
+#[test]
+fn standing_of_a_key() {
+    struct Case {
+        t: Tenure,
+        now: Millis,
+        birth: Millis,
+        standing: Standing,
+    }
+    let case = |t, now, birth, standing| Case { t, now, birth, standing };
+    let later = || tenure(1000, 9000, 2000);
+    let cases = [
+        case(tenure(0, 1000, 0), 500, 400, Standing::Known),
+        case(tenure(0, 1000, 0), 500, 509, Standing::Known),
+        // A birth too far ahead of the clock is nobody's yet.
+        case(tenure(0, 1000, 0), 500, 510, Standing::Foreign),
+        case(tenure(0, 1000, 0), 2000, 1000, Standing::Foreign),
+        // A holder that was paused still answers for its own births, and no others.
+        case(tenure(0, 1000, 0), 2000, 999, Standing::Known),
+        // A key as old as the retention may have been forgotten.
+        case(tenure(0, 9000, 0), 5400, 411, Standing::Known),
+        case(tenure(0, 9000, 0), 5400, 410, Standing::Lost),
+        case(later(), 3000, 999, Standing::Lost),
+        case(later(), 3000, 1000, Standing::Known),
+        // Without a birth only the time since the takeover tells.
+        case(tenure(0, 1000, 0), 500, 0, Standing::Known),
+        case(tenure(0, 1000, 0), 1000, 0, Standing::Foreign),
+        case(later(), 3000, 0, Standing::LostUntil(7000)),
+        case(later(), 7000, 0, Standing::Known),
+    ];
+    for (n, case) in cases.iter().enumerate() {
+        let standing = standing(&case.t, &TERMS, case.now, case.birth);
+        assert_eq!(standing, case.standing, "case {n}");
+    }
+}
+
+#[test]
+fn takeover_waits_for_the_end_of_the_range_or_the_proof() {
+    struct Case {
+        old: Tenure,
+        holder: Holder,
+        now: Millis,
+        from_since: Option<(Millis, Millis)>,
+    }
+    let case = |old, holder, now, from_since| Case { old, holder, now, from_since };
+    let cases = [
+        case(Tenure::default(), Holder::MayLive, 500, Some((0, 0))),
+        case(tenure(0, 1000, 0), Holder::MayLive, 1009, None),
+        case(tenure(0, 1000, 0), Holder::MayLive, 1010, Some((1000, 1010))),
+        case(tenure(0, 1000, 0), Holder::Ended, 500, Some((520, 500))),
+    ];
+    for (n, case) in cases.iter().enumerate() {
+        let new = takeover(&case.old, &run(2), case.holder, &TERMS, case.now);
+        let got = new.as_ref().map(|t| (t.from_ms, t.since_ms));
+        assert_eq!(got, case.from_since, "case {n}");
+        assert!(new.is_none_or(|t| t.run == 2 && t.until_ms == case.now + 1000));
+    }
+}
+
+#[test]
+fn renewal_extends_a_range_that_has_not_lapsed() {
+    let t = tenure(0, 1000, 0);
+    assert_eq!(renewal(&t, &TERMS, 100), None);
+    assert_eq!(renewal(&t, &TERMS, 200).map(|t| t.until_ms), Some(1200));
+    assert_eq!(renewal(&t, &TERMS, 1000), None);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(20261202),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whoever renews, lapses, ends or is paused, and whatever the clocks say within
+    /// their skew: no birth is ever known to two runs that may both grant.
+    #[test]
+    fn no_birth_has_two_holders(
+        steps in prop::collection::vec((0..3u8, 1..400u64, 0..10u64), 1..40),
+        probes in prop::collection::vec((1..8000u64, 0..9000u64), 1..20),
+    ) {
+        let mut now = 10;
+        let mut present = takeover(&Tenure::default(), &run(1), Holder::MayLive, &TERMS, now)
+            .expect("a partition never held is free");
+        // Each run's last tenure, and the last time at which it could act.
+        let mut past: Vec<(Tenure, Millis)> = Vec::new();
+        for (kind, time, clock) in steps {
+            now += time;
+            let seen = now + clock;
+            let next = match kind {
+                0 => renewal(&present, &TERMS, seen),
+                1 => None,
+                _ => {
+                    let me = run(present.run + 1);
+                    let taken = takeover(&present, &me, Holder::Ended, &TERMS, seen);
+                    // Its clock may be ahead by the skew.
+                    past.push((present.clone(), now + 10));
+                    taken
+                }
+            };
+            if let Some(next) = next {
+                present = next;
+            }
+            let me = run(present.run + 1);
+            if kind == 1 {
+                if let Some(next) = takeover(&present, &me, Holder::MayLive, &TERMS, seen) {
+                    // The paused holder may act at any later time.
+                    past.push((present.clone(), Millis::MAX / 2));
+                    present = next;
+                }
+            }
+        }
+        past.push((present, Millis::MAX / 2));
+        for (birth, at) in probes {
+            let knows = |(t, end): &&(Tenure, Millis)| {
+                let acts = at.min(*end);
+                standing(t, &TERMS, acts, birth) == Standing::Known
+            };
+            prop_assert!(past.iter().filter(knows).count() <= 1, "{birth} {at} {past:?}");
+        }
+    }
+}
+
+fn claims() -> Claims<&'static str> {
+    let limits = ClaimLimits { retention: TERMS.retention, keys: 3, answer_bytes: 10 };
+    Claims::new(limits)
+}
+
+fn ask(key: u128, attempt: &str) -> Ask {
+    Ask { key, request: 1, attempt: attempt.into(), deadline: 100 }
+}
+
+#[test]
+fn claim_is_granted_once() {
+    let mut claims = claims();
+    assert_eq!(claims.claim(0, ask(1, "a")).0, Verdict::Granted);
+    assert_eq!(claims.claim(0, ask(1, "a")).0, Verdict::Granted);
+    assert_eq!(claims.claim(0, ask(1, "b")).0, Verdict::Running);
+    assert_eq!(claims.claim(100, ask(1, "b")).0, Verdict::Unknown);
+    let other = Ask { request: 2, ..ask(1, "b") };
+    assert_eq!(claims.claim(0, other).0, Verdict::Mismatch);
+}
+
+#[test]
+fn settled_claim_answers_a_resend() {
+    struct Case {
+        settled: Settled,
+        resend: Verdict,
+        answer: Option<&'static str>,
+    }
+    let cases = [
+        Case { settled: Settled::Ran, resend: Verdict::Ran, answer: Some("x") },
+        Case { settled: Settled::Unknown, resend: Verdict::Unknown, answer: None },
+        Case { settled: Settled::NotRun, resend: Verdict::Granted, answer: None },
+    ];
+    for case in cases {
+        let mut claims = claims();
+        claims.claim(0, ask(1, "a"));
+        claims.settle(1, "b", Settled::NotRun, None);
+        assert_eq!(claims.claim(0, ask(1, "c")).0, Verdict::Running);
+        claims.settle(1, "a", case.settled, case.answer.map(|a| (a, 1)));
+        claims.settle(1, "a", Settled::NotRun, None);
+        let resend = claims.claim(1, ask(1, "d"));
+        assert_eq!(resend, (case.resend, case.answer), "{:?}", case.settled);
+    }
+}
+
+#[test]
+fn keys_are_kept_for_the_retention_and_answers_while_there_is_room() {
+    let mut claims = claims();
+    for key in 1..=3 {
+        assert_eq!(claims.claim(0, ask(key, "a")).0, Verdict::Granted);
+        claims.settle(key, "a", Settled::Ran, Some(("x", 5)));
+    }
+    assert_eq!(claims.claim(1, ask(1, "b")), (Verdict::Ran, None));
+    assert_eq!(claims.claim(1, ask(3, "b")), (Verdict::Ran, Some("x")));
+    assert_eq!(claims.claim(1, ask(4, "b")).0, Verdict::Full);
+    assert_eq!(claims.claim(4999, ask(1, "b")).0, Verdict::Ran);
+    assert_eq!(claims.claim(5000, ask(4, "b")).0, Verdict::Granted);
+    assert_eq!(claims.len(), 1);
+}
+
+#[test]
+fn key_given_back_and_claimed_again_is_kept_from_then_on() {
+    let mut claims = claims();
+    claims.claim(0, ask(1, "a"));
+    claims.settle(1, "a", Settled::NotRun, None);
+    assert_eq!(claims.claim(4000, ask(1, "b")).0, Verdict::Granted);
+    assert_ne!(claims.claim(6000, ask(1, "c")).0, Verdict::Granted);
+}
--- a/crates/larkspring-proto/src/gen/larkspring.settings.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.settings.rs
@@ -53,6 +53,19 @@
     /// How an endpoint is chosen: predicted, random, least or hash.
     #[prost(string, tag = "13")]
     pub routing: ::prost::alloc::string::String,
+    /// How far ahead the entry may answer for keys, which is how long it goes on
+    /// through an outage of the object API.
+    #[prost(uint64, tag = "14")]
+    pub key_lease_ms: u64,
+    /// How long a key without a birth is remembered at least.
+    #[prost(uint64, tag = "15")]
+    pub key_retention_ms: u64,
+    /// By how much clocks may differ.
+    #[prost(uint64, tag = "16")]
+    pub clock_skew_ms: u64,
+    /// Bytes of answers kept for resends.
+    #[prost(uint64, tag = "17")]
+    pub kept_answer_bytes: u64,
 }
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/larkspring-proto/src/lib.rs
+++ b/crates/larkspring-proto/src/lib.rs
@@ -13,6 +13,11 @@
     include!("gen/larkspring.declared.rs");
 }
 
+/// Keys of requests that run at most once.
+pub mod keys {
+    include!("gen/larkspring.keys.rs");
+}
+
 /// Settings of a process.
 pub mod settings {
     include!("gen/larkspring.settings.rs");
--- a/crates/larkspring/src/entry/answer.rs
+++ b/crates/larkspring/src/entry/answer.rs
@@ -15,7 +15,9 @@
 
 use super::dispatch::{Begun, Call};
 use super::limits::Permit;
+use super::once::Claim;
 use super::refuse;
+use crate::exec;
 use crate::rpc::credit::units;
 use crate::wire::refusal_from_wire;
 
@@ -26,12 +28,12 @@
 const CREDIT_PORTION: u32 = 16;
 
 /// Builds the response that relays an answer.
-pub fn respond(begun: Begun, permit: Permit) -> Response {
+pub fn respond(begun: Begun, permit: Permit, claim: Option<Claim>) -> Response {
     let mut res = Response::new(begun.begin.status as u16);
     let content_type = begun.begin.content_type.clone();
     let events = content_type.starts_with(EVENT_STREAM);
     let deadline = begun.deadline;
-    let relay = Relay::new(begun.call, permit, events, deadline);
+    let relay = Relay::new(begun.call, permit, claim, events, deadline);
     res.set_body(Body::from_reader(Exclusive(Mutex::new(relay)), None));
     if !content_type.is_empty() {
         res.insert_header("content-type", content_type.as_str());
@@ -47,6 +49,8 @@
     call: Option<Call>,
     /// Released with the end of the answer.
     permit: Option<Permit>,
+    /// Settled with the end of the answer.
+    claim: Option<Claim>,
     events: bool,
     chunk: Bytes,
     /// Units that were read and not yet granted again.
@@ -56,10 +60,17 @@
 }
 
 impl Relay {
-    fn new(call: Call, permit: Permit, events: bool, deadline: Instant) -> Self {
+    fn new(
+        call: Call,
+        permit: Permit,
+        claim: Option<Claim>,
+        events: bool,
+        deadline: Instant,
+    ) -> Self {
         Self {
             call: Some(call),
             permit: Some(permit),
+            claim,
             events,
             chunk: Bytes::new(),
             owed: 0,
@@ -87,6 +98,9 @@
                 Some(Ok(Kind::Chunk(chunk))) => self.take(chunk),
                 Some(Ok(Kind::End(end))) => {
                     call.learn(end.hint);
+                    if let Some(claim) = self.claim.take() {
+                        claim.ran();
+                    }
                     self.finish();
                 }
                 Some(Ok(Kind::Refusal(mut refusal))) => {
@@ -108,6 +122,9 @@
     }
 
     fn take(&mut self, chunk: Bytes) {
+        if let Some(claim) = &mut self.claim {
+            claim.took(&chunk);
+        }
         self.owed += units(chunk.len());
         self.chunk = chunk;
         if self.owed >= CREDIT_PORTION {
@@ -119,6 +136,8 @@
     }
 
     fn finish(&mut self) {
+        // A claim that is still here is settled as unclear by its drop.
+        self.claim = None;
         self.call = None;
         self.permit = None;
     }
@@ -135,6 +154,32 @@
     }
 }
 
+impl Drop for Relay {
+    /// Takes the rest of an answer that runs at most once, so that a resend gets it.
+    fn drop(&mut self) {
+        if self.claim.is_none() || self.call.is_none() {
+            return;
+        }
+        let mut rest = Relay {
+            call: self.call.take(),
+            permit: self.permit.take(),
+            claim: self.claim.take(),
+            events: self.events,
+            chunk: Bytes::new(),
+            owed: self.owed,
+            broken: None,
+            timer: std::mem::replace(&mut self.timer, Timer::never()),
+        };
+        let drain = async move {
+            while rest.call.is_some() {
+                rest.chunk = Bytes::new();
+                let _ = std::future::poll_fn(|cx| rest.poll_chunk(cx)).await;
+            }
+        };
+        exec::spawn(drain).detach();
+    }
+}
+
 /// Polls a timer without its value.
 trait PollTimer {
     fn poll_timer(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()>;
--- /dev/null
+++ b/crates/larkspring/src/entry/keys/mod.rs
@@ -0,0 +1,306 @@
+//! Keys of requests that run at most once: asking the holder of a key's partition, and
+//! answering for the partitions that this entry holds.
+
+mod rpc;
+mod table;
+
+use std::fmt::{self, Debug, Formatter};
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use event_listener::Event;
+use http::Uri;
+use larkspring_core::claims::{Ask, ClaimKey, ClaimLimits, Claims, Settled, Verdict};
+use larkspring_core::outcome::{Refusal, Step};
+use larkspring_core::tenure::{
+    millis, same_run, standing, Millis, Standing, Terms, PARTITIONS,
+};
+use larkspring_proto::keys::keys_client::KeysClient;
+use larkspring_proto::keys::{
+    ClaimReply, ClaimRequest, KeptAnswer, SettleRequest, Tenure,
+};
+use parking_lot::Mutex;
+use tonic::Status;
+use uuid::Uuid;
+
+pub use self::rpc::Service;
+use self::table::View;
+use crate::platform::objects::HttpObjects;
+use crate::rpc::channel::Pool;
+use crate::settings::{EntryCfg, Settings};
+
+/// The keys' side of an entry.
+pub struct Keys {
+    /// This run, as it stands in the table.
+    me: Tenure,
+    terms: Terms,
+    view: Mutex<View>,
+    changed: Event,
+    /// One table of claims for each partition, under its own lock.
+    claims: Vec<Mutex<Claims<KeptAnswer>>>,
+    api: HttpObjects,
+    pool: Pool,
+}
+
+/// A key that is to be claimed.
+#[derive(Debug, Clone)]
+pub struct KeyAsk {
+    /// Partition of the key.
+    pub partition: usize,
+    /// Birth of the key; 0 if it has none.
+    pub birth: Millis,
+    /// The claim itself.
+    pub ask: Ask,
+}
+
+/// Answer to a try to claim a key.
+#[derive(Debug, Clone)]
+pub struct Answered {
+    /// What is known of the key.
+    pub verdict: Verdict,
+    /// When to ask again.
+    pub retry_after: Option<Duration>,
+    /// The kept answer of a request that ran.
+    pub answer: Option<KeptAnswer>,
+}
+
+/// Keys that one entry keeps at most; about 100 bytes each.
+const MAX_KEYS: usize = 100_000;
+/// Time for a call to another entry.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Connections to other entries.
+const MAX_CONNECTIONS: usize = PARTITIONS;
+/// Tries to reach the holder of a key.
+const CLAIM_TRIES: u32 = 3;
+const SETTLE_TRIES: u32 = 3;
+/// When to ask again where the holder could not be asked.
+const CLAIM_RETRY: Duration = Duration::from_secs(1);
+
+impl Keys {
+    /// Creates the keys' side of an entry that other entries reach at `addr`.
+    pub fn new(cfg: &EntryCfg, settings: &Settings, addr: SocketAddr) -> Self {
+        let limits = ClaimLimits {
+            retention: cfg.terms.retention,
+            keys: MAX_KEYS / PARTITIONS,
+            answer_bytes: cfg.kept_answer_bytes / PARTITIONS,
+        };
+        let me = Tenure {
+            holder: addr.to_string(),
+            run: fastrand::u64(1..),
+            vm: settings.vm.clone(),
+            ..Tenure::default()
+        };
+        let platform = &settings.platform;
+        Self {
+            me,
+            terms: cfg.terms,
+            view: Mutex::default(),
+            changed: Event::new(),
+            claims: (0..PARTITIONS).map(|_| Mutex::new(Claims::new(limits))).collect(),
+            api: HttpObjects::new(&platform.objects, platform.timeout),
+            pool: Pool::new(MAX_CONNECTIONS, CALL_TIMEOUT),
+        }
+    }
+
+    /// Number of partitions that this entry holds.
+    pub fn held(&self) -> usize {
+        let view = self.view.lock();
+        view.table.partitions.iter().filter(|t| same_run(t, &self.me)).count()
+    }
+
+    /// Asks the holder of a key whether its request may run.
+    pub async fn claim(&self, key: &KeyAsk) -> Result<Answered, Refusal> {
+        let mut cause = String::new();
+        for _ in 0..CLAIM_TRIES {
+            let Some(holder) = self.holder(key.partition) else {
+                cause = "no entry holds the key's partition".into();
+                self.refresh().await;
+                continue;
+            };
+            match self.ask(&holder, key).await {
+                Ok(reply) if reply.verdict == Verdict::Foreign => {
+                    cause = "the asked entry does not hold the key".into();
+                    self.refresh().await;
+                }
+                Ok(reply) => return Ok(reply),
+                Err(status) => {
+                    cause = format!("entry {}: {}", holder.holder, status.message());
+                    self.suspect(&holder);
+                }
+            }
+        }
+        let text = format!("it can't be found out now whether this key has run: {cause}");
+        Err(Refusal::unknown(Step::Claim, text).retry_after(CLAIM_RETRY))
+    }
+
+    /// Tells the holder of a granted key how its request ended.
+    pub async fn settle(
+        &self,
+        key: &KeyAsk,
+        settled: Settled,
+        answer: Option<KeptAnswer>,
+    ) {
+        for _ in 0..SETTLE_TRIES {
+            let Some(holder) = self.holder(key.partition) else { return };
+            if same_run(&holder, &self.me) {
+                return self.settle_here(key, settled, answer);
+            }
+            let req = SettleRequest {
+                partition: key.partition as u32,
+                key: key.ask.key.to_be_bytes().to_vec().into(),
+                attempt: key.ask.attempt.clone(),
+                settled: settled.code(),
+                answer: answer.clone(),
+            };
+            let Ok(mut client) = self.client(&holder).await else { continue };
+            if timed(client.settle(req)).await.is_ok() {
+                return;
+            }
+        }
+        // The holder counts the attempt as unclear once its deadline has passed.
+        tracing::warn!("a claim could not be settled");
+    }
+
+    /// Answers for a key of a partition that this run may hold.
+    fn decide(&self, run: u64, key: KeyAsk) -> Answered {
+        let now = wall_clock();
+        let foreign = Answered::new(Verdict::Foreign);
+        let Some(tenure) = self.holder(key.partition) else { return foreign };
+        if run != self.me.run || !same_run(&tenure, &self.me) {
+            return foreign;
+        }
+        let mut claims = self.claims[key.partition].lock();
+        if let Some((verdict, answer)) = claims.look(now, &key.ask) {
+            return Answered { verdict, retry_after: None, answer };
+        }
+        match standing(&tenure, &self.terms, now, key.birth) {
+            Standing::Known => {
+                let (verdict, answer) = claims.claim(now, key.ask);
+                Answered { verdict, retry_after: None, answer }
+            }
+            Standing::Lost => Answered::new(Verdict::Unknown),
+            Standing::LostUntil(at) => {
+                let wait = Duration::from_millis(at - now);
+                Answered { retry_after: Some(wait), ..Answered::new(Verdict::Unknown) }
+            }
+            Standing::Foreign => foreign,
+        }
+    }
+
+    fn settle_here(&self, key: &KeyAsk, settled: Settled, answer: Option<KeptAnswer>) {
+        let answer = answer.map(|a| {
+            let len = a.body.len();
+            (a, len)
+        });
+        let mut claims = self.claims[key.partition].lock();
+        claims.settle(key.ask.key, &key.ask.attempt, settled, answer);
+    }
+
+    /// Returns the present tenure of a partition, if any run ever held it.
+    fn holder(&self, partition: usize) -> Option<Tenure> {
+        let view = self.view.lock();
+        let tenure = view.table.partitions.get(partition)?;
+        (!tenure.holder.is_empty()).then(|| tenure.clone())
+    }
+
+    async fn ask(&self, holder: &Tenure, key: &KeyAsk) -> Result<Answered, Status> {
+        if same_run(holder, &self.me) {
+            return Ok(self.decide(self.me.run, key.clone()));
+        }
+        let now = wall_clock();
+        let req = ClaimRequest {
+            partition: key.partition as u32,
+            run: holder.run,
+            key: key.ask.key.to_be_bytes().to_vec().into(),
+            birth_ms: key.birth,
+            request: key.ask.request,
+            attempt: key.ask.attempt.clone(),
+            deadline_ms: key.ask.deadline.saturating_sub(now),
+        };
+        let mut client = self.client(holder).await?;
+        let reply = timed(client.claim(req)).await?;
+        Ok(Answered::from_reply(reply))
+    }
+
+    async fn client(
+        &self,
+        holder: &Tenure,
+    ) -> Result<KeysClient<crate::rpc::channel::Channel>, Status> {
+        let unavailable = |e: String| Status::unavailable(e);
+        let channel = self.pool.get(&holder.holder).await;
+        let channel = channel.map_err(|e| unavailable(e.to_string()))?;
+        let origin = Uri::try_from(format!("http://{}", holder.holder));
+        let origin = origin.map_err(|e| unavailable(e.to_string()))?;
+        Ok(KeysClient::with_origin(channel, origin))
+    }
+}
+
+impl Answered {
+    fn new(verdict: Verdict) -> Self {
+        Self { verdict, retry_after: None, answer: None }
+    }
+
+    fn from_reply(reply: ClaimReply) -> Self {
+        let wait = reply.retry_after_ms;
+        Self {
+            verdict: Verdict::from_code(reply.verdict),
+            retry_after: (wait > 0).then(|| Duration::from_millis(wait)),
+            answer: reply.answer,
+        }
+    }
+}
+
+impl KeyAsk {
+    /// Creates the claim of a caller's key for a request with body hash `request`.
+    pub fn new(
+        caller: &str,
+        key: &str,
+        request: u64,
+        attempt: String,
+        left: Duration,
+    ) -> Self {
+        let hash: ClaimKey = key_hash(caller, key);
+        let deadline = wall_clock() + millis(left);
+        Self {
+            partition: (hash % PARTITIONS as u128) as usize,
+            birth: birth(key),
+            ask: Ask { key: hash, request, attempt, deadline },
+        }
+    }
+}
+
+impl Debug for Keys {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Keys").field("me", &self.me).finish_non_exhaustive()
+    }
+}
+
+fn key_hash(caller: &str, key: &str) -> ClaimKey {
+    // A caller's name has no newline, so that no two pairs make the same text.
+    xxhash_rust::xxh3::xxh3_128(format!("{caller}\n{key}").as_bytes())
+}
+
+/// Returns the birth that a UUID of version 7 carries; 0 for any other key.
+fn birth(key: &str) -> Millis {
+    let uuid = Uuid::parse_str(key).ok().filter(|id| id.get_version_num() == 7);
+    let time = uuid.and_then(|id| id.get_timestamp()).map(|t| t.to_unix());
+    time.map_or(0, |(secs, nanos)| secs * 1000 + u64::from(nanos) / 1_000_000)
+}
+
+/// Returns the present time as births count it.
+fn wall_clock() -> Millis {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, millis)
+}
+
+/// Waits for a call to another entry, for a limited time.
+async fn timed<T>(
+    call: impl std::future::Future<Output = Result<tonic::Response<T>, Status>>,
+) -> Result<T, Status> {
+    use futures_lite::FutureExt;
+    let late = async {
+        smol::Timer::after(CALL_TIMEOUT).await;
+        Err(Status::deadline_exceeded("no answer in time"))
+    };
+    call.or(late).await.map(tonic::Response::into_inner)
+}
--- /dev/null
+++ b/crates/larkspring/src/entry/keys/rpc.rs
@@ -0,0 +1,79 @@
+//! The serving side of the keys, for other entries.
+
+use std::sync::Arc;
+
+use larkspring_core::claims::{Ask, ClaimKey, Settled};
+use larkspring_core::tenure::PARTITIONS;
+use larkspring_proto::keys::keys_server::Keys as KeysRpc;
+use larkspring_proto::keys::{
+    ClaimReply, ClaimRequest, HelloReply, HelloRequest, SettleReply, SettleRequest,
+};
+use tonic::{Request, Response, Status};
+
+use super::{wall_clock, KeyAsk, Keys};
+
+/// Serves the keys of an entry to others.
+pub struct Service {
+    /// The keys' side of the entry.
+    pub keys: Arc<Keys>,
+}
+
+#[tonic::async_trait]
+impl KeysRpc for Service {
+    async fn claim(
+        &self,
+        req: Request<ClaimRequest>,
+    ) -> Result<Response<ClaimReply>, Status> {
+        let req = req.into_inner();
+        let key = KeyAsk {
+            partition: partition(req.partition)?,
+            birth: req.birth_ms,
+            ask: Ask {
+                key: key(&req.key)?,
+                request: req.request,
+                attempt: req.attempt,
+                deadline: wall_clock() + req.deadline_ms,
+            },
+        };
+        let answered = self.keys.decide(req.run, key);
+        let retry_after = answered.retry_after.map_or(0, |d| d.as_millis() as u64);
+        Ok(Response::new(ClaimReply {
+            verdict: answered.verdict.code(),
+            retry_after_ms: retry_after,
+            answer: answered.answer,
+        }))
+    }
+
+    async fn settle(
+        &self,
+        req: Request<SettleRequest>,
+    ) -> Result<Response<SettleReply>, Status> {
+        let req = req.into_inner();
+        let ask =
+            Ask { key: key(&req.key)?, request: 0, attempt: req.attempt, deadline: 0 };
+        let key = KeyAsk { partition: partition(req.partition)?, birth: 0, ask };
+        self.keys.settle_here(&key, Settled::from_code(req.settled), req.answer);
+        Ok(Response::new(SettleReply {}))
+    }
+
+    async fn hello(
+        &self,
+        _: Request<HelloRequest>,
+    ) -> Result<Response<HelloReply>, Status> {
+        Ok(Response::new(self.keys.hello()))
+    }
+}
+
+fn partition(number: u32) -> Result<usize, Status> {
+    let number = number as usize;
+    match number < PARTITIONS {
+        true => Ok(number),
+        false => Err(Status::invalid_argument("no such partition")),
+    }
+}
+
+fn key(bytes: &[u8]) -> Result<ClaimKey, Status> {
+    let bytes = bytes.try_into();
+    let bytes = bytes.map_err(|_| Status::invalid_argument("a key has 16 bytes"))?;
+    Ok(ClaimKey::from_be_bytes(bytes))
+}
--- /dev/null
+++ b/crates/larkspring/src/entry/keys/table.rs
@@ -0,0 +1,228 @@
+//! The table that says who holds each partition, kept as one object.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use larkspring_core::tenure::{renewal, same_run, takeover, Holder, RunId, PARTITIONS};
+use larkspring_proto::keys::{HelloReply, HelloRequest, KeyTable, Tenure};
+use smol::Timer;
+
+use super::{timed, wall_clock, Keys};
+use crate::platform::objects::{Object, ObjectApi, ObjectVersion};
+use crate::platform::PlatformError;
+
+/// What this entry knows of the table, by reads and by writes that surely succeeded.
+#[derive(Debug, Default)]
+pub struct View {
+    version: ObjectVersion,
+    pub(super) table: KeyTable,
+    /// Runs that did not answer.
+    suspects: HashSet<(String, RunId)>,
+    /// Runs that were proved to have ended.
+    ended: HashSet<(String, RunId)>,
+}
+
+/// Name of the object that holds the table.
+const TABLE: &str = "keys/table";
+/// Pause between two looks at the table.
+const TICK: Duration = Duration::from_millis(200);
+/// Pause while the object API fails.
+const FAILURE_PAUSE: Duration = Duration::from_secs(1);
+/// How long one watch waits at the object API; renewals come between two watches.
+const WATCH: Duration = Duration::from_secs(5);
+/// Other entries that are asked for their table at a time.
+const ASKED_AT_A_TIME: usize = 3;
+/// Free partitions taken at a time, so that entries that start together share them.
+const TAKEN_AT_A_TIME: usize = 8;
+
+impl Keys {
+    /// Follows the table for ever; takes over and renews partitions.
+    pub async fn maintain(self: Arc<Self>) {
+        loop {
+            let pause = match self.step().await {
+                Ok(()) => TICK,
+                Err(e) => {
+                    tracing::warn!(error = %e, "the keys' table can't be followed");
+                    FAILURE_PAUSE
+                }
+            };
+            self.prove_ends().await;
+            let jitter = fastrand::f64() + 0.5;
+            Timer::after(pause.mul_f64(jitter)).await;
+        }
+    }
+
+    /// Gets a newer table now: from the API, or in its outage from other entries.
+    pub(super) async fn refresh(&self) {
+        match self.api.get(TABLE).await {
+            Ok(object) => drop(self.take_in(object)),
+            Err(_) => self.ask_others().await,
+        }
+        Timer::after(TICK).await;
+    }
+
+    /// Returns this run, and the table that it surely knows.
+    pub(super) fn hello(&self) -> HelloReply {
+        let view = self.view.lock();
+        HelloReply {
+            run: self.me.run,
+            version: view.version,
+            table: Some(view.table.clone()),
+        }
+    }
+
+    /// Takes in the tables that other holders know.
+    async fn ask_others(&self) {
+        let mut holders = self.hello().table.unwrap_or_default().partitions;
+        holders.retain(|t| !t.holder.is_empty() && !same_run(t, &self.me));
+        holders.sort_by(|a, b| a.holder.cmp(&b.holder));
+        holders.dedup_by(|a, b| same_run(a, b));
+        fastrand::shuffle(&mut holders);
+        for holder in holders.iter().take(ASKED_AT_A_TIME) {
+            let Ok(mut client) = self.client(holder).await else { continue };
+            let Ok(reply) = timed(client.hello(HelloRequest {})).await else { continue };
+            self.adopt(reply.version, reply.table.unwrap_or_default());
+        }
+    }
+
+    /// Makes a table the known one, unless a newer one is known already.
+    fn adopt(&self, version: ObjectVersion, table: KeyTable) {
+        let mut view = self.view.lock();
+        if view.version < version {
+            view.version = version;
+            view.table = table;
+        }
+    }
+
+    /// Notes that a run did not answer.
+    pub(super) fn suspect(&self, holder: &Tenure) {
+        let run = (holder.holder.clone(), holder.run);
+        self.view.lock().suspects.insert(run);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Changes the table if there is reason to, else waits for a change.
+    async fn step(&self) -> Result<(), PlatformError> {
+        let seen = self.view.lock().version;
+        if seen == 0 {
+            let object = self.api.get(TABLE).await?;
+            self.take_in(object)?;
+        }
+        let (version, next) = {
+            let view = self.view.lock();
+            (view.version, self.next_table(&view))
+        };
+        let Some(next) = next else { return self.wait(version).await };
+        self.write(version, next).await
+    }
+
+    /// Waits for a change of the table, or for a suspicion to look into.
+    async fn wait(&self, version: ObjectVersion) -> Result<(), PlatformError> {
+        use futures_lite::FutureExt;
+        let suspicion = async {
+            self.changed.listen().await;
+            Ok(None)
+        };
+        match self.api.watch(TABLE, version, WATCH).or(suspicion).await? {
+            Some(object) => self.take_in(Some(object))?,
+            None => self.suspect_any(),
+        }
+        Ok(())
+    }
+
+    /// Notes some holder as one to look at, so that an end is found without requests.
+    fn suspect_any(&self) {
+        let mut view = self.view.lock();
+        let place = fastrand::usize(..PARTITIONS);
+        let holder = view.table.partitions.get(place).cloned().unwrap_or_default();
+        if !holder.holder.is_empty() && !same_run(&holder, &self.me) {
+            view.suspects.insert((holder.holder, holder.run));
+        }
+    }
+
+    /// Writes the table; the view changes only if that surely succeeded.
+    async fn write(
+        &self,
+        version: ObjectVersion,
+        table: KeyTable,
+    ) -> Result<(), PlatformError> {
+        let value = serde_json::to_vec(&table).unwrap_or_default();
+        match self.api.put(TABLE, version, value).await {
+            Ok(version) => {
+                self.adopt(version, table);
+                Ok(())
+            }
+            Err(PlatformError::Conflict(_) | PlatformError::Unclear(..)) => {
+                let object = self.api.get(TABLE).await?;
+                self.take_in(object)
+            }
+            Err(e) => Err(e),
+        }
+    }
+
+    fn take_in(&self, object: Option<Object>) -> Result<(), PlatformError> {
+        let Some(object) = object else { return Ok(()) };
+        let table = serde_json::from_slice(&object.value)
+            .map_err(|e| PlatformError::Answer("read the keys' table", e.to_string()))?;
+        self.adopt(object.version, table);
+        Ok(())
+    }
+
+    /// Returns the table with what this run may renew or take, if there is anything.
+    fn next_table(&self, view: &View) -> Option<KeyTable> {
+        let now = wall_clock();
+        let mut next = view.table.clone();
+        next.partitions.resize(PARTITIONS, Tenure::default());
+        let mut changed = false;
+        for t in next.partitions.iter_mut().filter(|t| same_run(t, &self.me)) {
+            if let Some(renewed) = renewal(t, &self.terms, now) {
+                *t = renewed;
+                changed = true;
+            }
+        }
+        let mut places: Vec<_> = (0..PARTITIONS).collect();
+        fastrand::shuffle(&mut places);
+        let mut taken = 0;
+        for place in places {
+            let t = &mut next.partitions[place];
+            let Some(new) =
+                takeover(t, &self.me, self.state_of(view, t), &self.terms, now)
+            else {
+                continue;
+            };
+            *t = new;
+            taken += 1;
+            if taken == TAKEN_AT_A_TIME {
+                break;
+            }
+        }
+        (changed || taken > 0).then_some(next)
+    }
+
+    /// Says what is known of the run that holds a partition.
+    fn state_of(&self, view: &View, t: &Tenure) -> Holder {
+        // Whoever listens at an address is the only run there.
+        let replaced = t.holder == self.me.holder && t.run != self.me.run;
+        let ended = view.ended.contains(&(t.holder.clone(), t.run));
+        match replaced || ended {
+            true => Holder::Ended,
+            false => Holder::MayLive,
+        }
+    }
+
+    /// Asks the suspects which run they are; another run proves the end of the old one.
+    async fn prove_ends(&self) {
+        let suspects = std::mem::take(&mut self.view.lock().suspects);
+        for (addr, run) in suspects {
+            let holder = Tenure { holder: addr.clone(), run, ..Tenure::default() };
+            let Ok(mut client) = self.client(&holder).await else { continue };
+            match timed(client.hello(HelloRequest {})).await {
+                Ok(reply) if reply.run != run => {
+                    self.view.lock().ended.insert((addr, run));
+                }
+                _ => {}
+            }
+        }
+    }
+}
--- a/crates/larkspring/src/entry/mod.rs
+++ b/crates/larkspring/src/entry/mod.rs
@@ -6,12 +6,17 @@
 mod answer;
 mod dispatch;
 mod inbound;
+mod keys;
 mod limits;
+mod once;
 mod refuse;
 
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
@@ -20,6 +25,7 @@
 use larkspring_core::outcome::{Refusal, Step};
 use larkspring_core::retry::RetryBudget;
 use larkspring_core::route::Router;
+use larkspring_proto::keys::keys_server::KeysServer;
 use parking_lot::Mutex;
 use serde_json::json;
 use smol::net::TcpListener;
@@ -27,14 +33,16 @@
 use tracing::Instrument;
 
 use self::inbound::Inbound;
-use self::limits::CallerLimits;
+use self::keys::Keys;
+use self::limits::{CallerLimits, Permit};
+use self::once::{Claim, Claimed};
 use crate::agent::StartError;
 use crate::exec;
 use crate::http::head::HeadError;
 use crate::http::server::{serve, Handler, Limits};
 use crate::in_force::InForce;
 use crate::platform::objects::HttpObjects;
-use crate::rpc::channel::Pool;
+use crate::rpc::{self, channel::Pool};
 use crate::settings::{EntryCfg, Settings};
 use crate::telemetry::{Metrics, TraceParent};
 
@@ -44,6 +52,7 @@
     /// The address that it listens on.
     pub addr: SocketAddr,
     inner: Arc<Inner>,
+    _stopper: rpc::serve::Stopper,
     _tasks: Vec<Task<()>>,
 }
 
@@ -56,6 +65,7 @@
     pool: Pool,
     budget: Mutex<RetryBudget>,
     limits: CallerLimits,
+    keys: Arc<Keys>,
     metrics: Metrics,
     name: String,
     next: AtomicU64,
@@ -81,15 +91,23 @@
         let addr = listener.local_addr().unwrap_or(cfg.listen);
         let objects =
             HttpObjects::new(&settings.platform.objects, settings.platform.timeout);
-        let inner = Arc::new(Inner::new(cfg, settings));
+        let control = TcpListener::bind(cfg.control)
+            .await
+            .map_err(|e| StartError::Listen(cfg.control, e))?;
+        let control_addr = control.local_addr().unwrap_or(cfg.control);
+        let keys = Arc::new(Keys::new(&cfg, settings, control_addr));
+        let service = KeysServer::new(keys::Service { keys: keys.clone() });
+        let stopper = rpc::serve::serve(control, service);
+        let maintain = exec::spawn(keys.clone().maintain());
+        let inner = Arc::new(Inner::new(cfg, settings, keys));
         let follow = {
             let in_force = inner.in_force.clone();
             exec::spawn(async move { in_force.follow(&objects).await })
         };
         let http = serve(listener, inner.http_limits(), inner.clone());
-        let tasks = vec![follow, exec::spawn(http)];
+        let tasks = vec![follow, maintain, exec::spawn(http)];
         tracing::info!(%addr, "entry started");
-        Ok(Self { addr, inner, _tasks: tasks })
+        Ok(Self { addr, inner, _stopper: stopper, _tasks: tasks })
     }
 
     /// Stops as planned: new requests are refused and those in progress end.
@@ -105,13 +123,14 @@
 }
 
 impl Inner {
-    fn new(cfg: EntryCfg, settings: &Settings) -> Self {
+    fn new(cfg: EntryCfg, settings: &Settings, keys: Arc<Keys>) -> Self {
         Self {
             in_force: Arc::default(),
             router: Router::new(cfg.routing),
             pool: Pool::new(cfg.max_agent_connections, CONNECT_TIMEOUT),
             budget: Mutex::new(RetryBudget::new(cfg.retry_percent)),
             limits: CallerLimits::new(cfg.max_streams, cfg.max_streams_per_caller),
+            keys,
             metrics: Metrics::new(&settings.telemetry),
             name: format!("{:016x}", fastrand::u64(..)),
             next: AtomicU64::new(1),
@@ -164,13 +183,42 @@
         let permit = self.limits.enter(&inbound.caller)?;
         let attempt = self.attempt_id();
         let trace = inbound.trace.to_string();
-        let begun = dispatch::run(self, inbound).await?;
-        let mut res = answer::respond(begun, permit);
+        let mut res = match once::claim(&self.keys, &inbound, &attempt).await? {
+            Claimed::Free => {
+                answer::respond(dispatch::run(self, inbound).await?, permit, None)
+            }
+            Claimed::Granted(claim) => self.serve_once(inbound, permit, claim).await?,
+            Claimed::Replay(answer) => once::replay(answer),
+        };
         res.insert_header("larkspring-attempt", attempt);
         res.insert_header("traceparent", trace);
         Ok(res)
     }
 
+    /// Serves a request whose key was granted; it goes on if its caller hangs up.
+    async fn serve_once(
+        self: &Arc<Self>,
+        inbound: Inbound,
+        permit: Permit,
+        mut claim: Claim,
+    ) -> Result<Response, Refusal> {
+        let entry = self.clone();
+        let work = async move {
+            match dispatch::run(&entry, inbound).await {
+                Ok(begun) => {
+                    claim.begin(begun.begin.status, &begun.begin.content_type);
+                    Ok(answer::respond(begun, permit, Some(claim)))
+                }
+                Err(refusal) => {
+                    claim.refused(&refusal).await;
+                    Err(refusal)
+                }
+            }
+        };
+        let work = exec::spawn(work.in_current_span());
+        Detached(Some(work)).await
+    }
+
     fn caller(&self, req: &Request) -> Result<Arc<Caller>, Refusal> {
         let header = req.header("authorization").map(|v| v.as_str());
         let key = header.and_then(|v| v.strip_prefix("Bearer "));
@@ -195,7 +243,14 @@
         let stopping = self.stopping.load(Ordering::Acquire);
         let revision = self.in_force.state().revision;
         let status = if stopping || revision == 0 { 503 } else { 200 };
-        json_answer(status, &json!({ "revision": revision, "stopping": stopping }))
+        json_answer(
+            status,
+            &json!({
+                "revision": revision,
+                "stopping": stopping,
+                "key_partitions": self.keys.held(),
+            }),
+        )
     }
 }
 
@@ -231,6 +286,28 @@
     }
 }
 
+/// Waits for a task that goes on if nobody waits for it any more.
+struct Detached<T>(Option<Task<T>>);
+
+impl<T> Future for Detached<T> {
+    type Output = T;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<T> {
+        match &mut self.0 {
+            Some(task) => Pin::new(task).poll(cx),
+            None => Poll::Pending,
+        }
+    }
+}
+
+impl<T> Drop for Detached<T> {
+    fn drop(&mut self) {
+        if let Some(task) = self.0.take() {
+            task.detach();
+        }
+    }
+}
+
 /// Builds an answer with a JSON body.
 fn json_answer(status: u16, value: &serde_json::Value) -> Response {
     let mut res = Response::new(status);
--- a/crates/larkspring/src/settings.rs
+++ b/crates/larkspring/src/settings.rs
@@ -1,11 +1,12 @@
 //! Settings of a process: read from YAML, checked as a whole, with defaults filled in.
 
 use std::fmt::Write as _;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::time::Duration;
 
 use larkspring_core::route::Policy;
+use larkspring_core::tenure::Terms;
 use larkspring_proto::settings as wire;
 use quick_error::quick_error;
 
@@ -70,6 +71,12 @@
     pub retry_percent: u32,
     /// How an endpoint is chosen.
     pub routing: Policy,
+    /// Address for other entries; the one for callers with any port by default.
+    pub control: SocketAddr,
+    /// Lengths of time that at-most-once depends on.
+    pub terms: Terms,
+    /// Bytes of answers kept for resends.
+    pub kept_answer_bytes: usize,
 }
 
 /// Settings of an agent.
@@ -139,6 +146,10 @@
     }
 }
 
+/// A lease is at least this many times the skew of clocks.
+const LEAST_LEASE: u32 = 10;
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
 /// Collects the faults of one file.
 struct Check<'a> {
     file: &'a str,
@@ -183,7 +194,22 @@
             max_agent_connections: count(raw.max_agent_connections, 256),
             retry_percent: if raw.retry_percent == 0 { 20 } else { raw.retry_percent },
             routing,
+            control: self.control(raw),
+            terms: Terms {
+                lease: millis(raw.key_lease_ms, 600_000),
+                retention: millis(raw.key_retention_ms, 600_000),
+                skew: millis(raw.clock_skew_ms, 1000),
+            },
+            kept_answer_bytes: bytes(raw.kept_answer_bytes, 8 * 1024 * 1024),
         };
+        if cfg.terms.lease < cfg.terms.skew * LEAST_LEASE {
+            let text = "the lease is under ten times entry.clock_skew_ms";
+            self.fault("entry.key_lease_ms", text);
+        }
+        if cfg.terms.retention < cfg.max_deadline {
+            let text = "keys must be kept for entry.max_deadline_ms at least";
+            self.fault("entry.key_retention_ms", text);
+        }
         if cfg.default_deadline > cfg.max_deadline {
             let text = "the default is over entry.max_deadline_ms";
             self.fault("entry.default_deadline_ms", text);
@@ -198,6 +224,16 @@
         cfg
     }
 
+    fn control(&mut self, raw: &wire::Entry) -> SocketAddr {
+        match raw.control.as_str() {
+            "" => {
+                let listen = raw.listen.parse::<SocketAddr>();
+                listen.map_or(ANY_PORT, |addr| SocketAddr::new(addr.ip(), 0))
+            }
+            control => self.address("entry.control", control),
+        }
+    }
+
     fn agent(&mut self, raw: &wire::Agent) -> AgentCfg {
         self.named("agent.endpoint", &raw.endpoint);
         self.address("agent.backend", &raw.backend);
@@ -247,7 +283,7 @@
     fn address(&mut self, key: &str, value: &str) -> SocketAddr {
         value.parse().unwrap_or_else(|_| {
             self.fault(key, &format!("`{value}` is no address like 10.0.0.1:8080"));
-            SocketAddr::from(([127, 0, 0, 1], 0))
+            ANY_PORT
         })
     }
 
@@ -269,6 +305,14 @@
     }
 }
 
+fn bytes(value: u64, default: usize) -> usize {
+    if value == 0 {
+        default
+    } else {
+        value as usize
+    }
+}
+
 /// Finds the line of a dotted key; a key that isn't written stands at its parent's line.
 fn line_of(text: &str, key: &str) -> usize {
     let mut found = 1;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,7 +3,8 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-const SCHEMAS: [&str; 3] = ["agent.proto", "declared.proto", "settings.proto"];
+const SCHEMAS: [&str; 4] =
+    ["agent.proto", "declared.proto", "keys.proto", "settings.proto"];
 const OUT_DIR: &str = "crates/larkspring-proto/src/gen";
 const SERDE: &str = "#[derive(serde::Serialize, serde::Deserialize)] \
                      #[serde(default, deny_unknown_fields)]";
@@ -36,7 +37,10 @@
         .out_dir(out)
         .type_attribute(".larkspring.declared", SERDE)
         .type_attribute(".larkspring.settings", SERDE)
+        .type_attribute(".larkspring.keys.KeyTable", SERDE)
+        .type_attribute(".larkspring.keys.Tenure", SERDE)
         .bytes(".larkspring.agent")
+        .bytes(".larkspring.keys")
         .compile_fds(files)?;
     Ok(())
 }
