--- /dev/null
+++ b/crates/larkspring-cli/tests/config.rs
@@ -0,0 +1,190 @@
+//! Declared state on separate processes: in force everywhere, never reverting, through
+//! races, lost replies and outages of the object API.
+
+mod common;
+
+use std::thread;
+
+use common::client::{complete, completion, expected, get, post, send, streamed};
+use common::{run, until, Cluster, Plan, KEY};
+use serde_json::json;
+
+fn revision(addr: &str) -> u64 {
+    get(addr, "/health")["revision"].as_u64().unwrap()
+}
+
+#[test]
+fn declared_leaving_endpoint_finishes_its_work_and_gets_nothing_new() {
+    let cluster = Cluster::start(Plan { engines: 2, ..Plan::default() });
+    let mut held = Vec::new();
+    for n in 0..8 {
+        let body = streamed(&format!("a{n}"), "held", 600);
+        let mut conn = send(cluster.entry(), &completion(KEY, &body, &[]));
+        conn.read_until("|held|").unwrap();
+        held.push(conn);
+    }
+    let text = cluster.declaration("");
+    let leaving = text.replacen(
+        "base: base\n  checks_fences",
+        "base: base\n  leaving: true\n  checks_fences",
+        1,
+    );
+    assert_ne!(text, leaving);
+    cluster.declare(&leaving);
+    // The agent itself refuses, whatever an entry still believes.
+    until("the agent knows", || {
+        let log = cluster.dir.path().join("engine-0.log");
+        std::fs::read_to_string(log).unwrap().contains("\"revision\":2")
+    });
+    until("the entry knows", || revision(cluster.entry()) == 2);
+    let before = cluster.engine_stats(0)["runs"].as_array().unwrap().len();
+    for n in 0..12 {
+        let body = streamed(&format!("a{n}"), "new", 2);
+        let answer = complete(cluster.entry(), KEY, &body, &[]);
+        assert_eq!(answer.text(), expected(&format!("a{n}@v1"), "new", 2), "{answer:?}");
+    }
+    assert_eq!(cluster.engine_stats(0)["runs"].as_array().unwrap().len(), before);
+    for conn in held {
+        let answer = conn.read();
+        assert!(answer.done() && answer.whole, "{answer:?}");
+    }
+}
+
+#[test]
+fn racing_changes_end_with_one_order_that_never_reverts() {
+    let cluster = Cluster::start(Plan { entries: 2, ..Plan::default() });
+    let objects = cluster.objects.addr.clone();
+    let dirs: Vec<_> = (0..6)
+        .map(|n| {
+            let dir = cluster.dir.path().join(format!("race{n}"));
+            std::fs::create_dir_all(&dir).unwrap();
+            let text =
+                cluster.declaration("").replace("name: a19", &format!("name: b{n}"));
+            std::fs::write(dir.join("all.yaml"), text).unwrap();
+            dir
+        })
+        .collect();
+    let changes = dirs.into_iter().map(|dir| {
+        let objects = objects.clone();
+        thread::spawn(move || {
+            run(&["apply", dir.to_str().unwrap(), "--objects", &objects])
+        })
+    });
+    let ended: Vec<_> =
+        changes.collect::<Vec<_>>().into_iter().map(|c| c.join().unwrap()).collect();
+    let accepted = ended.iter().filter(|out| out.status.success()).count() as u64;
+    assert!(accepted >= 1);
+    for out in ended.iter().filter(|out| !out.status.success()) {
+        let text = String::from_utf8_lossy(&out.stderr);
+        assert!(text.contains("another change made revision"), "{text}");
+    }
+    for entry in &cluster.entries {
+        let mut last = 0;
+        until("the last change is in force", || {
+            let now = revision(&entry.addr);
+            assert!(now >= last, "went from {last} to {now}");
+            last = now;
+            now == 1 + accepted
+        });
+    }
+}
+
+#[test]
+fn change_with_a_lost_reply_is_accepted_once() {
+    let cluster = Cluster::start(Plan::default());
+    let dir = cluster.dir.path().join("declarations");
+    let text = cluster.declaration("").replace("name: a19", "name: b19");
+    std::fs::write(dir.join("all.yaml"), text).unwrap();
+    post(&cluster.objects.addr, "/faults", &json!({ "lose_replies": 1 }));
+    for _ in 0..2 {
+        let args = [
+            "apply",
+            dir.to_str().unwrap(),
+            "--objects",
+            &cluster.objects.addr,
+            "--change",
+            "the-one",
+        ];
+        let out = run(&args);
+        assert!(out.status.success(), "{out:?}");
+        let text = String::from_utf8_lossy(&out.stdout);
+        assert!(text.starts_with("revision 2 "), "{text}");
+    }
+    until("it is in force", || revision(cluster.entry()) == 2);
+}
+
+#[test]
+fn outage_of_the_object_api_changes_nothing_in_force() {
+    let cluster = Cluster::start(Plan::default());
+    post(&cluster.objects.addr, "/faults", &json!({ "outage": true }));
+    let dir = cluster.dir.path().join("declarations");
+    let out = run(&["apply", dir.to_str().unwrap(), "--objects", &cluster.objects.addr]);
+    assert!(!out.status.success());
+    let answer = complete(cluster.entry(), KEY, &streamed("a3", "on", 2), &[]);
+    assert_eq!(answer.text(), expected("a3@v1", "on", 2));
+    post(&cluster.objects.addr, "/faults", &json!({}));
+    cluster.declare(&cluster.declaration("").replace("name: a19", "name: b19"));
+    until("the next change is in force", || revision(cluster.entry()) == 2);
+}
+
+#[test]
+fn faulty_declarations_and_settings_name_file_line_and_key() {
+    struct Case {
+        settings: bool,
+        text: &'static str,
+        line: &'static str,
+    }
+    let entry = |settings, text, line| Case { settings, text, line };
+    let cases = [
+        entry(
+            true,
+            "hall: h\nvm: v\nentry:\n  lisen: x\n",
+            ":4: entry: unknown field `lisen`",
+        ),
+        entry(
+            true,
+            "hall: h\nvm: v\nplatform:\n  objects: here\nentry:\n  listen: 127.0.0.1:1\n",
+            ":4: platform.objects: `here` is no address",
+        ),
+        entry(
+            true,
+            "vm: v\nplatform:\n  objects: 127.0.0.1:1\nentry:\n  listen: 127.0.0.1:1\n",
+            ":1: hall: a name is needed",
+        ),
+        entry(
+            true,
+            "hall: h\nvm: v\nplatform:\n  objects: 127.0.0.1:1\nentry:\n  \
+             listen: 127.0.0.1:1\n  max_streams: 5\n  max_streams_per_caller: 9\n",
+            ":8: entry.max_streams_per_caller: the limit is over",
+        ),
+        entry(
+            false,
+            "adapters:\n- name: a\n  bas: b\n",
+            ":3: adapters[0]: unknown field",
+        ),
+        entry(
+            false,
+            "adapters:\n- name: a\n  base: b\n  default_version: v\n",
+            ":2: adapter `a`: default_version `v` is no live version",
+        ),
+        entry(
+            false,
+            "endpoints:\n- name: e\n  base: b\n  agent: there\n",
+            ":2: endpoint `e`: agent is no address",
+        ),
+        entry(false, "callers:\n- name: c\n  key_sha256: abc\n", ":2: caller `c`"),
+    ];
+    let dir = tempfile::tempdir().unwrap();
+    for case in cases {
+        let file = dir.path().join("x.yaml");
+        std::fs::write(&file, case.text).unwrap();
+        let (flag, path) = match case.settings {
+            true => ("--settings", file.clone()),
+            false => ("--declarations", dir.path().to_owned()),
+        };
+        let out = run(&["check", flag, path.to_str().unwrap()]);
+        let text = String::from_utf8_lossy(&out.stderr);
+        assert!(!out.status.success());
+        assert!(text.contains(&format!("x.yaml{}", case.line)), "{text}");
+    }
+}
