--- a/crates/larkspring-cli/src/args.rs
+++ b/crates/larkspring-cli/src/args.rs
@@ -30,6 +30,10 @@
     Apply(ApplyArgs),
     /// Run entries, agents and stand-ins in this process, on loopback.
     Dev(DevArgs),
+    /// Send an open-loop load to entries and print what came of it.
+    Load(LoadArgs),
+    /// Run a named scenario with each policy on the real path, and write a report.
+    Experiment(ExperimentArgs),
     /// Run one stand-in of an outside system, for trials and tests.
     Standin(StandinArgs),
     /// Print completions for a shell.
@@ -121,3 +125,99 @@
     /// The weight store.
     Weights,
 }
+
+/// Arguments of `load`.
+#[derive(Debug, Args)]
+pub struct LoadArgs {
+    /// Address of an entry; may be given several times.
+    #[arg(long, required = true)]
+    pub entry: Vec<String>,
+    /// Address of an engine that is first sent the same load directly.
+    #[arg(long)]
+    pub engine: Option<String>,
+    /// Key of the caller.
+    #[arg(long, default_value = "dev-key")]
+    pub key: String,
+    /// Requests a second.
+    #[arg(long, default_value_t = 20.0)]
+    pub rate: f64,
+    /// Length in seconds.
+    #[arg(long, default_value_t = 10.0)]
+    pub seconds: f64,
+    /// Number of adapters, named `NAME-0000` and so on.
+    #[arg(long, default_value_t = 100)]
+    pub adapters: usize,
+    /// First part of the adapters' names.
+    #[arg(long, default_value = "tenant")]
+    pub name: String,
+    /// Exponent of the skew.
+    #[arg(long, default_value_t = 1.0)]
+    pub zipf: f64,
+    /// Mean number of tokens of an answer.
+    #[arg(long, default_value_t = 16)]
+    pub tokens: u64,
+    /// Seed of everything drawn.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Process whose processor time and memory are printed; may be given several times.
+    #[arg(long)]
+    pub watch: Vec<u32>,
+}
+
+/// Arguments of `experiment`.
+#[derive(Debug, Args)]
+pub struct ExperimentArgs {
+    /// The scenario.
+    pub scenario: Scenario,
+    /// The deployment whose sizes are taken.
+    #[arg(long, default_value = "agency")]
+    pub profile: Profile,
+    /// Length in seconds for each policy.
+    #[arg(long, default_value_t = 30.0)]
+    pub seconds: f64,
+    /// Load as a multiple of the profile's usual one.
+    #[arg(long, default_value_t = 1.0)]
+    pub load: f64,
+    /// Seed of everything drawn.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Policies, of predicted, random, least and hash.
+    #[arg(long, value_delimiter = ',', default_value = "predicted,random,least,hash")]
+    pub policies: Vec<String>,
+    /// File for the figures as JSON.
+    #[arg(long)]
+    pub json: Option<PathBuf>,
+    /// File for the report as HTML with plots.
+    #[arg(long)]
+    pub html: Option<PathBuf>,
+}
+
+/// Named scenarios.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Scenario {
+    /// The same popular adapters all the time.
+    Steady,
+    /// Other adapters become popular half way.
+    Shift,
+    /// All engines start with nothing loaded, under full load.
+    ColdStart,
+    /// One adapter takes half of the requests from half way on.
+    Hot,
+    /// Each engine restarts once.
+    Restarts,
+    /// One load in four fails.
+    FailingLoads,
+    /// The weight store gives a third of its rate.
+    SlowStore,
+    /// Urgent requests among bulk at twice the usual load.
+    Priorities,
+}
+
+/// Deployments whose sizes an experiment takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Profile {
+    /// 18 engines, 9 loads a second, 4 at once; weighs load stalls.
+    Agency,
+    /// 12 engines, 4 loads a second, 3 at once; weighs batch efficiency.
+    Delta,
+}
--- /dev/null
+++ b/crates/larkspring-cli/src/deployment.rs
@@ -0,0 +1,192 @@
+//! A whole deployment in one process, on loopback, on stand-ins.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use larkspring::agent::Agent;
+use larkspring::entry::Entry;
+use larkspring::operate::publish;
+use larkspring::platform::objects::HttpObjects;
+use larkspring::settings::{self, Settings};
+use larkspring::telemetry;
+use larkspring_core::declared::key_hash;
+use larkspring_proto::declared::{Adapter, Caller, Chunk, Endpoint, Service, Version};
+use larkspring_standin::engine::{Engine, Faults};
+use larkspring_standin::objects::Objects;
+use larkspring_standin::service::Service as ServiceStandin;
+use larkspring_standin::web::{start, Served};
+use larkspring_standin::weights::{Faults as WeightFaults, Weights};
+
+use crate::AnyError;
+
+/// Key of the one caller.
+pub const DEV_KEY: &str = "dev-key";
+const BASE: &str = "base";
+const SERVICE: &str = "echo";
+const API_TIMEOUT: Duration = Duration::from_secs(5);
+const LOOPBACK: [u8; 4] = [127, 0, 0, 1];
+
+/// What a deployment consists of.
+#[derive(Debug, Clone)]
+pub struct Shape {
+    /// Port of the first entry; 0 lets the system choose.
+    pub port: u16,
+    /// Number of entries.
+    pub entries: usize,
+    /// Number of engines, each with its agent.
+    pub engines: usize,
+    /// Number of adapters.
+    pub adapters: usize,
+    /// How each engine behaves.
+    pub engine: Faults,
+    /// How the weight store behaves.
+    pub weights: WeightFaults,
+    /// More settings of each entry, as YAML on one line each.
+    pub entry_settings: String,
+    /// More settings of each agent, as YAML on one line each.
+    pub agent_settings: String,
+    /// Whether spans are written to the log.
+    pub spans: bool,
+}
+
+/// A running deployment.
+pub struct Deployment {
+    /// The entries.
+    pub entries: Vec<Entry>,
+    agents: Vec<Agent>,
+    /// Stand-ins with their names.
+    pub standins: Vec<(&'static str, Served)>,
+}
+
+impl Deployment {
+    /// Starts a deployment in the background.
+    pub async fn start(shape: &Shape) -> Result<Self, AnyError> {
+        let any = SocketAddr::from((LOOPBACK, 0));
+        let objects = start(any, Arc::new(Objects::default())).await?;
+        let weights = start(any, Arc::new(Weights::new(shape.weights.clone()))).await?;
+        let service = start(any, Arc::new(ServiceStandin::default())).await?;
+        let mut dev = Self { entries: vec![], agents: vec![], standins: vec![] };
+        let mut endpoints = Vec::new();
+        for n in 0..shape.engines {
+            let store = Some(weights.addr.to_string());
+            let engine = start(any, Engine::new(store, shape.engine.clone())).await?;
+            let name = format!("engine-{n}");
+            let agent = start_agent(shape, &name, &engine, &objects).await?;
+            let base = BASE.to_owned();
+            endpoints.push(Endpoint { base, ..endpoint(&name, &agent) });
+            dev.agents.push(agent);
+            dev.standins.push(("engine", engine));
+        }
+        let agent = start_agent(shape, "service-0", &service, &objects).await?;
+        let of_service = SERVICE.to_owned();
+        endpoints.push(Endpoint { service: of_service, ..endpoint("service-0", &agent) });
+        dev.agents.push(agent);
+        let api = HttpObjects::new(&objects.addr.to_string(), API_TIMEOUT);
+        let present = publish::present(&api).await?;
+        let all = declaration(shape.adapters, endpoints);
+        publish::publish(&api, &present, &all, "dev").await?;
+        for n in 0..shape.entries {
+            let port = if n == 0 { shape.port } else { 0 };
+            let entry = Entry::start(&entry_settings(shape, port, &objects)?).await?;
+            dev.entries.push(entry);
+        }
+        dev.standins.push(("objects", objects));
+        dev.standins.push(("weights", weights));
+        dev.standins.push(("service", service));
+        Ok(dev)
+    }
+
+    /// Stops entries and agents as planned.
+    pub async fn stop(self) {
+        for entry in self.entries {
+            entry.stop().await;
+        }
+        for agent in self.agents {
+            agent.stop().await;
+        }
+    }
+}
+
+fn declaration(adapters: usize, endpoints: Vec<Endpoint>) -> Chunk {
+    let adapter = |n| Adapter {
+        name: format!("tenant-{n:04}"),
+        base: BASE.into(),
+        versions: ["v1", "v2"].map(|v| version(n, v)).into(),
+        default_version: "v1".into(),
+        ..Adapter::default()
+    };
+    let caller =
+        Caller { name: "dev".into(), key_sha256: key_hash(DEV_KEY), ..Caller::default() };
+    let service = Service {
+        name: SERVICE.into(),
+        not_repeatable: vec!["POST /config".into()],
+        ..Service::default()
+    };
+    Chunk {
+        adapters: (0..adapters).map(adapter).collect(),
+        callers: vec![caller],
+        services: vec![service],
+        endpoints,
+    }
+}
+
+fn version(n: usize, name: &str) -> Version {
+    Version {
+        name: name.into(),
+        weights: format!("tenant-{n:04}/{name}"),
+        retired: false,
+    }
+}
+
+fn endpoint(name: &str, agent: &Agent) -> Endpoint {
+    Endpoint {
+        name: name.into(),
+        hall: "hall-0".into(),
+        vm: format!("vm-{name}"),
+        agent: agent.addr.to_string(),
+        checks_fences: true,
+        ..Endpoint::default()
+    }
+}
+
+async fn start_agent(
+    shape: &Shape,
+    name: &str,
+    backend: &Served,
+    objects: &Served,
+) -> Result<Agent, AnyError> {
+    let settings = parse(
+        shape,
+        objects,
+        &format!(
+            "agent:\n  listen: 127.0.0.1:0\n  endpoint: {name}\n  backend: {}\n  slots: {}\n{}",
+            backend.addr, shape.engine.slots, shape.agent_settings
+        ),
+    )?;
+    Ok(Agent::start(&settings).await?)
+}
+
+fn entry_settings(
+    shape: &Shape,
+    port: u16,
+    objects: &Served,
+) -> Result<Settings, AnyError> {
+    let settings = parse(
+        shape,
+        objects,
+        &format!("entry:\n  listen: 127.0.0.1:{port}\n{}", shape.entry_settings),
+    )?;
+    telemetry::start_log(&settings.telemetry);
+    Ok(settings)
+}
+
+fn parse(shape: &Shape, objects: &Served, part: &str) -> Result<Settings, AnyError> {
+    let text = format!(
+        "hall: hall-0\nvm: dev\nplatform: {{ objects: '{}', load_rate: {:.3}, \
+         load_concurrency: {} }}\n\
+         telemetry: {{ level: warn, spans: {} }}\n{part}\n",
+        objects.addr, shape.weights.rate, shape.weights.concurrency, shape.spans
+    );
+    Ok(settings::parse("dev", &text)?)
+}
--- /dev/null
+++ b/crates/larkspring-cli/src/experiment.rs
@@ -0,0 +1,256 @@
+//! The command `experiment`: one scenario with each policy, on the real path.
+
+mod html;
+
+use std::time::Duration;
+
+use http_types::Method;
+use larkspring::exec;
+use larkspring::http::client::{fetch, request};
+use larkspring_standin::engine::{Faults, Stats};
+use larkspring_standin::weights::Faults as WeightFaults;
+use serde_json::{json, Value};
+use smol::Timer;
+
+use crate::args::{ExperimentArgs, Profile, Scenario};
+use crate::deployment::{Deployment, Shape, DEV_KEY};
+use crate::load::arrivals::{fewest_loads, Arrival, Workload};
+use crate::load::client::Target;
+use crate::load::drive;
+use crate::load::report::Report;
+use crate::AnyError;
+
+const ADAPTERS: usize = 3000;
+const ENTRIES: usize = 3;
+const SLOTS: usize = 8;
+const KNEE: usize = 16;
+const ZIPF: f64 = 1.1;
+const TOKENS: u64 = 100;
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+/// Time for agents and entries to be ready before a load.
+const READY: Duration = Duration::from_secs(5);
+/// Loads that come before those that are measured, as a share of the time.
+const WARM_UP: f64 = 1.0;
+/// Share of the whole time after which the popularity shifts.
+const SHIFT_AT: f64 = 0.6;
+/// The adapter that becomes hot.
+const HOT: usize = 17;
+
+/// Sizes of a deployment.
+struct Sizes {
+    engines: usize,
+    rate: f64,
+    load_rate: f64,
+    load_concurrency: u32,
+}
+
+/// Figures of one policy.
+struct Outcome {
+    policy: String,
+    report: Report,
+    loads: u64,
+    steps: u64,
+    tokens: u64,
+}
+
+/// Runs the scenario with each policy and prints and writes the figures.
+pub fn run(args: &ExperimentArgs) -> Result<(), AnyError> {
+    let sizes = sizes(args.profile);
+    let (warm_up, arrivals) = arrivals(args, &sizes);
+    let all: Vec<_> = warm_up.iter().chain(&arrivals).cloned().collect();
+    let slots = sizes.engines * SLOTS;
+    let bound = fewest_loads(&all, slots) - fewest_loads(&warm_up, slots);
+    println!("{} requests, {bound} loads at least", arrivals.len());
+    let outcomes = exec::run(0, async {
+        let mut outcomes = Vec::new();
+        for policy in &args.policies {
+            let outcome = measure(args, &sizes, policy, &warm_up, &arrivals).await?;
+            println!("{}", outcome.line());
+            outcomes.push(outcome);
+        }
+        Ok::<_, AnyError>(outcomes)
+    })?;
+    let figures = json!({
+        "scenario": format!("{:?}", args.scenario),
+        "profile": format!("{:?}", args.profile),
+        "seed": args.seed,
+        "load": args.load,
+        "fewest_loads": bound,
+        "policies": outcomes.iter().map(Outcome::json).collect::<Vec<_>>(),
+    });
+    if let Some(file) = &args.json {
+        std::fs::write(file, serde_json::to_string_pretty(&figures)?)?;
+    }
+    if let Some(file) = &args.html {
+        std::fs::write(file, html::page(&figures))?;
+    }
+    Ok(())
+}
+
+fn sizes(profile: Profile) -> Sizes {
+    match profile {
+        Profile::Agency => {
+            Sizes { engines: 18, rate: 18.0, load_rate: 9.0, load_concurrency: 4 }
+        }
+        Profile::Delta => {
+            Sizes { engines: 12, rate: 9.0, load_rate: 4.0, load_concurrency: 3 }
+        }
+    }
+}
+
+/// Draws the arrivals of the warm-up and of the measured part.
+fn arrivals(args: &ExperimentArgs, sizes: &Sizes) -> (Vec<Arrival>, Vec<Arrival>) {
+    let factor = if args.scenario == Scenario::Priorities { 2.0 } else { 1.0 };
+    let shift = matches!(args.scenario, Scenario::Shift).then_some(SHIFT_AT);
+    let workload = Workload {
+        rate: sizes.rate * args.load * factor,
+        seconds: args.seconds * (1.0 + WARM_UP),
+        adapters: ADAPTERS,
+        zipf: ZIPF,
+        tokens: TOKENS,
+        seed: args.seed,
+        shift_at: shift,
+        urgent_percent: if args.scenario == Scenario::Priorities { 10 } else { 0 },
+    };
+    let mut all = workload.arrivals();
+    let start = (args.seconds * WARM_UP * 1e6) as u64;
+    if args.scenario == Scenario::Hot {
+        let half = start + (args.seconds * 0.5e6) as u64;
+        let late = all.iter_mut().filter(|a| a.at_us >= half);
+        late.step_by(2).for_each(|a| a.adapter = HOT);
+    }
+    if args.scenario == Scenario::ColdStart {
+        all.retain(|a| a.at_us >= start);
+        shift_back(&mut all, start);
+        return (Vec::new(), all);
+    }
+    let mut measured = all.split_off(all.partition_point(|a| a.at_us < start));
+    shift_back(&mut measured, start);
+    (all, measured)
+}
+
+fn shift_back(arrivals: &mut [Arrival], by: u64) {
+    arrivals.iter_mut().for_each(|a| a.at_us -= by);
+}
+
+async fn measure(
+    args: &ExperimentArgs,
+    sizes: &Sizes,
+    policy: &str,
+    warm_up: &[Arrival],
+    arrivals: &[Arrival],
+) -> Result<Outcome, AnyError> {
+    let dev = Deployment::start(&shape(args, sizes, policy)).await?;
+    Timer::after(READY).await;
+    let targets: Vec<_> = dev
+        .entries
+        .iter()
+        .map(|entry| Target { addr: entry.addr.to_string(), key: DEV_KEY.into() })
+        .collect();
+    drive(warm_up, &targets, "tenant").await;
+    let before = engine_totals(&dev).await?;
+    let restarts =
+        exec::spawn(restart_engines(args.scenario, engines(&dev), args.seconds));
+    let report = drive(arrivals, &targets, "tenant").await;
+    drop(restarts);
+    let after = engine_totals(&dev).await?;
+    dev.stop().await;
+    Ok(Outcome {
+        policy: policy.into(),
+        report,
+        loads: after.loads - before.loads,
+        steps: after.steps - before.steps,
+        tokens: after.tokens - before.tokens,
+    })
+}
+
+fn shape(args: &ExperimentArgs, sizes: &Sizes, policy: &str) -> Shape {
+    let slow = if args.scenario == Scenario::SlowStore { 3.0 } else { 1.0 };
+    let load_rate = sizes.load_rate / slow;
+    let concurrency = sizes.load_concurrency;
+    let fail_one_in = if args.scenario == Scenario::FailingLoads { 4 } else { 0 };
+    Shape {
+        port: 0,
+        entries: ENTRIES,
+        engines: sizes.engines,
+        adapters: ADAPTERS,
+        engine: Faults { slots: SLOTS, knee: KNEE, ..Faults::default() },
+        weights: WeightFaults {
+            rate: load_rate,
+            concurrency,
+            load_ms: (1000.0 * f64::from(concurrency) / load_rate) as u64,
+            fail_one_in,
+            ..WeightFaults::default()
+        },
+        entry_settings: format!("  routing: {policy}\n"),
+        // The baselines are the usual policies, with the usual eviction.
+        agent_settings: match policy {
+            "predicted" => String::new(),
+            _ => "  eviction: lru\n".into(),
+        },
+        spans: false,
+    }
+}
+
+/// Restarts one engine after another, spread over the measured time.
+async fn restart_engines(scenario: Scenario, engines: Vec<String>, seconds: f64) {
+    if scenario != Scenario::Restarts {
+        return;
+    }
+    let pause = Duration::from_secs_f64(seconds / (engines.len() as f64 + 1.0));
+    for addr in engines {
+        Timer::after(pause).await;
+        if let Ok(req) = request(Method::Post, &addr, "/restart") {
+            let _ = fetch(&addr, req, CALL_LIMIT).await;
+        }
+    }
+}
+
+fn engines(dev: &Deployment) -> Vec<String> {
+    let engines = dev.standins.iter().filter(|(name, _)| *name == "engine");
+    engines.map(|(_, served)| served.addr.to_string()).collect()
+}
+
+async fn engine_totals(dev: &Deployment) -> Result<Stats, AnyError> {
+    let mut all = Stats::default();
+    for addr in engines(dev) {
+        let req = request(Method::Get, &addr, "/totals")?;
+        let (_, body) = fetch(&addr, req, CALL_LIMIT).await?;
+        let stats: Stats = serde_json::from_slice(&body)?;
+        all.loads += stats.loads;
+        all.steps += stats.steps;
+        all.tokens += stats.tokens;
+    }
+    Ok(all)
+}
+
+impl Outcome {
+    /// Useful tokens over what the steps could have given up to the knee.
+    fn efficiency(&self) -> f64 {
+        self.tokens as f64 / (self.steps.max(1) * KNEE as u64) as f64
+    }
+
+    fn loads_per_hundred(&self) -> f64 {
+        100.0 * self.loads as f64 / self.report.requests().max(1) as f64
+    }
+
+    fn line(&self) -> String {
+        format!(
+            "{:9} loads {:4} ({:.1} a hundred), efficiency {:.3}; {}",
+            self.policy,
+            self.loads,
+            self.loads_per_hundred(),
+            self.efficiency(),
+            self.report.summary()
+        )
+    }
+
+    fn json(&self) -> Value {
+        let mut figures = self.report.json();
+        figures["policy"] = json!(self.policy);
+        figures["loads"] = json!(self.loads);
+        figures["loads_per_hundred"] = json!(self.loads_per_hundred());
+        figures["batch_efficiency"] = json!(self.efficiency());
+        figures
+    }
+}
--- /dev/null
+++ b/crates/larkspring-cli/src/load/client.rs
@@ -0,0 +1,116 @@
+//! One request of the load tool, timed.
+
+use std::time::{Duration, Instant};
+
+use futures_lite::{AsyncReadExt, FutureExt};
+use http_types::{Method, Response};
+use larkspring::http::client::{connect, exchange, request};
+use serde_json::json;
+use smol::Timer;
+
+use super::arrivals::Arrival;
+
+/// Where a load goes.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// Address.
+    pub addr: String,
+    /// Key of the caller; empty for none.
+    pub key: String,
+}
+
+/// What came of a request.
+#[derive(Debug, Clone, Default)]
+pub struct Sample {
+    /// From the planned time to the first byte of the answer.
+    pub first_byte: Duration,
+    /// From the first byte to the end.
+    pub rest: Duration,
+    /// Reads of the body.
+    pub chunks: u64,
+    /// Wait for the adapter, as the entry says.
+    pub load_wait: Duration,
+    /// `ok`, `broken`, or the outcome and step of a refusal.
+    pub outcome: String,
+    /// Whether the request was urgent.
+    pub urgent: bool,
+    /// Tokens asked for.
+    pub tokens: u64,
+}
+
+const CONNECT_LIMIT: Duration = Duration::from_secs(5);
+const LIMIT: Duration = Duration::from_secs(60);
+const LIMIT_MS: &str = "60000";
+const STREAM_END: &str = "data: [DONE]\n\n";
+const READ_SIZE: usize = 8192;
+
+/// Sends a request and reads its whole answer.
+pub async fn send(target: &Target, arrival: &Arrival, name: &str) -> Sample {
+    let late = async {
+        Timer::after(LIMIT * 2).await;
+        Sample { outcome: "client time-out".into(), ..Sample::default() }
+    };
+    let mut sample = try_send(target, arrival, name).or(late).await;
+    sample.urgent = arrival.priority == 0;
+    sample.tokens = arrival.tokens;
+    sample
+}
+
+async fn try_send(target: &Target, arrival: &Arrival, name: &str) -> Sample {
+    let start = Instant::now();
+    let failed = |what: String| Sample { outcome: what, ..Sample::default() };
+    let mut req = match request(Method::Post, &target.addr, "/v1/completions") {
+        Ok(req) => req,
+        Err(e) => return failed(e.to_string()),
+    };
+    let model = format!("{name}-{:04}@v1", arrival.adapter);
+    let body = json!({ "model": model, "prompt": "load", "stream": true,
+        "max_tokens": arrival.tokens });
+    req.set_body(body.to_string());
+    req.insert_header("content-type", "application/json");
+    req.insert_header("larkspring-deadline-ms", LIMIT_MS);
+    req.insert_header("larkspring-priority", arrival.priority.to_string());
+    if !target.key.is_empty() {
+        req.insert_header("authorization", format!("Bearer {}", target.key));
+    }
+    let sock = match connect(&target.addr, CONNECT_LIMIT).await {
+        Ok(sock) => sock,
+        Err(e) => return failed(format!("connect: {e}")),
+    };
+    let mut res = match exchange(sock, &target.addr, req).await {
+        Ok(res) => res,
+        Err(_) => return failed("no answer".into()),
+    };
+    if res.status() != 200 {
+        return failed(refusal(&mut res).await);
+    }
+    read(&mut res, start).await
+}
+
+async fn read(res: &mut Response, start: Instant) -> Sample {
+    let header = res.header("larkspring-load-wait-us").map(|v| v.as_str());
+    let load_wait = header.and_then(|v| v.parse().ok()).unwrap_or_default();
+    let mut sample =
+        Sample { load_wait: Duration::from_micros(load_wait), ..Sample::default() };
+    let mut body = res.take_body();
+    let mut buf = vec![0; READ_SIZE];
+    let mut tail = String::new();
+    let mut first = None;
+    while let Ok(n @ 1..) = body.read(&mut buf).await {
+        first.get_or_insert_with(Instant::now);
+        sample.chunks += 1;
+        tail = String::from_utf8_lossy(&buf[..n]).into_owned();
+    }
+    let first = first.unwrap_or(start);
+    sample.first_byte = first - start;
+    sample.rest = first.elapsed();
+    let whole = tail.ends_with(STREAM_END);
+    sample.outcome = if whole { "ok" } else { "broken" }.into();
+    sample
+}
+
+async fn refusal(res: &mut Response) -> String {
+    let body: serde_json::Value = res.body_json().await.unwrap_or_default();
+    let part = |name: &str| body["error"][name].as_str().unwrap_or("?").to_owned();
+    format!("{} at {}", part("outcome"), part("step"))
+}
--- /dev/null
+++ b/crates/larkspring-cli/src/load/mod.rs
@@ -0,0 +1,81 @@
+//! The load tool: open-loop arrivals over a skewed choice of adapters, on the real path.
+
+pub mod arrivals;
+pub mod client;
+pub mod report;
+pub mod usage;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use larkspring::exec;
+use smol::Timer;
+
+use self::arrivals::{Arrival, Workload};
+use self::client::Target;
+use self::report::Report;
+use self::usage::Usage;
+use crate::args::LoadArgs;
+use crate::AnyError;
+
+/// Runs a load and prints what came of it.
+pub fn run(args: &LoadArgs) -> Result<(), AnyError> {
+    let workload = Workload {
+        rate: args.rate,
+        seconds: args.seconds,
+        adapters: args.adapters,
+        zipf: args.zipf,
+        tokens: args.tokens,
+        seed: args.seed,
+        shift_at: None,
+        urgent_percent: 0,
+    };
+    let arrivals = workload.arrivals();
+    exec::run(0, async {
+        let mut reports = Vec::new();
+        if let Some(engine) = &args.engine {
+            let direct = [Target { addr: engine.clone(), key: String::new() }];
+            reports.push(("direct", drive(&arrivals, &direct, &args.name).await));
+        }
+        let entries: Vec<_> = args
+            .entry
+            .iter()
+            .map(|addr| Target { addr: addr.clone(), key: args.key.clone() })
+            .collect();
+        let middle = Usage::of(&args.watch);
+        reports.push(("entry", drive(&arrivals, &entries, &args.name).await));
+        let after = Usage::of(&args.watch);
+        for (name, report) in &reports {
+            println!("{name}: {}", report.summary());
+        }
+        let chunks = reports.last().map_or(0, |(_, r)| r.chunks);
+        for (middle, after) in middle.iter().zip(&after) {
+            println!("{}", after.since(middle, chunks));
+        }
+        if let [(_, direct), (_, entry)] = &reports[..] {
+            println!("{}", entry.added_to(direct));
+        }
+        Ok(())
+    })
+}
+
+/// Sends each arrival at its time, whatever became of the ones before.
+pub async fn drive(arrivals: &[Arrival], targets: &[Target], name: &str) -> Report {
+    let start = Instant::now();
+    let targets: Arc<[Target]> = targets.into();
+    let mut tasks = Vec::new();
+    for (n, arrival) in arrivals.iter().cloned().enumerate() {
+        Timer::at(start + Duration::from_micros(arrival.at_us)).await;
+        let target = targets[n % targets.len()].clone();
+        let name = name.to_owned();
+        tasks.push(exec::spawn(
+            async move { client::send(&target, &arrival, &name).await },
+        ));
+    }
+    let mut report = Report::default();
+    for task in tasks {
+        report.add(&task.await);
+    }
+    report.elapsed = start.elapsed();
+    report
+}
--- /dev/null
+++ b/crates/larkspring-cli/src/load/usage.rs
@@ -0,0 +1,57 @@
+//! Processor time and memory of processes, as the system counts them.
+
+use std::fs;
+
+/// What a process has used so far.
+#[derive(Debug, Clone, Default)]
+pub struct Usage {
+    pid: u32,
+    cpu_us: u64,
+    peak_kb: u64,
+    resident_kb: u64,
+}
+
+/// Microseconds of a tick of `/proc/PID/stat`.
+const TICK_US: u64 = 10_000;
+/// Places of user and system time after the name of the program.
+const USER_TIME: usize = 11;
+const SYSTEM_TIME: usize = 12;
+
+impl Usage {
+    /// Reads the usage of processes; one that has ended counts as nothing.
+    pub fn of(pids: &[u32]) -> Vec<Self> {
+        pids.iter().map(|pid| Self::read(*pid).unwrap_or_default()).collect()
+    }
+
+    /// One line on the difference to `before`, for `chunks` relayed.
+    pub fn since(&self, before: &Self, chunks: u64) -> String {
+        let cpu = self.cpu_us - before.cpu_us;
+        format!(
+            "process {}: {} ms of processor, {:.1} us a chunk, resident {} KB, peak {} KB",
+            self.pid,
+            cpu / 1000,
+            cpu as f64 / chunks.max(1) as f64,
+            self.resident_kb,
+            self.peak_kb
+        )
+    }
+
+    fn read(pid: u32) -> Option<Self> {
+        let stat = fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        let (_, fields) = stat.rsplit_once(") ")?;
+        let fields: Vec<_> = fields.split(' ').collect();
+        let ticks = |place: usize| fields.get(place)?.parse::<u64>().ok();
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        Some(Self {
+            pid,
+            cpu_us: (ticks(USER_TIME)? + ticks(SYSTEM_TIME)?) * TICK_US,
+            peak_kb: kb(&status, "VmHWM:")?,
+            resident_kb: kb(&status, "VmRSS:")?,
+        })
+    }
+}
+
+fn kb(status: &str, name: &str) -> Option<u64> {
+    let line = status.lines().find(|line| line.starts_with(name))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
--- a/crates/larkspring-cli/src/main.rs
+++ b/crates/larkspring-cli/src/main.rs
@@ -1,7 +1,10 @@
 //! The program `larkspring`: every process and operator command, thin over the library.
 
 mod args;
+mod deployment;
 mod dev;
+mod experiment;
+mod load;
 mod operate;
 mod process;
 mod standin;
@@ -35,6 +38,8 @@
         Command::Check(args) => operate::check(&args),
         Command::Apply(args) => operate::apply(&args),
         Command::Dev(args) => dev::run(&args),
+        Command::Load(args) => load::run(&args),
+        Command::Experiment(args) => experiment::run(&args),
         Command::Standin(args) => standin::run(&args),
         Command::Completions { shell } => {
             let mut cmd = Cli::command();
--- a/crates/larkspring-core/src/declared.rs
+++ b/crates/larkspring-core/src/declared.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use larkspring_proto::declared as wire;
+use prost::{DecodeError, Message};
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 use xxhash_rust::xxh3::xxh3_64;
@@ -32,6 +34,8 @@
 pub struct Part {
     /// Content hash of the chunk.
     pub hash: String,
+    /// The chunk as a message, to be passed on.
+    pub message: Bytes,
     /// Sorted by name.
     adapters: Vec<Adapter>,
     callers: Vec<Arc<Caller>>,
@@ -222,6 +226,11 @@
         self.endpoints.get(name)
     }
 
+    /// Returns the number of endpoints that are model engines.
+    pub fn engine_count(&self) -> usize {
+        self.by_base.values().map(Vec::len).sum()
+    }
+
     /// Returns all endpoints.
     pub fn endpoints(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
         self.endpoints.values()
@@ -266,6 +275,11 @@
 }
 
 impl Part {
+    /// Reads and indexes a chunk that another process passed on.
+    pub fn from_message(hash: &str, message: Bytes) -> Result<Self, DecodeError> {
+        Ok(Self::index(hash, &wire::Chunk::decode(message)?))
+    }
+
     /// Indexes the chunk with content hash `hash`.
     pub fn index(hash: &str, chunk: &wire::Chunk) -> Self {
         let mut adapters: Vec<_> = chunk.adapters.iter().map(index_adapter).collect();
@@ -275,6 +289,7 @@
         let endpoints = chunk.endpoints.iter().map(index_endpoint).map(Arc::new);
         Self {
             hash: hash.into(),
+            message: chunk.encode_to_vec().into(),
             adapters,
             callers: callers.collect(),
             services: services.collect(),
--- a/crates/larkspring-core/src/lib.rs
+++ b/crates/larkspring-core/src/lib.rs
@@ -4,11 +4,13 @@
 //! answers. The stages of a request, in order:
 //!
 //! 1. [`declared`]: the declared state in force; who the caller is and what it named.
-//! 2. [`claims`]: whether a request that must run at most once may run.
+//! 2. [`tenure`] and [`claims`]: whether a request that must run at most once may run.
 //! 3. [`route`]: which endpoint is asked.
 //! 4. [`slots`]: when the endpoint's agent loads the adapter and starts the request.
-//! 5. [`outcome`] and [`retry`]: how it ended, and whether another attempt is allowed.
+//! 5. [`budget`]: which agent's load goes next at the weight store.
+//! 6. [`outcome`] and [`retry`]: how it ended, and whether another attempt is allowed.
 
+pub mod budget;
 pub mod claims;
 pub mod declared;
 pub mod ids;
--- a/crates/larkspring-core/src/route.rs
+++ b/crates/larkspring-core/src/route.rs
@@ -62,6 +62,9 @@
 const CANDIDATES: usize = 3;
 /// Predicted cost of a load, in requests ahead in the queue.
 const LOAD_COST: u32 = 16;
+/// Cost of each candidate that is passed over, in requests ahead in the queue, so that
+/// entries which know nothing of an adapter agree on where it is loaded.
+const RANK_COST: u32 = 8;
 /// How long an endpoint that could not be reached is passed over.
 const AVOID: Duration = Duration::from_secs(1);
 /// How long an endpoint that said it is leaving is passed over.
@@ -103,7 +106,10 @@
             (Policy::Random, _) => rng.choice(open),
             (Policy::Predicted, Some(target)) => {
                 let near = ranked(open, target).into_iter().take(CANDIDATES);
-                near.min_by_key(|e| self.cost(&e.name, target))
+                let costs = near.enumerate().map(|(rank, e)| {
+                    (self.cost(&e.name, target) + RANK_COST * rank as u32, e)
+                });
+                costs.min_by_key(|(cost, _)| *cost).map(|(_, e)| e)
             }
             (Policy::Hash, Some(target)) => ranked(open, target).into_iter().next(),
             (_, None) | (Policy::Least, _) => self.least(open, rng),
--- a/crates/larkspring-core/src/slots.rs
+++ b/crates/larkspring-core/src/slots.rs
@@ -3,6 +3,7 @@
 //! The agent reports each event and then asks [`Slots::schedule`] for the actions that
 //! follow. A request that waits for its adapter stays outside the engine's batch.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
@@ -20,6 +21,8 @@
     failures: HashMap<Target, Failure>,
     /// When adapters were unloaded, for as long as late reports may still list them.
     unloaded: HashMap<Target, Instant>,
+    /// Uses of adapters that are not held, so that one which returns is known.
+    past: HashMap<Target, Heat>,
     load_time: Duration,
     service_time: Duration,
     draining: bool,
@@ -52,6 +55,28 @@
     pub patience: Duration,
     /// Time after the agent's start before it unloads, as the engine's reports lag.
     pub settle: Duration,
+    /// Which adapter is unloaded first.
+    pub eviction: Eviction,
+}
+
+/// Which of the adapters that nobody uses is unloaded first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Eviction {
+    /// The one with the fewest uses, of which older ones count less.
+    Heat,
+    /// The one used longest ago; a baseline.
+    Lru,
+}
+
+impl Eviction {
+    /// Reads the name used in settings.
+    pub fn parse(name: &str) -> Option<Self> {
+        match name {
+            "" | "heat" => Some(Self::Heat),
+            "lru" => Some(Self::Lru),
+            _ => None,
+        }
+    }
 }
 
 /// What the agent has to do next.
@@ -122,7 +147,11 @@
     at: Instant,
 }
 
-const HALF_LIFE: Duration = Duration::from_secs(30);
+const HALF_LIFE: Duration = Duration::from_secs(300);
+/// Adapters that are not held and whose uses are remembered.
+const MAX_PAST: usize = 4096;
+/// Uses below which an adapter that is not held is forgotten when room is short.
+const FORGOTTEN: f64 = 0.5;
 const FIRST_LOAD_TIME: Duration = Duration::from_millis(500);
 const FIRST_SERVICE_TIME: Duration = Duration::from_secs(1);
 const FAILURE_BACKOFF: Duration = Duration::from_millis(500);
@@ -141,6 +170,7 @@
             running: HashMap::new(),
             failures: HashMap::new(),
             unloaded: HashMap::new(),
+            past: HashMap::new(),
             load_time: FIRST_LOAD_TIME,
             service_time: FIRST_SERVICE_TIME,
             draining: false,
@@ -149,13 +179,13 @@
         }
     }
 
-    /// Takes a new request, or refuses it at once.
+    /// Takes a new request, or refuses it at once; says whether its adapter is resident.
     pub fn admit(
         &mut self,
         now: Instant,
         id: AttemptId,
         req: Waiting,
-    ) -> Result<(), Refusal> {
+    ) -> Result<bool, Refusal> {
         if self.draining {
             return Err(leaving());
         }
@@ -177,8 +207,9 @@
             let refusal = Refusal::not_run(Step::Queue, text);
             return Err(refusal.elsewhere().retry_after(wait));
         }
+        let resident = self.adapters.get(&req.target).is_some_and(Residency::is_resident);
         self.waiting.insert(id, req);
-        Ok(())
+        Ok(resident)
     }
 
     /// Takes back a request that has not started; false if it has.
@@ -219,6 +250,23 @@
         self.failures.insert(target.clone(), Failure { count, until });
     }
 
+    /// Returns how urgent the requests that wait for `target` are, and their number;
+    /// `None` if none waits.
+    pub fn demand(&self, target: &Target) -> Option<(u32, u32)> {
+        let waiting = self.waiting.values().filter(|req| req.target == *target);
+        let (most, count) = waiting.fold((u32::MAX, 0), |(most, count), req| {
+            (most.min(req.priority), count + 1)
+        });
+        (count > 0).then_some((most, count))
+    }
+
+    /// Takes back a load that was not ordered, as nobody waits for it any more.
+    pub fn not_loaded(&mut self, target: &Target) {
+        if self.adapters.get(target).is_some_and(Residency::is_loading) {
+            self.adapters.remove(target);
+        }
+    }
+
     /// Records the end of an unload; a failed one leaves the adapter resident.
     pub fn unloaded(&mut self, now: Instant, target: &Target, ok: bool) {
         let Some(adapter) = self.adapters.get_mut(target) else { return };
@@ -229,7 +277,9 @@
             adapter.phase = Phase::Resident;
             return;
         }
-        self.adapters.remove(target);
+        if let Some(adapter) = self.adapters.remove(target) {
+            self.remember(now, target, adapter.heat);
+        }
         self.unloaded.insert(target.clone(), now);
     }
 
@@ -405,7 +455,10 @@
                 continue;
             }
             if self.adapters.len() < self.limits.slots {
-                let loading = Residency::new(now, Phase::Loading { since: now });
+                let mut loading = Residency::new(now, Phase::Loading { since: now });
+                if let Some(heat) = self.past.remove(&req.target) {
+                    loading.heat = heat;
+                }
                 self.adapters.insert(req.target.clone(), loading);
                 actions.push(Action::Load(req.target));
                 continue;
@@ -415,6 +468,16 @@
         }
     }
 
+    /// Keeps the uses of an adapter that leaves; forgets the least used ones.
+    fn remember(&mut self, now: Instant, target: &Target, heat: Heat) {
+        if self.past.len() >= MAX_PAST {
+            self.past.retain(|_, heat| heat.at(now) >= FORGOTTEN);
+        }
+        if self.past.len() < MAX_PAST {
+            self.past.insert(target.clone(), heat);
+        }
+    }
+
     /// Frees a slot for `req`, or prepares to, unless one is being freed already.
     fn make_room(&mut self, now: Instant, req: &Waiting, actions: &mut Vec<Action>) {
         let freeing = |a: &Residency| matches!(a.phase, Phase::Unloading);
@@ -440,7 +503,10 @@
     fn coldest(&self, now: Instant, fits: impl Fn(&Residency) -> bool) -> Option<Target> {
         let fit = self.adapters.iter().filter(|(_, a)| a.is_resident() && fits(a));
         let least = fit.min_by(|(t1, a1), (t2, a2)| {
-            let heat = a1.heat.at(now).total_cmp(&a2.heat.at(now));
+            let heat = match self.limits.eviction {
+                Eviction::Heat => a1.heat.at(now).total_cmp(&a2.heat.at(now)),
+                Eviction::Lru => Ordering::Equal,
+            };
             heat.then(a1.last_used.cmp(&a2.last_used)).then(t1.cmp(t2))
         });
         least.map(|(target, _)| target.clone())
--- /dev/null
+++ b/crates/larkspring-core/tests/budget.rs
@@ -0,0 +1,90 @@
+//! The weight store's budget: its limits, and who goes first.
+
+use std::time::{Duration, Instant};
+
+use larkspring_core::budget::{Budget, BudgetLimits};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn budget(rate: f64, concurrency: usize) -> Budget {
+    Budget::new(BudgetLimits { rate, concurrency })
+}
+
+#[test]
+fn no_more_than_the_rate_and_the_concurrency() {
+    struct Case {
+        rate: f64,
+        concurrency: usize,
+        seconds: u32,
+        granted: usize,
+    }
+    let cases = [
+        Case { rate: 9.0, concurrency: 4, seconds: 10, granted: 94 },
+        Case { rate: 4.0, concurrency: 3, seconds: 10, granted: 43 },
+    ];
+    for case in cases {
+        let mut budget = budget(case.rate, case.concurrency);
+        let start = Instant::now();
+        for n in 0..200 {
+            budget.ask(start, format!("{n:03}"), 5, 1);
+        }
+        let mut granted = 0;
+        for step in 0..=case.seconds * 100 {
+            let now = start + SECOND / 100 * step;
+            let loads = budget.grant(now);
+            assert!(loads.len() <= case.concurrency);
+            granted += loads.len();
+            loads.iter().for_each(|load| budget.done(load));
+        }
+        assert!(granted.abs_diff(case.granted) <= 1, "{granted}");
+    }
+}
+
+#[test]
+fn loads_that_go_on_hold_the_others_back() {
+    let mut budget = budget(100.0, 2);
+    let start = Instant::now();
+    for load in ["a", "b", "c"] {
+        budget.ask(start, load.into(), 5, 1);
+    }
+    assert_eq!(budget.grant(start), ["a", "b"]);
+    assert!(budget.grant(start + SECOND).is_empty());
+    budget.done("a");
+    assert_eq!(budget.grant(start + SECOND), ["c"]);
+}
+
+#[test]
+fn load_whose_agent_died_is_forgotten() {
+    let mut budget = budget(100.0, 1);
+    let start = Instant::now();
+    budget.ask(start, "dead".into(), 5, 1);
+    assert_eq!(budget.grant(start), ["dead"]);
+    budget.ask(start, "next".into(), 5, 1);
+    assert!(budget.grant(start + SECOND * 29).is_empty());
+    assert_eq!(budget.grant(start + SECOND * 30), ["next"]);
+}
+
+#[test]
+fn pressing_loads_go_first_and_none_waits_for_ever() {
+    struct Case {
+        name: &'static str,
+        /// Priority, number waiting and seconds waited, of the first and the second.
+        first: (u32, u32, u32),
+        second: (u32, u32, u32),
+    }
+    let cases = [
+        Case { name: "urgent", first: (0, 1, 0), second: (5, 1, 0) },
+        Case { name: "many wait", first: (5, 9, 0), second: (5, 1, 0) },
+        Case { name: "older", first: (5, 1, 1), second: (5, 1, 0) },
+        Case { name: "very old", first: (9, 1, 60), second: (0, 50, 0) },
+    ];
+    for case in cases {
+        let mut budget = budget(1.0, 1);
+        let now = Instant::now() + SECOND * 100;
+        let (priority, waiting, age) = case.second;
+        budget.ask(now - SECOND * age, "second".into(), priority, waiting);
+        let (priority, waiting, age) = case.first;
+        budget.ask(now - SECOND * age, "first".into(), priority, waiting);
+        assert_eq!(budget.grant(now), ["first"], "{}", case.name);
+    }
+}
--- a/crates/larkspring-core/tests/slots.rs
+++ b/crates/larkspring-core/tests/slots.rs
@@ -4,7 +4,7 @@
 
 use larkspring_core::ids::{Incarnation, Target};
 use larkspring_core::outcome::{Outcome, Step};
-use larkspring_core::slots::{Action, Held, Limits, Slots, Waiting};
+use larkspring_core::slots::{Action, Eviction, Held, Limits, Slots, Waiting};
 
 const MINUTE: Duration = Duration::from_secs(60);
 const SETTLE: Duration = Duration::from_secs(3);
@@ -33,6 +33,7 @@
             max_loading: 1,
             patience: PATIENCE,
             settle: SETTLE,
+            eviction: Eviction::Heat,
         };
         let slots = Slots::new(limits);
         let mut agent = Self { slots, now: Instant::now(), next: 0 };
@@ -275,3 +276,34 @@
     agent.ended(runs);
     assert!(agent.slots.is_idle());
 }
+
+#[test]
+fn adapter_that_returns_is_known_by_its_past_uses() {
+    let mut agent = Agent::new(2, &["often", "other"]);
+    for _ in 0..3 {
+        let id = agent.ask("often");
+        assert_eq!(agent.does(), [Action::Start(id)]);
+        agent.ended(id);
+    }
+    // It is unloaded, as the other one is in use, and comes back.
+    let user = agent.ask("other");
+    assert_eq!(agent.does(), [Action::Start(user)]);
+    agent.ask("third");
+    assert_eq!(agent.does(), [unload("often")]);
+    agent.unloaded("often");
+    assert_eq!(agent.does(), [load("third")]);
+    agent.loaded("third", true);
+    let third = agent.next;
+    assert_eq!(agent.does(), [Action::Start(third)]);
+    agent.ended(user);
+    let back = agent.ask("often");
+    assert_eq!(agent.does(), [unload("other")]);
+    agent.unloaded("other");
+    assert_eq!(agent.does(), [load("often")]);
+    agent.loaded("often", true);
+    agent.ended(third);
+    assert_eq!(agent.does(), [Action::Start(back)]);
+    agent.ended(back);
+    agent.ask("fourth");
+    assert_eq!(agent.does(), [unload("third")]);
+}
--- a/crates/larkspring-proto/src/lib.rs
+++ b/crates/larkspring-proto/src/lib.rs
@@ -8,6 +8,11 @@
     include!("gen/larkspring.agent.rs");
 }
 
+/// Passing the declared state on.
+pub mod config {
+    include!("gen/larkspring.config.rs");
+}
+
 /// Declared state, as kept in the object API.
 pub mod declared {
     include!("gen/larkspring.declared.rs");
@@ -18,6 +23,11 @@
     include!("gen/larkspring.keys.rs");
 }
 
+/// Sharing the weight store's budget.
+pub mod loads {
+    include!("gen/larkspring.loads.rs");
+}
+
 /// Settings of a process.
 pub mod settings {
     include!("gen/larkspring.settings.rs");
--- a/crates/larkspring-standin/src/engine.rs
+++ b/crates/larkspring-standin/src/engine.rs
@@ -369,6 +369,10 @@
             (Method::Post, "/v1/unload_lora_adapter") => self.unload(&mut req).await,
             (Method::Get, "/v1/load") => self.state.lock().report(),
             (Method::Get, "/stats") => answer_json(&self.state.lock().present()),
+            (Method::Get, "/totals") => {
+                let stats = Stats { runs: vec![], ..self.state.lock().present() };
+                answer_json(&stats)
+            }
             (Method::Get, "/faults") => answer_json(&self.state.lock().faults),
             (Method::Post, "/faults") => self.set_faults(&mut req).await,
             (Method::Post, "/restart") => self.restart(),
--- a/crates/larkspring-standin/src/weights.rs
+++ b/crates/larkspring-standin/src/weights.rs
@@ -28,6 +28,8 @@
     pub load_ms: u64,
     /// Number of loads that fail.
     pub fail: u64,
+    /// One load of this many fails; 0 for none.
+    pub fail_one_in: u64,
 }
 
 /// What the store saw.
@@ -52,7 +54,7 @@
 
 impl Default for Faults {
     fn default() -> Self {
-        Self { rate: 9.0, concurrency: 4, load_ms: 300, fail: 0 }
+        Self { rate: 9.0, concurrency: 4, load_ms: 300, fail: 0, fail_one_in: 0 }
     }
 }
 
@@ -79,6 +81,11 @@
 }
 
 impl Weights {
+    /// Creates a store that behaves as given.
+    pub fn new(faults: Faults) -> Self {
+        Self { state: Mutex::new(State { faults, ..State::default() }) }
+    }
+
     async fn load(&self) -> Response {
         if !self.admit() {
             return text(429, "over the rate");
@@ -90,8 +97,11 @@
         }
         drop(active);
         let mut state = self.state.lock();
-        if state.faults.fail > 0 {
-            state.faults.fail -= 1;
+        let done = state.stats.served + state.stats.failed + 1;
+        let turn =
+            state.faults.fail_one_in > 0 && done.is_multiple_of(state.faults.fail_one_in);
+        if turn || state.faults.fail > 0 {
+            state.faults.fail = state.faults.fail.saturating_sub(1);
             state.stats.failed += 1;
             return text(500, "the load failed");
         }
--- a/crates/larkspring/src/agent/endpoint.rs
+++ b/crates/larkspring/src/agent/endpoint.rs
@@ -18,6 +18,7 @@
 use smol::Timer;
 
 use super::backend::{Backend, Report};
+use super::gate::Gate;
 use crate::exec;
 use crate::in_force::InForce;
 use crate::settings::AgentCfg;
@@ -37,6 +38,7 @@
     pub in_force: Arc<InForce>,
     /// Where metrics go.
     pub metrics: Metrics,
+    gate: Gate,
 }
 
 /// Whether a request that waited may run.
@@ -48,6 +50,8 @@
     /// Its number.
     pub id: AttemptId,
     verdict: Receiver<Verdict>,
+    /// Whether its adapter was resident when it came.
+    pub resident: bool,
     /// Whether the engine may still hold something of the request.
     in_engine: bool,
 }
@@ -59,7 +63,12 @@
 
 impl Endpoint {
     /// Creates the state of an endpoint of which nothing is known yet.
-    pub fn new(cfg: AgentCfg, in_force: Arc<InForce>, metrics: Metrics) -> Self {
+    pub fn new(
+        cfg: AgentCfg,
+        in_force: Arc<InForce>,
+        metrics: Metrics,
+        gate: Gate,
+    ) -> Self {
         Self {
             slots: Mutex::new(Slots::new(super::limits(&cfg))),
             verdicts: Mutex::default(),
@@ -69,6 +78,7 @@
             backend: Backend::new(&cfg.backend),
             in_force,
             metrics,
+            gate,
             cfg,
         }
     }
@@ -113,12 +123,11 @@
         let (tx, verdict) = bounded(1);
         self.verdicts.lock().insert(id, tx);
         let admitted = self.slots.lock().admit(Instant::now(), id, req);
-        if let Err(refusal) = admitted {
+        let resident = admitted.inspect_err(|_| {
             self.verdicts.lock().remove(&id);
-            return Err(refusal);
-        }
+        })?;
         self.drive();
-        Ok(Place { endpoint: self.clone(), id, verdict, in_engine: false })
+        Ok(Place { endpoint: self.clone(), id, verdict, resident, in_engine: false })
     }
 
     /// Carries out what follows from the present state.
@@ -220,8 +229,16 @@
     }
 
     async fn load(self: Arc<Self>, target: Target) {
-        let started = Instant::now();
         let state = self.in_force.state();
+        let demand = self.slots.lock().demand(&target).unwrap_or_default();
+        let load = format!("{}/{target}", self.name());
+        let permit = self.gate.pass(load, demand, state.engine_count()).await;
+        if self.slots.lock().demand(&target).is_none() {
+            self.slots.lock().not_loaded(&target);
+            self.gate.done(permit).await;
+            return self.drive();
+        }
+        let started = Instant::now();
         let ok = match state.weights(&target) {
             Some(weights) => self.load_checked(&target, weights).await,
             None => false,
@@ -231,6 +248,7 @@
         self.metrics.time("load_time", started.elapsed());
         self.slots.lock().loaded(Instant::now(), &target, ok);
         self.drive();
+        self.gate.done(permit).await;
     }
 
     /// Loads an adapter and checks that the engine loaded just that one.
--- /dev/null
+++ b/crates/larkspring/src/agent/gate.rs
@@ -0,0 +1,116 @@
+//! Asking for a part of the weight store's budget before a load.
+
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use http::Uri;
+use larkspring_core::budget::BudgetLimits;
+use larkspring_proto::keys::KeyTable;
+use larkspring_proto::loads::loads_client::LoadsClient;
+use larkspring_proto::loads::{DoneRequest, PermitRequest};
+use parking_lot::Mutex;
+use smol::Timer;
+
+use crate::entry::keys::{LEADING_PARTITION, TABLE};
+use crate::platform::objects::{HttpObjects, ObjectApi};
+use crate::rpc::channel::{Channel, Pool};
+use crate::settings::PlatformCfg;
+
+/// The way to the entry that gives out the budget.
+pub struct Gate {
+    limits: Option<BudgetLimits>,
+    api: HttpObjects,
+    pool: Pool,
+    /// Address of the entry that granted last.
+    leader: Mutex<Option<String>>,
+}
+
+/// A granted load.
+pub struct Permit {
+    load: String,
+    /// Who granted it; `None` if nobody could be asked.
+    leader: Option<String>,
+}
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longer than a call for a permit waits at the entry.
+const PERMIT_TIMEOUT: Duration = Duration::from_secs(12);
+const TRIES: u32 = 3;
+
+impl Gate {
+    /// Creates a gate by the platform's settings.
+    pub fn new(cfg: &PlatformCfg) -> Self {
+        Self {
+            limits: cfg.loads,
+            api: HttpObjects::new(&cfg.objects, cfg.timeout),
+            pool: Pool::new(1, CONNECT_TIMEOUT),
+            leader: Mutex::default(),
+        }
+    }
+
+    /// Waits until a load may begin; `agents` share the budget if nobody grants.
+    pub async fn pass(
+        &self,
+        load: String,
+        (priority, waiting): (u32, u32),
+        agents: usize,
+    ) -> Permit {
+        let Some(limits) = self.limits else { return Permit { load, leader: None } };
+        for _ in 0..TRIES {
+            let Some(addr) = self.leader().await else { break };
+            let req = PermitRequest { load: load.clone(), priority, waiting };
+            match self.ask(&addr, req).await {
+                Some(true) => return Permit { load, leader: Some(addr) },
+                Some(false) => {}
+                None => *self.leader.lock() = None,
+            }
+        }
+        // Nobody grants: each agent takes its share of the rate, spread at random.
+        let share = Duration::from_secs_f64(agents as f64 / limits.rate);
+        Timer::after(share.mul_f64(fastrand::f64())).await;
+        Permit { load, leader: None }
+    }
+
+    /// Gives a permit back.
+    pub async fn done(&self, permit: Permit) {
+        let Some(addr) = permit.leader else { return };
+        let Some(mut client) = self.client(&addr).await else { return };
+        let done = async {
+            let _ = client.done(DoneRequest { load: permit.load }).await;
+        };
+        let late = async {
+            Timer::after(CONNECT_TIMEOUT).await;
+        };
+        done.or(late).await;
+    }
+
+    /// Asks for a permit: granted, not yet, or `None` if another entry grants.
+    async fn ask(&self, addr: &str, req: PermitRequest) -> Option<bool> {
+        let mut client = self.client(addr).await?;
+        let late = async {
+            Timer::after(PERMIT_TIMEOUT).await;
+            None
+        };
+        let ask = async { client.permit(req).await.ok() };
+        let reply = ask.or(late).await?.into_inner();
+        (!reply.elsewhere).then_some(reply.granted)
+    }
+
+    async fn client(&self, addr: &str) -> Option<LoadsClient<Channel>> {
+        let channel = self.pool.get(addr).await.ok()?;
+        let origin = Uri::try_from(format!("http://{addr}")).ok()?;
+        Some(LoadsClient::with_origin(channel, origin))
+    }
+
+    /// Returns the address of the entry that grants, as it was last known.
+    async fn leader(&self) -> Option<String> {
+        if let Some(addr) = self.leader.lock().clone() {
+            return Some(addr);
+        }
+        let object = self.api.get(TABLE).await.ok()??;
+        let table: KeyTable = serde_json::from_slice(&object.value).ok()?;
+        let first = table.partitions.get(LEADING_PARTITION)?;
+        *self.leader.lock() = Some(first.holder.clone());
+        Some(first.holder.clone())
+    }
+}
--- a/crates/larkspring/src/agent/job.rs
+++ b/crates/larkspring/src/agent/job.rs
@@ -139,7 +139,7 @@
         let mut place = self.endpoint.enter(waiting)?;
         let late = || late(Step::Queue, Refusal::not_run);
         self.bounded(deadline, late, async { Ok(place.granted().await?) }).await?;
-        let load_wait = since.elapsed();
+        let load_wait = if place.resident { Duration::ZERO } else { since.elapsed() };
         let mut res = self.send(&mut place, &target, deadline).await?;
         let mut answer = Answer::new(&res);
         self.begin(&res, load_wait).await?;
--- a/crates/larkspring/src/agent/mod.rs
+++ b/crates/larkspring/src/agent/mod.rs
@@ -5,6 +5,7 @@
 
 mod backend;
 mod endpoint;
+mod gate;
 mod job;
 mod poll;
 
@@ -22,7 +23,9 @@
 use tonic::{Request, Response, Status, Streaming};
 
 use self::endpoint::Endpoint;
+use self::gate::Gate;
 use crate::exec;
+use crate::follow::Follower;
 use crate::in_force::InForce;
 use crate::platform::objects::HttpObjects;
 use crate::rpc::serve::serve;
@@ -66,11 +69,10 @@
         let in_force = Arc::new(InForce::default());
         let metrics = Metrics::new(&settings.telemetry);
         let grace = cfg.stop_grace;
-        let endpoint = Arc::new(Endpoint::new(cfg, in_force.clone(), metrics));
-        let follow = {
-            let objects = objects.clone();
-            exec::spawn(async move { in_force.follow(&objects).await })
-        };
+        let gate = Gate::new(&settings.platform);
+        let endpoint = Arc::new(Endpoint::new(cfg, in_force.clone(), metrics, gate));
+        let follower = Follower::new(in_force, &settings.platform, String::new());
+        let follow = exec::spawn(async move { follower.run(|| false).await });
         let polls = exec::spawn(poll::run(endpoint.clone(), objects));
         let service = AgentServer::new(Service { endpoint: endpoint.clone() });
         let stopper = serve(listener, service);
@@ -128,6 +130,7 @@
         max_loading: MAX_LOADING,
         patience: PATIENCE,
         settle: SETTLE,
+        eviction: cfg.eviction,
     }
 }
 
--- a/crates/larkspring/src/entry/answer.rs
+++ b/crates/larkspring/src/entry/answer.rs
@@ -21,6 +21,8 @@
 use crate::rpc::credit::units;
 use crate::wire::refusal_from_wire;
 
+/// Header with the microseconds that the request waited for its adapter to load.
+const LOAD_WAIT: &str = "larkspring-load-wait-us";
 const EVENT_STREAM: &str = "text/event-stream";
 /// Time by which the agent's own answer to a missed deadline may come later.
 const AGENT_GRACE: Duration = Duration::from_secs(1);
@@ -35,6 +37,8 @@
     let deadline = begun.deadline;
     let relay = Relay::new(begun.call, permit, claim, events, deadline);
     res.set_body(Body::from_reader(Exclusive(Mutex::new(relay)), None));
+    let wait = begun.begin.load_wait_us;
+    res.insert_header(LOAD_WAIT, wait.to_string());
     if !content_type.is_empty() {
         res.insert_header("content-type", content_type.as_str());
     }
--- a/crates/larkspring/src/entry/keys/mod.rs
+++ b/crates/larkspring/src/entry/keys/mod.rs
@@ -25,6 +25,7 @@
 
 pub use self::rpc::Service;
 use self::table::View;
+pub use self::table::TABLE;
 use crate::platform::objects::HttpObjects;
 use crate::rpc::channel::Pool;
 use crate::settings::{EntryCfg, Settings};
@@ -64,6 +65,8 @@
     pub answer: Option<KeptAnswer>,
 }
 
+/// Its holder does the work that one entry does for all.
+pub const LEADING_PARTITION: usize = 0;
 /// Keys that one entry keeps at most; about 100 bytes each.
 const MAX_KEYS: usize = 100_000;
 /// Time for a call to another entry.
@@ -108,6 +111,13 @@
         view.table.partitions.iter().filter(|t| same_run(t, &self.me)).count()
     }
 
+    /// Whether this entry holds the first partition, and with it the work that one
+    /// entry does for all.
+    pub fn leads(&self) -> bool {
+        let first = self.holder(LEADING_PARTITION);
+        first.is_some_and(|t| same_run(&t, &self.me) && wall_clock() < t.until_ms)
+    }
+
     /// Asks the holder of a key whether its request may run.
     pub async fn claim(&self, key: &KeyAsk) -> Result<Answered, Refusal> {
         let mut cause = String::new();
--- a/crates/larkspring/src/entry/keys/table.rs
+++ b/crates/larkspring/src/entry/keys/table.rs
@@ -24,7 +24,7 @@
 }
 
 /// Name of the object that holds the table.
-const TABLE: &str = "keys/table";
+pub const TABLE: &str = "keys/table";
 /// Pause between two looks at the table.
 const TICK: Duration = Duration::from_millis(200);
 /// Pause while the object API fails.
--- /dev/null
+++ b/crates/larkspring/src/entry/loads.rs
@@ -0,0 +1,132 @@
+//! Giving out the weight store's budget to the agents.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use event_listener::Event;
+use futures_lite::FutureExt;
+use larkspring_core::budget::{Budget, BudgetLimits, LoadId};
+use larkspring_proto::loads::loads_server::Loads as LoadsRpc;
+use larkspring_proto::loads::{DoneReply, DoneRequest, PermitReply, PermitRequest};
+use parking_lot::Mutex;
+use smol::channel::{bounded, Sender};
+use smol::Timer;
+use tonic::{Request, Response, Status};
+
+use super::keys::Keys;
+
+/// The budget, and the agents that wait for a part of it.
+pub struct Loads {
+    state: Mutex<State>,
+    changed: Event,
+}
+
+struct State {
+    budget: Budget,
+    waiting: HashMap<LoadId, Sender<()>>,
+}
+
+/// Serves the budget to agents, if this entry is the one that grants.
+pub struct Service {
+    /// The budget.
+    pub loads: Arc<Loads>,
+    /// Says who grants.
+    pub keys: Arc<Keys>,
+}
+
+/// Longest time that a call for a permit waits.
+const LONGEST_WAIT: Duration = Duration::from_secs(10);
+
+impl Loads {
+    /// Creates a budget of which nothing is in use.
+    pub fn new(limits: BudgetLimits) -> Self {
+        let state = State { budget: Budget::new(limits), waiting: HashMap::new() };
+        Self { state: Mutex::new(state), changed: Event::new() }
+    }
+
+    /// Grants loads as the budget allows, for ever.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            let listener = self.changed.listen();
+            let next = self.grant();
+            let wake = async {
+                match next {
+                    Some(at) => drop(Timer::at(at).await),
+                    None => std::future::pending().await,
+                }
+            };
+            listener.or(wake).await;
+        }
+    }
+
+    /// Grants what may begin now; returns when to look again.
+    fn grant(&self) -> Option<Instant> {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        for load in state.budget.grant(now) {
+            let granted = state.waiting.remove(&load).map(|tx| tx.try_send(()));
+            if !matches!(granted, Some(Ok(()))) {
+                state.budget.done(&load);
+            }
+        }
+        state.budget.next(now)
+    }
+
+    async fn permit(&self, req: PermitRequest) -> bool {
+        let (tx, rx) = bounded(1);
+        let _waiter = Waiter { loads: self, load: req.load.clone() };
+        {
+            let mut state = self.state.lock();
+            state.waiting.insert(req.load.clone(), tx);
+            state.budget.ask(Instant::now(), req.load, req.priority, req.waiting);
+        }
+        self.changed.notify(usize::MAX);
+        let late = async {
+            Timer::after(LONGEST_WAIT).await;
+            false
+        };
+        async { rx.recv().await.is_ok() }.or(late).await
+    }
+
+    fn done(&self, load: &str) {
+        self.state.lock().budget.done(load);
+        self.changed.notify(usize::MAX);
+    }
+}
+
+/// Takes a load back from the queue when its call ends, as by the agent's death.
+struct Waiter<'a> {
+    loads: &'a Loads,
+    load: LoadId,
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        let mut state = self.loads.state.lock();
+        state.waiting.remove(&self.load);
+        state.budget.withdraw(&self.load);
+    }
+}
+
+#[tonic::async_trait]
+impl LoadsRpc for Service {
+    async fn permit(
+        &self,
+        req: Request<PermitRequest>,
+    ) -> Result<Response<PermitReply>, Status> {
+        if !self.keys.leads() {
+            return Ok(Response::new(PermitReply { granted: false, elsewhere: true }));
+        }
+        let granted = self.loads.permit(req.into_inner()).await;
+        Ok(Response::new(PermitReply { granted, elsewhere: false }))
+    }
+
+    async fn done(
+        &self,
+        req: Request<DoneRequest>,
+    ) -> Result<Response<DoneReply>, Status> {
+        self.loads.done(&req.into_inner().load);
+        Ok(Response::new(DoneReply {}))
+    }
+}
--- a/crates/larkspring/src/entry/mod.rs
+++ b/crates/larkspring/src/entry/mod.rs
@@ -6,11 +6,13 @@
 mod answer;
 mod dispatch;
 mod inbound;
-mod keys;
+pub(crate) mod keys;
 mod limits;
+mod loads;
 mod once;
 mod refuse;
 
+use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -21,27 +23,33 @@
 
 use futures_lite::FutureExt;
 use http_types::{Body, Method, Request, Response};
+use hyper::body::Incoming;
+use larkspring_core::budget::BudgetLimits;
 use larkspring_core::declared::Caller;
 use larkspring_core::outcome::{Refusal, Step};
 use larkspring_core::retry::RetryBudget;
 use larkspring_core::route::Router;
+use larkspring_proto::config::config_server::ConfigServer;
 use larkspring_proto::keys::keys_server::KeysServer;
+use larkspring_proto::loads::loads_server::LoadsServer;
 use parking_lot::Mutex;
 use serde_json::json;
 use smol::net::TcpListener;
 use smol::{Task, Timer};
+use tower_service::Service;
 use tracing::Instrument;
 
 use self::inbound::Inbound;
 use self::keys::Keys;
 use self::limits::{CallerLimits, Permit};
+use self::loads::Loads;
 use self::once::{Claim, Claimed};
 use crate::agent::StartError;
 use crate::exec;
+use crate::follow::{self, Follower};
 use crate::http::head::HeadError;
 use crate::http::server::{serve, Handler, Limits};
 use crate::in_force::InForce;
-use crate::platform::objects::HttpObjects;
 use crate::rpc::{self, channel::Pool};
 use crate::settings::{EntryCfg, Settings};
 use crate::telemetry::{Metrics, TraceParent};
@@ -56,6 +64,38 @@
     _tasks: Vec<Task<()>>,
 }
 
+/// The services that an entry offers to other processes, by their paths.
+#[derive(Clone)]
+struct Control {
+    config: ConfigServer<follow::Service>,
+    keys: KeysServer<keys::Service>,
+    loads: LoadsServer<loads::Service>,
+}
+
+impl Service<http::Request<Incoming>> for Control {
+    type Response = http::Response<tonic::body::Body>;
+    type Error = Infallible;
+    type Future =
+        Pin<Box<dyn Future<Output = Result<Self::Response, Infallible>> + Send>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, req: http::Request<Incoming>) -> Self::Future {
+        match req.uri().path() {
+            path if path.starts_with(LOADS_PATH) => self.loads.call(req),
+            path if path.starts_with(CONFIG_PATH) => self.config.call(req),
+            _ => self.keys.call(req),
+        }
+    }
+}
+
+const CONFIG_PATH: &str = "/larkspring.config.";
+const LOADS_PATH: &str = "/larkspring.loads.";
+/// Budget where the settings give no limit.
+const UNLIMITED: BudgetLimits = BudgetLimits { rate: 1e6, concurrency: 1_000_000 };
+
 /// State that the requests of an entry share.
 #[derive(Debug)]
 pub(crate) struct Inner {
@@ -89,23 +129,32 @@
             .await
             .map_err(|e| StartError::Listen(cfg.listen, e))?;
         let addr = listener.local_addr().unwrap_or(cfg.listen);
-        let objects =
-            HttpObjects::new(&settings.platform.objects, settings.platform.timeout);
         let control = TcpListener::bind(cfg.control)
             .await
             .map_err(|e| StartError::Listen(cfg.control, e))?;
         let control_addr = control.local_addr().unwrap_or(cfg.control);
         let keys = Arc::new(Keys::new(&cfg, settings, control_addr));
-        let service = KeysServer::new(keys::Service { keys: keys.clone() });
+        let loads = settings.platform.loads.unwrap_or(UNLIMITED);
+        let loads = Arc::new(Loads::new(loads));
+        let granting = exec::spawn(loads.clone().run());
+        let in_force = Arc::new(InForce::default());
+        let relay = control_addr.to_string();
+        let follower =
+            Arc::new(Follower::new(in_force.clone(), &settings.platform, relay));
+        let service = Control {
+            config: ConfigServer::new(follow::Service { follower: follower.clone() }),
+            keys: KeysServer::new(keys::Service { keys: keys.clone() }),
+            loads: LoadsServer::new(loads::Service { loads, keys: keys.clone() }),
+        };
         let stopper = rpc::serve::serve(control, service);
         let maintain = exec::spawn(keys.clone().maintain());
-        let inner = Arc::new(Inner::new(cfg, settings, keys));
         let follow = {
-            let in_force = inner.in_force.clone();
-            exec::spawn(async move { in_force.follow(&objects).await })
+            let keys = keys.clone();
+            exec::spawn(async move { follower.run(|| keys.held() > 0).await })
         };
+        let inner = Arc::new(Inner::new(cfg, settings, keys, in_force));
         let http = serve(listener, inner.http_limits(), inner.clone());
-        let tasks = vec![follow, maintain, exec::spawn(http)];
+        let tasks = vec![follow, maintain, granting, exec::spawn(http)];
         tracing::info!(%addr, "entry started");
         Ok(Self { addr, inner, _stopper: stopper, _tasks: tasks })
     }
@@ -123,9 +172,14 @@
 }
 
 impl Inner {
-    fn new(cfg: EntryCfg, settings: &Settings, keys: Arc<Keys>) -> Self {
+    fn new(
+        cfg: EntryCfg,
+        settings: &Settings,
+        keys: Arc<Keys>,
+        in_force: Arc<InForce>,
+    ) -> Self {
         Self {
-            in_force: Arc::default(),
+            in_force,
             router: Router::new(cfg.routing),
             pool: Pool::new(cfg.max_agent_connections, CONNECT_TIMEOUT),
             budget: Mutex::new(RetryBudget::new(cfg.retry_percent)),
--- /dev/null
+++ b/crates/larkspring/src/follow.rs
@@ -0,0 +1,311 @@
+//! Following the declared state from process to process.
+//!
+//! The holders of the keys' partitions watch the object API; they are 64 at most. All
+//! other processes follow one of them, or one that follows them: a process with as many
+//! followers as it may have sends the next one on to one of its own. The tree builds
+//! itself by that, and no list of its members is kept anywhere.
+
+use std::collections::HashMap;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures_lite::{FutureExt, Stream, StreamExt};
+use http::Uri;
+use larkspring_core::declared::Part;
+use larkspring_proto::config::config_client::ConfigClient;
+use larkspring_proto::config::config_server::Config as ConfigRpc;
+use larkspring_proto::config::{ChangedChunk, FollowRequest, Update};
+use larkspring_proto::keys::KeyTable;
+use parking_lot::Mutex;
+use smol::channel::{bounded, Sender};
+use smol::Timer;
+use tonic::{Request, Response, Status, Streaming};
+
+use crate::entry::keys::TABLE;
+use crate::exec;
+use crate::in_force::InForce;
+use crate::platform::objects::{HttpObjects, ObjectApi};
+use crate::rpc::channel::Pool;
+use crate::settings::PlatformCfg;
+
+/// Follows the declared state and passes it on.
+pub struct Follower {
+    in_force: Arc<InForce>,
+    api: HttpObjects,
+    pool: Pool,
+    peers: Vec<String>,
+    /// Address at which this process serves followers; empty if it doesn't.
+    relay: String,
+    /// When the last sign of life came, less its age.
+    alive: Mutex<Instant>,
+    /// Followers by number, with the address at which each serves others.
+    followers: Mutex<HashMap<u64, String>>,
+}
+
+/// Followers that a process serves before it sends the next one on.
+const FANOUT: usize = 16;
+/// Followers that it serves if there is nobody to send them on to.
+const MOST_FOLLOWERS: usize = 256;
+/// How often a sign of life is sent.
+const ALIVE: Duration = Duration::from_secs(1);
+/// Age of the last sign of life at which another process is followed.
+const STALE: Duration = Duration::from_millis(2500);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause before the next process is asked, at most.
+const PAUSE_MS: u64 = 400;
+/// Bytes of chunks in one message.
+const MESSAGE_BYTES: usize = 256 * 1024;
+const READY_MESSAGES: usize = 2;
+/// Times that a follower is sent on before it begins again at the top.
+const MOST_REDIRECTS: u32 = 4;
+
+impl Follower {
+    /// Creates a follower; `relay` is where it serves others, or empty.
+    pub fn new(in_force: Arc<InForce>, cfg: &PlatformCfg, relay: String) -> Self {
+        Self {
+            in_force,
+            api: HttpObjects::new(&cfg.objects, cfg.timeout),
+            pool: Pool::new(1, CONNECT_TIMEOUT),
+            peers: cfg.peers.clone(),
+            relay,
+            alive: Mutex::new(Instant::now()),
+            followers: Mutex::default(),
+        }
+    }
+
+    /// Follows for ever; watches the object API itself while `is_root` says so.
+    pub async fn run(&self, is_root: impl Fn() -> bool) {
+        let mut holders = Vec::new();
+        loop {
+            if is_root() {
+                let signs = async {
+                    loop {
+                        *self.alive.lock() = Instant::now();
+                        Timer::after(ALIVE / 2).await;
+                    }
+                };
+                self.in_force.watch(&self.api, &is_root).or(signs).await;
+            }
+            if let Some(known) = self.holders().await {
+                holders = known;
+            }
+            let none = holders.is_empty();
+            let first = fastrand::choice(if none { &self.peers } else { &holders });
+            if let Some(first) = first.cloned() {
+                if let Err(status) = self.descend(first).await {
+                    tracing::info!(%status, "another process is followed");
+                }
+            }
+            let pause = Duration::from_millis(fastrand::u64(1..PAUSE_MS));
+            Timer::after(pause).await;
+        }
+    }
+
+    /// Returns the addresses of the processes that watch the object API.
+    async fn holders(&self) -> Option<Vec<String>> {
+        let object = self.api.get(TABLE).await.ok()??;
+        let table: KeyTable = serde_json::from_slice(&object.value).ok()?;
+        let holders = table.partitions.into_iter().map(|t| t.holder);
+        let mut holders: Vec<_> =
+            holders.filter(|addr| !addr.is_empty() && *addr != self.relay).collect();
+        holders.sort();
+        holders.dedup();
+        Some(holders)
+    }
+
+    /// Follows a process, or one to which it sends this one on, until that fails.
+    async fn descend(&self, first: String) -> Result<(), Status> {
+        let mut addr = first;
+        for _ in 0..=MOST_REDIRECTS {
+            let mut down = self.open(&addr).await?;
+            match self.take(&mut down).await? {
+                Some(next) => addr = next,
+                None => return Ok(()),
+            }
+        }
+        Err(Status::resource_exhausted("sent on too often"))
+    }
+
+    async fn open(&self, addr: &str) -> Result<Streaming<Update>, Status> {
+        let unavailable = |e: String| Status::unavailable(format!("{addr}: {e}"));
+        let channel = self.pool.get(addr).await;
+        let channel = channel.map_err(|e| unavailable(e.to_string()))?;
+        let origin = Uri::try_from(format!("http://{addr}"));
+        let origin = origin.map_err(|e| unavailable(e.to_string()))?;
+        let state = self.in_force.state();
+        let chunks = state.parts().iter().map(|part| part.hash.clone()).collect();
+        let req = FollowRequest { relay: self.relay.clone(), chunks };
+        let mut client = ConfigClient::with_origin(channel, origin);
+        let late = async {
+            Timer::after(STALE).await;
+            Err(Status::deadline_exceeded("no answer in time"))
+        };
+        let follow = async { client.follow(req).await };
+        Ok(follow.or(late).await?.into_inner())
+    }
+
+    /// Takes in updates until the stream fails; returns whom to follow instead.
+    async fn take(&self, down: &mut Streaming<Update>) -> Result<Option<String>, Status> {
+        let mut changed = HashMap::new();
+        loop {
+            let late = async {
+                Timer::after(STALE).await;
+                Some(Err(Status::deadline_exceeded("no sign of life")))
+            };
+            let Some(update) = down.next().or(late).await else { return Ok(None) };
+            let update = update?;
+            if !update.redirect.is_empty() {
+                return Ok(fastrand::choice(update.redirect));
+            }
+            let age = Duration::from_millis(update.age_ms);
+            if age > STALE {
+                return Err(Status::unavailable("it follows nobody that is alive"));
+            }
+            *self.alive.lock() =
+                Instant::now().checked_sub(age).unwrap_or_else(Instant::now);
+            for chunk in update.changed {
+                let part = Part::from_message(&chunk.hash, chunk.chunk);
+                let part = part.map_err(|e| Status::data_loss(e.to_string()))?;
+                changed.insert(chunk.place as usize, Arc::new(part));
+            }
+            if update.complete {
+                self.apply(update.revision, update.count, std::mem::take(&mut changed))?;
+            }
+        }
+    }
+
+    fn apply(
+        &self,
+        revision: u64,
+        count: u32,
+        mut changed: HashMap<usize, Arc<Part>>,
+    ) -> Result<(), Status> {
+        let state = self.in_force.state();
+        let part = |place: usize| {
+            changed.remove(&place).or_else(|| state.parts().get(place).cloned())
+        };
+        let parts: Option<Vec<_>> = (0..count as usize).map(part).collect();
+        let parts = parts.ok_or_else(|| Status::data_loss("a chunk is missing"))?;
+        if self.in_force.apply(revision, parts) {
+            tracing::info!(revision, "in force");
+        }
+        Ok(())
+    }
+
+    /// Counts a follower in, or says to whom it is sent on.
+    fn admit(&self, relay: &str) -> Result<u64, Vec<String>> {
+        let mut followers = self.followers.lock();
+        let onward: Vec<_> = followers
+            .values()
+            .filter(|addr| !addr.is_empty() && *addr != relay)
+            .cloned()
+            .collect();
+        let full = followers.len() >= FANOUT && !onward.is_empty();
+        if full || followers.len() >= MOST_FOLLOWERS {
+            return Err(onward);
+        }
+        let id = fastrand::u64(..);
+        followers.insert(id, relay.into());
+        Ok(id)
+    }
+}
+
+/// Serves followers of a process.
+pub struct Service {
+    /// What is passed on.
+    pub follower: Arc<Follower>,
+}
+
+#[tonic::async_trait]
+impl ConfigRpc for Service {
+    type FollowStream = Pin<Box<dyn Stream<Item = Result<Update, Status>> + Send>>;
+
+    async fn follow(
+        &self,
+        req: Request<FollowRequest>,
+    ) -> Result<Response<Self::FollowStream>, Status> {
+        let req = req.into_inner();
+        let (tx, rx) = bounded(READY_MESSAGES);
+        match self.follower.admit(&req.relay) {
+            Ok(id) => {
+                let follower = self.follower.clone();
+                exec::spawn(pass_on(follower, id, req.chunks, tx)).detach();
+            }
+            Err(redirect) if redirect.is_empty() => {
+                return Err(Status::resource_exhausted("too many followers"));
+            }
+            Err(redirect) => {
+                let _ = tx.try_send(Ok(Update { redirect, ..Update::default() }));
+            }
+        }
+        Ok(Response::new(Box::pin(rx)))
+    }
+}
+
+/// Sends a follower each change and signs of life, until it has gone.
+async fn pass_on(
+    follower: Arc<Follower>,
+    id: u64,
+    mut held: Vec<String>,
+    tx: Sender<Result<Update, Status>>,
+) {
+    let mut sent = 0;
+    loop {
+        let state = follower.in_force.state();
+        let messages = match state.revision == sent {
+            true => vec![Update::default()],
+            false => changes(&state, &mut held),
+        };
+        sent = state.revision;
+        drop(state);
+        let age = follower.alive.lock().elapsed().as_millis() as u64;
+        for mut message in messages {
+            message.age_ms = age;
+            if tx.send(Ok(message)).await.is_err() {
+                follower.followers.lock().remove(&id);
+                return;
+            }
+        }
+        let pause = async {
+            Timer::after(ALIVE).await;
+        };
+        follower.in_force.past(sent).or(pause).await;
+    }
+}
+
+/// Returns the messages that bring a follower with the chunks `held` to `state`.
+fn changes(
+    state: &larkspring_core::declared::State,
+    held: &mut Vec<String>,
+) -> Vec<Update> {
+    let count = state.parts().len();
+    held.resize(count, String::new());
+    let mut messages = vec![Update::default()];
+    let mut bytes = 0;
+    for (place, part) in state.parts().iter().enumerate() {
+        if held[place] == part.hash {
+            continue;
+        }
+        held[place] = part.hash.clone();
+        if bytes > MESSAGE_BYTES {
+            messages.push(Update::default());
+            bytes = 0;
+        }
+        bytes += part.message.len();
+        let changed = ChangedChunk {
+            place: place as u32,
+            hash: part.hash.clone(),
+            chunk: part.message.clone(),
+        };
+        if let Some(message) = messages.last_mut() {
+            message.changed.push(changed);
+        }
+    }
+    if let Some(last) = messages.last_mut() {
+        last.revision = state.revision;
+        last.count = count as u32;
+        last.complete = state.revision > 0;
+    }
+    messages
+}
--- a/crates/larkspring/src/in_force.rs
+++ b/crates/larkspring/src/in_force.rs
@@ -56,11 +56,22 @@
         }
     }
 
-    /// Follows the object API for ever; during its outages what is in force stays.
-    pub async fn follow(&self, api: &dyn ObjectApi) {
+    /// Waits until another state than that of `revision` is in force.
+    pub async fn past(&self, revision: Revision) {
+        loop {
+            let listener = self.changed.listen();
+            if self.state.load().revision != revision {
+                return;
+            }
+            listener.await;
+        }
+    }
+
+    /// Watches the object API while `go_on` says so; what is in force stays in outages.
+    pub async fn watch(&self, api: &dyn ObjectApi, go_on: impl Fn() -> bool) {
         let mut seen = 0;
         let mut failures = 0;
-        loop {
+        while go_on() {
             match self.step(api, seen).await {
                 Ok(version) => {
                     seen = version;
@@ -100,11 +111,14 @@
         let state = self.state();
         let held: HashMap<_, _> = state.parts().iter().map(|p| (&p.hash, p)).collect();
         let mut parts = Vec::with_capacity(root.chunks.len());
+        let mut fetched: HashMap<&String, Arc<Part>> = HashMap::new();
         for hash in &root.chunks {
-            let part = match held.get(hash) {
+            let known = held.get(hash).copied().or_else(|| fetched.get(hash));
+            let part = match known {
                 Some(part) => Arc::clone(part),
                 None => Arc::new(Part::index(hash, &fetch_chunk(api, hash).await?)),
             };
+            fetched.insert(hash, part.clone());
             parts.push(part);
         }
         Ok(parts)
--- a/crates/larkspring/src/lib.rs
+++ b/crates/larkspring/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod agent;
 pub mod entry;
 pub mod exec;
+pub mod follow;
 pub mod http;
 pub mod in_force;
 pub mod operate;
--- a/crates/larkspring/src/operate/publish.rs
+++ b/crates/larkspring/src/operate/publish.rs
@@ -15,8 +15,11 @@
 use crate::platform::objects::{ObjectApi, ObjectVersion};
 use crate::platform::PlatformError;
 
-/// Chunks of a declaration; at 49,000 adapters each holds about 80 KB.
-pub const CHUNKS: usize = 64;
+/// Chunks of a declaration; at 49,000 adapters each holds about 5 KB, which is what one
+/// change sends to each process.
+pub const CHUNKS: usize = 1024;
+/// Hex digits of a chunk's content hash, 128 bits of its SHA-256.
+const HASH_DIGITS: usize = 32;
 /// Change ids that the root keeps.
 const KEPT_CHANGES: usize = 64;
 /// Tries to find out whether a change with a lost reply took effect.
@@ -66,13 +69,13 @@
     if from.root.changes.iter().any(|c| c == change) {
         return Ok(from.root.revision);
     }
-    let chunks = split(all);
     let mut hashes = Vec::new();
-    let known: BTreeSet<_> = from.root.chunks.iter().collect();
-    for chunk in &chunks {
-        let value = serde_json::to_vec(chunk).unwrap_or_default();
-        let hash = key_hash(&String::from_utf8_lossy(&value));
-        if !known.contains(&hash) {
+    let mut known: BTreeSet<_> = from.root.chunks.iter().cloned().collect();
+    for chunk in split(all) {
+        let value = serde_json::to_vec(&chunk).unwrap_or_default();
+        let mut hash = key_hash(&String::from_utf8_lossy(&value));
+        hash.truncate(HASH_DIGITS);
+        if known.insert(hash.clone()) {
             write_chunk(api, &hash, value).await?;
         }
         hashes.push(hash);
--- a/crates/larkspring/src/settings.rs
+++ b/crates/larkspring/src/settings.rs
@@ -5,7 +5,9 @@
 use std::path::Path;
 use std::time::Duration;
 
+use larkspring_core::budget::BudgetLimits;
 use larkspring_core::route::Policy;
+use larkspring_core::slots::Eviction;
 use larkspring_core::tenure::Terms;
 use larkspring_proto::settings as wire;
 use quick_error::quick_error;
@@ -100,6 +102,8 @@
     pub load_timeout: Duration,
     /// How often the engine is asked for its state.
     pub poll: Duration,
+    /// Which adapter is unloaded first.
+    pub eviction: Eviction,
 }
 
 /// Where the platform is.
@@ -111,6 +115,10 @@
     pub vms: String,
     /// Time for a call to end.
     pub timeout: Duration,
+    /// Other entries, to be followed while the object API can't be asked.
+    pub peers: Vec<String>,
+    /// What the weight store gives in all; `None` for no limit.
+    pub loads: Option<BudgetLimits>,
 }
 
 /// Logs, spans and metrics.
@@ -247,6 +255,10 @@
             stop_grace: millis(raw.stop_grace_ms, 120_000),
             load_timeout: millis(raw.load_timeout_ms, 30_000),
             poll: millis(raw.poll_ms, 500),
+            eviction: Eviction::parse(&raw.eviction).unwrap_or_else(|| {
+                self.fault("agent.eviction", "one of heat, lru is needed");
+                Eviction::Heat
+            }),
         }
     }
 
@@ -255,11 +267,25 @@
         if !raw.vms.is_empty() {
             self.address("platform.vms", &raw.vms);
         }
+        for peer in &raw.peers {
+            self.address("platform.peers", peer);
+        }
         PlatformCfg {
             objects: raw.objects.clone(),
             vms: raw.vms.clone(),
             timeout: millis(raw.timeout_ms, 2000),
+            peers: raw.peers.clone(),
+            loads: self.loads(raw),
+        }
+    }
+
+    fn loads(&mut self, raw: &wire::Platform) -> Option<BudgetLimits> {
+        let (rate, concurrency) = (raw.load_rate, raw.load_concurrency as usize);
+        if rate < 0.0 || (rate > 0.0) != (concurrency > 0) {
+            let text = "load_rate and load_concurrency are needed together";
+            self.fault("platform.load_rate", text);
         }
+        (rate > 0.0).then_some(BudgetLimits { rate, concurrency })
     }
 
     fn telemetry(&mut self, raw: &wire::Telemetry) -> TelemetryCfg {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,8 +3,14 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-const SCHEMAS: [&str; 4] =
-    ["agent.proto", "declared.proto", "keys.proto", "settings.proto"];
+const SCHEMAS: [&str; 6] = [
+    "agent.proto",
+    "config.proto",
+    "declared.proto",
+    "keys.proto",
+    "loads.proto",
+    "settings.proto",
+];
 const OUT_DIR: &str = "crates/larkspring-proto/src/gen";
 const SERDE: &str = "#[derive(serde::Serialize, serde::Deserialize)] \
                      #[serde(default, deny_unknown_fields)]";
@@ -41,6 +47,7 @@
         .type_attribute(".larkspring.keys.Tenure", SERDE)
         .bytes(".larkspring.agent")
         .bytes(".larkspring.keys")
+        .bytes(".larkspring.config")
         .compile_fds(files)?;
     Ok(())
 }
