--- a/crates/larkspring-cli/tests/common/mod.rs
+++ b/crates/larkspring-cli/tests/common/mod.rs
@@ -34,6 +34,7 @@
     /// More lines of each entry's and agent's settings, indented.
     pub entry_settings: &'static str,
     pub agent_settings: &'static str,
+    pub platform_settings: &'static str,
 }
 
 impl Default for Plan {
@@ -46,6 +47,7 @@
             weights: json!({ "rate": 1000.0, "concurrency": 100, "load_ms": 5 }),
             entry_settings: "",
             agent_settings: "",
+            platform_settings: "",
         }
     }
 }
@@ -60,6 +62,8 @@
     pub service_agent: Proc,
     pub entries: Vec<Proc>,
     pub dir: TempDir,
+    /// Addresses at which the entries reach each other.
+    controls: Vec<String>,
     plan: Plan,
 }
 
@@ -100,6 +104,7 @@
             service_agent,
             entries,
             dir,
+            controls: Vec::new(),
             plan,
         };
         cluster.declare(&cluster.declaration(""));
@@ -118,13 +123,15 @@
     pub fn add_entry(&mut self) {
         let n = self.entries.len();
         let file = self.dir.path().join(format!("entry-{n}.yaml"));
+        let control = free_addr();
+        let peers = self.controls.join(", ");
         let text = format!(
-            "hall: h\nvm: vm-entry-{n}\nplatform:\n  objects: {}\n  timeout_ms: 500\n\
-             telemetry:\n  spans: true\nentry:\n  listen: 127.0.0.1:0\n  control: {}\n{}",
-            self.objects.addr,
-            free_addr(),
-            self.plan.entry_settings
+            "hall: h\nvm: vm-entry-{n}\nplatform:\n  objects: {}\n  timeout_ms: 500\n  \
+             peers: [{peers}]\n{}telemetry:\n  spans: true\n\
+             entry:\n  listen: 127.0.0.1:0\n  control: {control}\n{}",
+            self.objects.addr, self.plan.platform_settings, self.plan.entry_settings
         );
+        self.controls.push(control);
         std::fs::write(&file, text).unwrap();
         let entry = Proc::start(&["entry", "--settings", file.to_str().unwrap()]);
         self.entries.push(entry);
@@ -261,10 +268,10 @@
 ) -> Proc {
     let file = dir.path().join(format!("{name}.yaml"));
     let text = format!(
-        "hall: h\nvm: vm-{name}\nplatform:\n  objects: {objects}\n  timeout_ms: 500\n\
+        "hall: h\nvm: vm-{name}\nplatform:\n  objects: {objects}\n  timeout_ms: 500\n{}\
          telemetry:\n  spans: true\nagent:\n  listen: 127.0.0.1:0\n  endpoint: {name}\n  \
          backend: {backend}\n  slots: {}\n  poll_ms: 50\n{}",
-        plan.slots, plan.agent_settings
+        plan.platform_settings, plan.slots, plan.agent_settings
     );
     std::fs::write(&file, text).unwrap();
     Proc::start(&["agent", "--settings", file.to_str().unwrap()])
--- a/crates/larkspring-cli/tests/config.rs
+++ b/crates/larkspring-cli/tests/config.rs
@@ -188,3 +188,67 @@
         assert!(text.contains(&format!("x.yaml{}", case.line)), "{text}");
     }
 }
+
+#[test]
+fn change_reaches_all_though_the_one_that_was_followed_died() {
+    let mut cluster = Cluster::start(Plan { entries: 3, ..Plan::default() });
+    cluster.wait_keys();
+    for n in 0..3 {
+        cluster.entries[n].kill();
+        let left = cluster.entries[(n + 1) % 3].addr.clone();
+        let name = format!("c{n}");
+        cluster.declare(&cluster.declaration("").replace("name: a19", &name_line(&name)));
+        let answered = || {
+            let body = streamed(&name, "new", 2);
+            complete(&left, KEY, &body, &[]).text()
+                == expected(&format!("{name}@v1"), "new", 2)
+        };
+        until("entry and agent know the new adapter", answered);
+        cluster.restart_entry(n);
+        until("the entry is ready", || {
+            common::client::status(&cluster.entries[n].addr, "/health") == 200
+        });
+    }
+}
+
+fn name_line(name: &str) -> String {
+    format!("name: {name}")
+}
+
+#[test]
+fn process_that_starts_in_an_outage_takes_a_peers_state() {
+    let mut cluster = Cluster::start(Plan::default());
+    cluster.wait_keys();
+    post(&cluster.objects.addr, "/faults", &json!({ "outage": true }));
+    cluster.add_entry();
+    until("the new entry serves", || {
+        common::client::status(&cluster.entries[1].addr, "/health") == 200
+    });
+    let entry = cluster.entries[1].addr.clone();
+    let answer = complete(&entry, KEY, &streamed("a3", "in-outage", 2), &[]);
+    assert_eq!(answer.text(), expected("a3@v1", "in-outage", 2), "{answer:?}");
+}
+
+#[test]
+fn loads_stay_within_the_stores_budget() {
+    let cluster = Cluster::start(Plan {
+        engines: 6,
+        weights: json!({ "rate": 8.0, "concurrency": 2, "load_ms": 100 }),
+        platform_settings: "  load_rate: 8\n  load_concurrency: 2\n",
+        ..Plan::default()
+    });
+    let asks = (0..19).map(|n| {
+        let entry = cluster.entry().to_owned();
+        thread::spawn(move || {
+            let model = format!("a{n}@v2");
+            let answer = complete(&entry, KEY, &streamed(&model, "cold", 2), &[]);
+            (answer, expected(&model, "cold", 2))
+        })
+    });
+    for ask in asks.collect::<Vec<_>>() {
+        let (answer, expected) = ask.join().unwrap();
+        assert_eq!(answer.text(), expected, "{answer:?}");
+    }
+    let stats = get(&cluster.weights.addr, "/stats");
+    assert_eq!(stats["refused"], 0, "{stats}");
+}
