Plan and confirm intents at any entry; give each test process its own addresses

Cause: intents took effect in one step, past the entries. Change: an entry serves operators on an address of its own: a plan is kept in the object API with its chunks written ahead, bound to the root it was made from; confirming it is one conditional update of the root whose change id is the plan's. 'status' prints what is in force, or times a change. A test failed once as two processes drew the same free port; each test process now has a range of loopback addresses, so restarts find theirs again.

--- a/crates/larkspring-cli/src/args.rs
+++ b/crates/larkspring-cli/src/args.rs
@@ -26,7 +26,15 @@
     Agent(ProcessArgs),
     /// Check settings and declarations without changing anything.
     Check(CheckArgs),
-    /// Make a folder of declarations the declared state.
+    /// Ask an entry what a folder of declarations would change.
+    Plan(PlanArgs),
+    /// Put a plan into effect; twice is the same as once.
+    Confirm(ConfirmArgs),
+    /// Print what is in force at entries.
+    Status(StatusArgs),
+    /// Print the declared state, its revision and its last changes.
+    Export(OperatorArgs),
+    /// Make a folder of declarations the declared state at once, past plan and entries.
     Apply(ApplyArgs),
     /// Run entries, agents and stand-ins in this process, on loopback.
     Dev(DevArgs),
@@ -221,3 +229,46 @@
     /// 12 engines, 4 loads a second, 3 at once; weighs batch efficiency.
     Delta,
 }
+
+/// How an operator reaches an entry.
+#[derive(Debug, Args)]
+pub struct OperatorArgs {
+    /// Address of an entry for operators.
+    #[arg(long, value_name = "ADDR")]
+    pub operator: String,
+    /// File with the operators' key.
+    #[arg(long, value_name = "FILE")]
+    pub key_file: PathBuf,
+}
+
+/// Arguments of `plan`.
+#[derive(Debug, Args)]
+pub struct PlanArgs {
+    /// Folder of declarations in YAML.
+    pub declarations: PathBuf,
+    /// The entry.
+    #[command(flatten)]
+    pub to: OperatorArgs,
+}
+
+/// Arguments of `confirm`.
+#[derive(Debug, Args)]
+pub struct ConfirmArgs {
+    /// Id of the plan.
+    pub plan: String,
+    /// The entry; any one will do.
+    #[command(flatten)]
+    pub to: OperatorArgs,
+}
+
+/// Arguments of `status`.
+#[derive(Debug, Args)]
+pub struct StatusArgs {
+    /// Address of an entry for callers; may be given several times.
+    #[arg(long, required = true)]
+    pub entry: Vec<String>,
+    /// Address of the object API: makes a small change and prints how long it takes to be
+    /// in force, p50 and the longest, in milliseconds.
+    #[arg(long, value_name = "ADDR")]
+    pub time_change: Option<String>,
+}
--- a/crates/larkspring-cli/src/main.rs
+++ b/crates/larkspring-cli/src/main.rs
@@ -8,6 +8,7 @@
 mod operate;
 mod process;
 mod standin;
+mod status;
 
 use std::process::ExitCode;
 
@@ -36,6 +37,10 @@
         Command::Entry(args) => process::entry(&args),
         Command::Agent(args) => process::agent(&args),
         Command::Check(args) => operate::check(&args),
+        Command::Plan(args) => operate::plan(&args),
+        Command::Confirm(args) => operate::confirm(&args),
+        Command::Status(args) => status::run(&args),
+        Command::Export(args) => operate::export(&args),
         Command::Apply(args) => operate::apply(&args),
         Command::Dev(args) => dev::run(&args),
         Command::Load(args) => load::run(&args),
--- a/crates/larkspring-cli/src/operate.rs
+++ b/crates/larkspring-cli/src/operate.rs
@@ -2,14 +2,18 @@
 
 use std::time::Duration;
 
+use http_types::Method;
+use larkspring::http::client::{fetch, request};
 use larkspring::operate::{declare, publish};
 use larkspring::platform::objects::HttpObjects;
 use larkspring::{exec, settings};
+use serde_json::Value;
 
-use crate::args::{ApplyArgs, CheckArgs};
+use crate::args::{ApplyArgs, CheckArgs, ConfirmArgs, OperatorArgs, PlanArgs};
 use crate::AnyError;
 
 const API_TIMEOUT: Duration = Duration::from_secs(5);
+const OPERATOR_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Checks settings and declarations.
 pub fn check(args: &CheckArgs) -> Result<(), AnyError> {
@@ -39,6 +43,53 @@
     }
 }
 
+/// Asks an entry for a plan and prints it.
+pub fn plan(args: &PlanArgs) -> Result<(), AnyError> {
+    let all = declare::read_dir(&args.declarations)?;
+    let text = serde_json::to_string(&all)?;
+    let plan = exec::run(1, call(&args.to, Method::Post, "/plans", text))?;
+    println!("{}", serde_json::to_string_pretty(&plan)?);
+    Ok(())
+}
+
+/// Puts a plan into effect.
+pub fn confirm(args: &ConfirmArgs) -> Result<(), AnyError> {
+    let path = format!("/plans/{}/confirm", args.plan);
+    let done = exec::run(1, call(&args.to, Method::Post, &path, String::new()))?;
+    println!("revision {} accepted", done["revision"]);
+    Ok(())
+}
+
+/// Prints the declared state.
+pub fn export(args: &OperatorArgs) -> Result<(), AnyError> {
+    let all = exec::run(1, call(args, Method::Get, "/declared", String::new()))?;
+    print!("{}", serde_yaml_ng::to_string(&all)?);
+    Ok(())
+}
+
+/// Calls the operators' API of an entry.
+async fn call(
+    to: &OperatorArgs,
+    method: Method,
+    path: &str,
+    body: String,
+) -> Result<Value, AnyError> {
+    let key = std::fs::read_to_string(&to.key_file)
+        .map_err(|e| format!("{}: {e}", to.key_file.display()))?;
+    let mut req = request(method, &to.operator, path)?;
+    req.insert_header("authorization", format!("Bearer {}", key.trim()));
+    req.set_body(body);
+    let (res, body) = fetch(&to.operator, req, OPERATOR_TIMEOUT).await?;
+    let answer: Value = serde_json::from_slice(&body).unwrap_or_default();
+    match res.status() as u16 {
+        200 => Ok(answer),
+        status => {
+            let message = answer["error"]["message"].as_str().unwrap_or("no reason");
+            Err(format!("{} answered {status}: {message}", to.operator).into())
+        }
+    }
+}
+
 /// Makes a folder of declarations the declared state.
 pub fn apply(args: &ApplyArgs) -> Result<(), AnyError> {
     let all = declare::read_dir(&args.declarations)?;
--- /dev/null
+++ b/crates/larkspring-cli/src/status.rs
@@ -0,0 +1,97 @@
+//! The command `status`: what is in force where.
+
+use std::time::{Duration, Instant};
+
+use http_types::Method;
+use larkspring::exec;
+use larkspring::http::client::{fetch, request};
+use larkspring::operate::{plan, publish};
+use larkspring::platform::objects::HttpObjects;
+use larkspring_proto::declared::{Adapter, Version};
+use serde_json::Value;
+use smol::Timer;
+
+use crate::args::StatusArgs;
+use crate::AnyError;
+
+const CALL_LIMIT: Duration = Duration::from_secs(2);
+const POLL: Duration = Duration::from_millis(10);
+/// Time after which a change counts as not in force.
+const GIVE_UP: Duration = Duration::from_secs(60);
+
+/// Prints the revision in force at each entry, or times a change.
+pub fn run(args: &StatusArgs) -> Result<(), AnyError> {
+    exec::run(0, async {
+        match &args.time_change {
+            Some(objects) => time_change(&args.entry, objects).await,
+            None => print(&args.entry).await,
+        }
+    })
+}
+
+async fn print(entries: &[String]) -> Result<(), AnyError> {
+    let mut revisions = Vec::new();
+    for addr in entries {
+        match health(addr).await {
+            Ok(health) => {
+                let revision = health["revision"].as_u64().unwrap_or(0);
+                println!(
+                    "{addr}: revision {revision}, holds {} of the keys' partitions",
+                    health["key_partitions"]
+                );
+                revisions.push(revision);
+            }
+            Err(e) => println!("{addr}: {e}"),
+        }
+    }
+    let newest = revisions.iter().max().copied().unwrap_or(0);
+    let there = revisions.iter().filter(|r| **r == newest).count();
+    println!("revision {newest} is in force on {there} of {}", entries.len());
+    match there == entries.len() {
+        true => Ok(()),
+        false => Err("it is not in force everywhere yet".into()),
+    }
+}
+
+/// Adds one adapter and waits until that is in force at each entry.
+async fn time_change(entries: &[String], objects: &str) -> Result<(), AnyError> {
+    let api = HttpObjects::new(objects, CALL_LIMIT);
+    let (present, mut all) = plan::read_present(&api).await?;
+    let name = format!("probe-{:08x}", fastrand::u32(..));
+    all.adapters.push(Adapter {
+        name: name.clone(),
+        base: "base".into(),
+        versions: vec![Version { name: "v1".into(), ..Version::default() }],
+        default_version: "v1".into(),
+        ..Adapter::default()
+    });
+    let revision = publish::publish(&api, &present, &all, &name).await?;
+    let accepted = Instant::now();
+    let waits = entries.iter().cloned().map(|addr| {
+        exec::spawn(async move {
+            while accepted.elapsed() < GIVE_UP {
+                let health = health(&addr).await.unwrap_or_default();
+                if health["revision"].as_u64().is_some_and(|r| r >= revision) {
+                    return Some(accepted.elapsed());
+                }
+                Timer::after(POLL).await;
+            }
+            None
+        })
+    });
+    let waits: Vec<_> = waits.collect();
+    let mut times = Vec::new();
+    for wait in waits {
+        times.push(wait.await.ok_or("a change is not in force after a minute")?);
+    }
+    times.sort();
+    let last = times.len() - 1;
+    println!("{} {}", times[last / 2].as_millis(), times[last].as_millis());
+    Ok(())
+}
+
+async fn health(addr: &str) -> Result<Value, AnyError> {
+    let req = request(Method::Get, addr, "/health")?;
+    let (_, body) = fetch(addr, req, CALL_LIMIT).await?;
+    Ok(serde_json::from_slice(&body)?)
+}
--- a/crates/larkspring-cli/tests/common/mod.rs
+++ b/crates/larkspring-cli/tests/common/mod.rs
@@ -7,6 +7,7 @@
 use std::io::{BufRead, BufReader};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use larkspring_core::declared::key_hash;
@@ -35,6 +36,8 @@
     pub entry_settings: &'static str,
     pub agent_settings: &'static str,
     pub platform_settings: &'static str,
+    /// Addresses at which the entries serve operators, if they do.
+    pub operators: Vec<String>,
 }
 
 impl Default for Plan {
@@ -48,6 +51,7 @@
             entry_settings: "",
             agent_settings: "",
             platform_settings: "",
+            operators: Vec::new(),
         }
     }
 }
@@ -123,7 +127,7 @@
     pub fn add_entry(&mut self) {
         let n = self.entries.len();
         let file = self.dir.path().join(format!("entry-{n}.yaml"));
-        let control = free_addr();
+        let control = own_addr();
         let peers = self.controls.join(", ");
         let text = format!(
             "hall: h\nvm: vm-entry-{n}\nplatform:\n  objects: {}\n  timeout_ms: 500\n  \
@@ -131,6 +135,9 @@
              entry:\n  listen: 127.0.0.1:0\n  control: {control}\n{}",
             self.objects.addr, self.plan.platform_settings, self.plan.entry_settings
         );
+        let operator =
+            self.plan.operators.get(n).map(|addr| format!("  operator: {addr}\n"));
+        let text = text + operator.as_deref().unwrap_or_default();
         self.controls.push(control);
         std::fs::write(&file, text).unwrap();
         let entry = Proc::start(&["entry", "--settings", file.to_str().unwrap()]);
@@ -189,21 +196,12 @@
 
     /// Starts the agent of an engine again, at its old address.
     pub fn restart_agent(&mut self, n: usize) {
-        let name = format!("engine-{n}");
-        let addr = self.agents[n].addr.clone();
-        let file = self.dir.path().join(format!("{name}.yaml"));
-        let text = std::fs::read_to_string(&file).unwrap();
-        let text = text.replace("listen: 127.0.0.1:0", &format!("listen: {addr}"));
-        std::fs::write(&file, text).unwrap();
-        self.agents[n] = Proc::start(&["agent", "--settings", file.to_str().unwrap()]);
+        self.agents[n].restart();
     }
 
     /// Starts an entry again, with its old address for other entries.
     pub fn restart_entry(&mut self, n: usize) {
-        self.entries[n].kill();
-        let args = self.entries[n].args.clone();
-        let args: Vec<_> = args.iter().map(String::as_str).collect();
-        self.entries[n] = Proc::start(&args);
+        self.entries[n].restart();
     }
 
     /// Waits until the entries hold all partitions of the keys among them.
@@ -269,9 +267,12 @@
     let file = dir.path().join(format!("{name}.yaml"));
     let text = format!(
         "hall: h\nvm: vm-{name}\nplatform:\n  objects: {objects}\n  timeout_ms: 500\n{}\
-         telemetry:\n  spans: true\nagent:\n  listen: 127.0.0.1:0\n  endpoint: {name}\n  \
+         telemetry:\n  spans: true\nagent:\n  listen: {}\n  endpoint: {name}\n  \
          backend: {backend}\n  slots: {}\n  poll_ms: 50\n{}",
-        plan.platform_settings, plan.slots, plan.agent_settings
+        plan.platform_settings,
+        own_addr(),
+        plan.slots,
+        plan.agent_settings
     );
     std::fs::write(&file, text).unwrap();
     Proc::start(&["agent", "--settings", file.to_str().unwrap()])
@@ -293,6 +294,13 @@
         Self { child, args: args.iter().map(|a| a.to_string()).collect(), addr }
     }
 
+    /// Kills the process and starts it again.
+    pub fn restart(&mut self) {
+        self.kill();
+        let args: Vec<_> = self.args.iter().map(String::as_str).collect();
+        *self = Self::start(&args);
+    }
+
     /// Kills the process outright.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
@@ -359,12 +367,18 @@
     log.unwrap().into()
 }
 
-/// An address that is free now.
-fn free_addr() -> String {
-    let sock = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    sock.local_addr().unwrap().to_string()
+/// A loopback address that no other process uses: each test process has a range of IP
+/// numbers of its own, so that a process can be started again at its old address.
+pub fn own_addr() -> String {
+    static COUNT: AtomicU32 = AtomicU32::new(1);
+    let (pid, count) = (std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
+    let (high, low) = (1 + pid % 200, pid / 200 % 250);
+    assert!(count < 250, "a test process has no more addresses");
+    format!("127.{high}.{low}.{count}:{OWN_PORT}")
 }
 
+const OWN_PORT: u16 = 7000;
+
 /// Runs a command of the program to its end.
 pub fn run(args: &[&str]) -> std::process::Output {
     Command::new(env!("CARGO_BIN_EXE_larkspring")).args(args).output().unwrap()
--- a/crates/larkspring-proto/src/gen/larkspring.settings.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.settings.rs
@@ -66,6 +66,12 @@
     /// Bytes of answers kept for resends.
     #[prost(uint64, tag = "17")]
     pub kept_answer_bytes: u64,
+    /// Address for operators; none if empty.
+    #[prost(string, tag = "18")]
+    pub operator: ::prost::alloc::string::String,
+    /// SHA-256 of the operators' key in hex.
+    #[prost(string, tag = "19")]
+    pub operator_key_sha256: ::prost::alloc::string::String,
 }
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/larkspring/src/entry/mod.rs
+++ b/crates/larkspring/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod loads;
 mod once;
+mod operator;
 mod refuse;
 
 use std::convert::Infallible;
@@ -50,6 +51,7 @@
 use crate::http::head::HeadError;
 use crate::http::server::{serve, Handler, Limits};
 use crate::in_force::InForce;
+use crate::platform::objects::HttpObjects;
 use crate::rpc::{self, channel::Pool};
 use crate::settings::{EntryCfg, Settings};
 use crate::telemetry::{Metrics, TraceParent};
@@ -59,6 +61,8 @@
 pub struct Entry {
     /// The address that it listens on.
     pub addr: SocketAddr,
+    /// The address that it listens on for operators, if it does.
+    pub operator_addr: Option<SocketAddr>,
     inner: Arc<Inner>,
     _stopper: rpc::serve::Stopper,
     _tasks: Vec<Task<()>>,
@@ -153,10 +157,16 @@
             exec::spawn(async move { follower.run(|| keys.held() > 0).await })
         };
         let inner = Arc::new(Inner::new(cfg, settings, keys, in_force));
+        let operators = match inner.cfg.operator {
+            Some(addr) => Some(serve_operators(addr, &inner, settings).await?),
+            None => None,
+        };
+        let operator_addr = operators.as_ref().map(|(addr, _)| *addr);
         let http = serve(listener, inner.http_limits(), inner.clone());
-        let tasks = vec![follow, maintain, granting, exec::spawn(http)];
+        let mut tasks = vec![follow, maintain, granting, exec::spawn(http)];
+        tasks.extend(operators.map(|(_, task)| task));
         tracing::info!(%addr, "entry started");
-        Ok(Self { addr, inner, _stopper: stopper, _tasks: tasks })
+        Ok(Self { addr, operator_addr, inner, _stopper: stopper, _tasks: tasks })
     }
 
     /// Stops as planned: new requests are refused and those in progress end.
@@ -171,6 +181,25 @@
     }
 }
 
+/// Serves the operators' API in the background.
+async fn serve_operators(
+    addr: SocketAddr,
+    entry: &Arc<Inner>,
+    settings: &Settings,
+) -> Result<(SocketAddr, Task<()>), StartError> {
+    let listener =
+        TcpListener::bind(addr).await.map_err(|e| StartError::Listen(addr, e))?;
+    let addr = listener.local_addr().unwrap_or(addr);
+    let platform = &settings.platform;
+    let operator = operator::Operator {
+        entry: entry.clone(),
+        api: HttpObjects::new(&platform.objects, platform.timeout),
+        key_sha256: entry.cfg.operator_key_sha256.clone(),
+    };
+    let task = exec::spawn(serve(listener, operator::limits(), Arc::new(operator)));
+    Ok((addr, task))
+}
+
 impl Inner {
     fn new(
         cfg: EntryCfg,
--- a/crates/larkspring/src/operate/publish.rs
+++ b/crates/larkspring/src/operate/publish.rs
@@ -69,8 +69,18 @@
     if from.root.changes.iter().any(|c| c == change) {
         return Ok(from.root.revision);
     }
+    let chunks = write_chunks(api, &from.root, all).await?;
+    publish_root(api, from, chunks, change).await
+}
+
+/// Writes the chunks of a declaration that `from` lacks; returns all their hashes.
+pub async fn write_chunks(
+    api: &dyn ObjectApi,
+    from: &Root,
+    all: &Chunk,
+) -> Result<Vec<String>, PublishError> {
     let mut hashes = Vec::new();
-    let mut known: BTreeSet<_> = from.root.chunks.iter().cloned().collect();
+    let mut known: BTreeSet<_> = from.chunks.iter().cloned().collect();
     for chunk in split(all) {
         let value = serde_json::to_vec(&chunk).unwrap_or_default();
         let mut hash = key_hash(&String::from_utf8_lossy(&value));
@@ -80,7 +90,17 @@
         }
         hashes.push(hash);
     }
-    let root = next_root(&from.root, hashes, change);
+    Ok(hashes)
+}
+
+/// Makes chunks that are written the declared state, if the root is still `from`.
+pub async fn publish_root(
+    api: &dyn ObjectApi,
+    from: &Present,
+    chunks: Vec<String>,
+    change: &str,
+) -> Result<u64, PublishError> {
+    let root = next_root(&from.root, chunks, change);
     let value = serde_json::to_vec(&root).unwrap_or_default();
     match api.put(ROOT, from.version, value).await {
         Ok(_) => Ok(root.revision),
--- a/crates/larkspring/src/settings.rs
+++ b/crates/larkspring/src/settings.rs
@@ -79,6 +79,10 @@
     pub terms: Terms,
     /// Bytes of answers kept for resends.
     pub kept_answer_bytes: usize,
+    /// Address for operators, if they are served.
+    pub operator: Option<SocketAddr>,
+    /// SHA-256 of the operators' key, in hex.
+    pub operator_key_sha256: String,
 }
 
 /// Settings of an agent.
@@ -154,6 +158,7 @@
     }
 }
 
+const SHA256_DIGITS: usize = 64;
 /// A lease is at least this many times the skew of clocks.
 const LEAST_LEASE: u32 = 10;
 const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
@@ -208,8 +213,17 @@
                 retention: millis(raw.key_retention_ms, 600_000),
                 skew: millis(raw.clock_skew_ms, 1000),
             },
+            operator: match raw.operator.as_str() {
+                "" => None,
+                addr => Some(self.address("entry.operator", addr)),
+            },
+            operator_key_sha256: raw.operator_key_sha256.to_ascii_lowercase(),
             kept_answer_bytes: bytes(raw.kept_answer_bytes, 8 * 1024 * 1024),
         };
+        if cfg.operator.is_some() && cfg.operator_key_sha256.len() != SHA256_DIGITS {
+            let text = "the SHA-256 of a key in hex is needed with entry.operator";
+            self.fault("entry.operator_key_sha256", text);
+        }
         if cfg.terms.lease < cfg.terms.skew * LEAST_LEASE {
             let text = "the lease is under ten times entry.clock_skew_ms";
             self.fault("entry.key_lease_ms", text);
