Hand keys over at a planned stop; test the slots with random events

Cause: a planned stop counted as a death, so keys without a birth in its partitions were 'unknown' for the retention, 10 minutes by default. Change: the holder stops granting, tells another one all it knows, and names it.

--- a/crates/larkspring-cli/tests/once.rs
+++ b/crates/larkspring-cli/tests/once.rs
@@ -258,3 +258,41 @@
     assert_eq!((resend.status, &*resend.outcome()), (409, "unknown"), "{resend:?}");
     assert_eq!(runs(), 2);
 }
+
+#[test]
+fn planned_stop_hands_the_keys_over() {
+    let mut cluster = cluster(2);
+    let keys: Vec<_> =
+        (0..20).map(|n| (format!("plain{n}"), format!("kept{n}"))).collect();
+    let mut bodies = Vec::new();
+    for (key, prompt) in &keys {
+        let first = ask(cluster.entry(), key, prompt, 2);
+        assert_eq!(first.text(), expected("once@v1", prompt, 2), "{first:?}");
+        bodies.push(first.body);
+    }
+    let body = streamed("once", "long", 1500);
+    let headers = [("idempotency-key", "running")];
+    let mut running = send(cluster.entry(), &completion(KEY, &body, &headers));
+    running.read_until("|long|").unwrap();
+    cluster.entries[0].ask_to_stop();
+    until("the other entry holds all partitions", || {
+        cluster.entries[1].key_partitions() == 64
+    });
+    let left = cluster.entries[1].addr.clone();
+    for ((key, prompt), body) in keys.iter().zip(&bodies) {
+        let resend = ask(&left, key, prompt, 2);
+        assert_eq!((resend.status, &resend.body), (200, body), "{key}: {resend:?}");
+        assert_eq!(cluster.runs_of(prompt), 1);
+    }
+    for n in 0..20 {
+        let new = ask(&left, &format!("new{n}"), "new", 1);
+        assert_eq!(new.status, 200, "{new:?}");
+    }
+    assert!(running.read().done());
+    cluster.entries[0].wait_end();
+    until("the answer of the running one is found", || {
+        let resend = ask(&left, "running", "long", 1500);
+        resend.header("larkspring-replayed") == Some("yes") || resend.status == 409
+    });
+    assert_eq!(cluster.runs_of("long"), 1);
+}
--- a/crates/larkspring-core/src/claims.rs
+++ b/crates/larkspring-core/src/claims.rs
@@ -120,14 +120,21 @@
     }
 }
 
-#[derive(Debug)]
-struct Claim<A> {
-    claimed: Millis,
-    request: u64,
-    attempt: String,
-    deadline: Millis,
-    settled: Option<Settled>,
-    answer: Option<(A, usize)>,
+/// What is known of one key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Claim<A> {
+    /// When it was claimed.
+    pub claimed: Millis,
+    /// Hash of the request.
+    pub request: u64,
+    /// Name of the attempt that holds it.
+    pub attempt: String,
+    /// When the attempt counts as unclear if it is not settled.
+    pub deadline: Millis,
+    /// How the attempt ended, if it has.
+    pub settled: Option<Settled>,
+    /// The answer with its length in bytes, while it is kept.
+    pub answer: Option<(A, usize)>,
 }
 
 impl<A: Clone> Claims<A> {
@@ -198,6 +205,27 @@
         }
     }
 
+    /// Returns all that is known, the oldest claim first.
+    pub fn export(&self) -> Vec<(ClaimKey, Claim<A>)> {
+        let mut all: Vec<_> = self.held.iter().map(|(k, c)| (*k, c.clone())).collect();
+        all.sort_by_key(|(key, claim)| (claim.claimed, *key));
+        all
+    }
+
+    /// Takes in what another holder knew, the oldest claim first.
+    pub fn import(&mut self, claims: Vec<(ClaimKey, Claim<A>)>) {
+        for (key, mut claim) in claims {
+            let answer = claim.answer.take();
+            let settled = claim.settled.take();
+            let attempt = claim.attempt.clone();
+            self.order.push_back((claim.claimed, key));
+            self.held.insert(key, claim);
+            if let Some(settled) = settled {
+                self.settle(key, &attempt, settled, answer);
+            }
+        }
+    }
+
     /// Number of keys that are kept.
     pub fn len(&self) -> usize {
         self.held.len()
--- a/crates/larkspring-core/src/tenure.rs
+++ b/crates/larkspring-core/src/tenure.rs
@@ -104,6 +104,12 @@
     Some(Tenure { from_ms, since_ms, until_ms, ..me.clone() })
 }
 
+/// Returns the tenure of a successor that was told all that the holder knows.
+pub fn handover(t: &Tenure, successor: &Tenure) -> Tenure {
+    let Tenure { from_ms, until_ms, since_ms, .. } = *t;
+    Tenure { from_ms, until_ms, since_ms, ..successor.clone() }
+}
+
 /// Returns the tenure with its range extended, if it is time to.
 pub fn renewal(t: &Tenure, terms: &Terms, now: Millis) -> Option<Tenure> {
     let lease = millis(terms.lease);
--- a/crates/larkspring-core/tests/once.rs
+++ b/crates/larkspring-core/tests/once.rs
@@ -214,3 +214,19 @@
     assert_eq!(claims.claim(4000, ask(1, "b")).0, Verdict::Granted);
     assert_ne!(claims.claim(6000, ask(1, "c")).0, Verdict::Granted);
 }
+
+#[test]
+fn claims_that_are_handed_over_are_known_as_before() {
+    let mut old = claims();
+    old.claim(0, ask(1, "a"));
+    old.settle(1, "a", Settled::Ran, Some(("x", 1)));
+    old.claim(10, ask(2, "a"));
+    let mut new = claims();
+    new.import(old.export());
+    assert_eq!(new.claim(11, ask(1, "b")), (Verdict::Ran, Some("x")));
+    assert_eq!(new.claim(11, ask(2, "b")).0, Verdict::Running);
+    new.settle(2, "a", Settled::NotRun, None);
+    assert_eq!(new.claim(12, ask(2, "b")).0, Verdict::Granted);
+    // The time of retention counts from the first claim.
+    assert_eq!(new.claim(5000, ask(1, "b")).0, Verdict::Granted);
+}
--- /dev/null
+++ b/crates/larkspring-core/tests/slots_random.rs
@@ -0,0 +1,221 @@
+//! Random events, faults and clock steps against what must hold for an agent's slots.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use larkspring_core::ids::{Incarnation, Target};
+use larkspring_core::slots::{Action, Eviction, Held, Limits, Slots, Waiting};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const SLOTS: usize = 3;
+const MAX_RUNNING: usize = 4;
+const ADAPTERS: u8 = 6;
+/// Reports show the engine as it was up to this many events ago.
+const REPORT_LAG: usize = 3;
+
+#[derive(Debug, Clone)]
+enum Event {
+    Ask { adapter: u8, priority: u32 },
+    Abandon(u8),
+    End(u8),
+    Load { nth: u8, ok: bool },
+    Unload { nth: u8, ok: bool },
+    Report { lag: u8 },
+    Restart,
+    Lost,
+    Pass(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        6 => (0..ADAPTERS, 0..10u32)
+            .prop_map(|(adapter, priority)| Event::Ask { adapter, priority }),
+        1 => any::<u8>().prop_map(Event::Abandon),
+        5 => any::<u8>().prop_map(Event::End),
+        5 => (any::<u8>(), prop::bool::weighted(0.8))
+            .prop_map(|(nth, ok)| Event::Load { nth, ok }),
+        4 => (any::<u8>(), prop::bool::weighted(0.8))
+            .prop_map(|(nth, ok)| Event::Unload { nth, ok }),
+        3 => (0..REPORT_LAG as u8).prop_map(|lag| Event::Report { lag }),
+        1 => Just(Event::Restart),
+        1 => Just(Event::Lost),
+        3 => (1..3000u64).prop_map(Event::Pass),
+    ]
+}
+
+/// The engine as it is, beside the slots that only hear of it.
+struct World {
+    slots: Slots,
+    now: Instant,
+    run: u32,
+    loaded: BTreeSet<u8>,
+    history: Vec<(u32, BTreeSet<u8>)>,
+    loading: Vec<u8>,
+    unloading: Vec<u8>,
+    waiting: BTreeMap<u64, u8>,
+    running: BTreeMap<u64, (u8, u32)>,
+    next: u64,
+}
+
+fn target(adapter: u8) -> Target {
+    Target::new(&adapter.to_string(), "v")
+}
+
+fn adapter(target: &Target) -> u8 {
+    target.adapter.parse().unwrap()
+}
+
+fn pick<T: Copy>(all: &[T], nth: u8) -> Option<T> {
+    (!all.is_empty()).then(|| all[nth as usize % all.len()])
+}
+
+impl World {
+    fn new() -> Self {
+        let limits = Limits {
+            slots: SLOTS,
+            max_running: MAX_RUNNING,
+            max_waiting: 20,
+            max_loading: 2,
+            patience: Duration::from_secs(2),
+            settle: Duration::from_secs(3),
+            eviction: Eviction::Heat,
+        };
+        let mut world = Self {
+            slots: Slots::new(limits),
+            now: Instant::now(),
+            run: 1,
+            loaded: BTreeSet::new(),
+            history: Vec::new(),
+            loading: Vec::new(),
+            unloading: Vec::new(),
+            waiting: BTreeMap::new(),
+            running: BTreeMap::new(),
+            next: 0,
+        };
+        world.report(0);
+        world
+    }
+
+    fn apply(&mut self, event: Event) {
+        match event {
+            Event::Ask { adapter, priority } => self.ask(adapter, priority),
+            Event::Abandon(nth) => {
+                let ids: Vec<_> = self.waiting.keys().copied().collect();
+                if let Some(id) = pick(&ids, nth) {
+                    assert!(self.slots.abandon(id), "a waiting request has not started");
+                    self.waiting.remove(&id);
+                }
+            }
+            Event::End(nth) => {
+                let ids: Vec<_> = self.running.keys().copied().collect();
+                if let Some(id) = pick(&ids, nth) {
+                    self.running.remove(&id);
+                    self.slots.ended(self.now, id);
+                }
+            }
+            Event::Load { nth, ok } => {
+                if let Some(a) = pick(&self.loading, nth) {
+                    self.loading.retain(|b| *b != a);
+                    if ok {
+                        self.loaded.insert(a);
+                    }
+                    self.slots.loaded(self.now, &target(a), ok);
+                }
+            }
+            Event::Unload { nth, ok } => {
+                if let Some(a) = pick(&self.unloading, nth) {
+                    self.unloading.retain(|b| *b != a);
+                    if ok {
+                        self.loaded.remove(&a);
+                    }
+                    self.slots.unloaded(self.now, &target(a), ok);
+                }
+            }
+            Event::Report { lag } => self.report(lag as usize),
+            Event::Restart => {
+                self.run += 1;
+                self.loaded.clear();
+                self.loading.clear();
+                self.unloading.clear();
+                self.history.clear();
+                self.report(0);
+            }
+            Event::Lost => self.slots.engine_lost(),
+            Event::Pass(ms) => self.now += Duration::from_millis(ms),
+        }
+        self.history.push((self.run, self.loaded.clone()));
+    }
+
+    fn ask(&mut self, adapter: u8, priority: u32) {
+        self.next += 1;
+        let deadline = self.now + Duration::from_secs(3600);
+        let req =
+            Waiting { target: target(adapter), priority, since: self.now, deadline };
+        if self.slots.admit(self.now, self.next, req).is_ok() {
+            self.waiting.insert(self.next, adapter);
+        }
+    }
+
+    fn report(&mut self, lag: usize) {
+        let past = self.history.iter().rev().nth(lag).cloned();
+        let (run, loaded) = past.unwrap_or((self.run, self.loaded.clone()));
+        let run = Incarnation::from(run.to_string());
+        let held = loaded.iter().map(|a| Held { target: target(*a), foreign: 0 });
+        self.slots.engine_is(self.now, &run, &held.collect::<Vec<_>>());
+    }
+
+    fn schedule(&mut self) {
+        for action in self.slots.schedule(self.now) {
+            match action {
+                Action::Start(id) => {
+                    let a = self.waiting.remove(&id).expect("only waiting ones start");
+                    // The engine would refuse one that it does not hold; the agent then
+                    // hears that it is lost.
+                    if !self.loaded.contains(&a) {
+                        self.slots.lost(&target(a));
+                        self.slots.ended(self.now, id);
+                        continue;
+                    }
+                    self.running.insert(id, (a, self.run));
+                }
+                Action::Refuse(id, refusal) => {
+                    assert!(refusal.retry_after.is_some());
+                    self.waiting.remove(&id).expect("only waiting ones are refused");
+                }
+                Action::Load(t) => {
+                    let a = adapter(&t);
+                    assert!(!self.loading.contains(&a), "one load serves all");
+                    self.loading.push(a);
+                }
+                Action::Unload(t) => {
+                    let a = adapter(&t);
+                    let uses = |(b, run): &&(u8, u32)| *b == a && *run == self.run;
+                    assert_eq!(self.running.values().filter(uses).count(), 0, "pinned");
+                    self.unloading.push(a);
+                }
+            }
+        }
+        let in_engine = self.running.values().filter(|(_, run)| *run == self.run);
+        assert!(in_engine.count() <= MAX_RUNNING);
+        assert_eq!(self.slots.waiting(), self.waiting.len());
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(20261202),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn nothing_in_use_is_unloaded(events in prop::collection::vec(event(), 1..150)) {
+        let mut world = World::new();
+        for event in events {
+            world.apply(event);
+            world.schedule();
+        }
+    }
+}
--- a/crates/larkspring-proto/src/gen/larkspring.keys.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.keys.rs
@@ -102,6 +102,40 @@
     #[prost(message, optional, tag = "3")]
     pub table: ::core::option::Option<KeyTable>,
 }
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct HandoverRequest {
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    #[prost(message, repeated, tag = "2")]
+    pub claims: ::prost::alloc::vec::Vec<KeptClaim>,
+}
+/// A claim as its holder knows it.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct KeptClaim {
+    #[prost(bytes = "bytes", tag = "1")]
+    pub key: ::prost::bytes::Bytes,
+    #[prost(uint64, tag = "2")]
+    pub claimed_ms: u64,
+    #[prost(fixed64, tag = "3")]
+    pub request: u64,
+    #[prost(string, tag = "4")]
+    pub attempt: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "5")]
+    pub deadline_ms: u64,
+    /// As in the core's `Settled`; 0 if it isn't settled.
+    #[prost(uint32, tag = "6")]
+    pub settled: u32,
+    #[prost(message, optional, tag = "7")]
+    pub answer: ::core::option::Option<KeptAnswer>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct HandoverReply {
+    /// Run that took the claims in.
+    #[prost(uint64, tag = "1")]
+    pub run: u64,
+    #[prost(string, tag = "2")]
+    pub vm: ::prost::alloc::string::String,
+}
 /// Generated client implementations.
 pub mod keys_client {
     #![allow(
@@ -227,6 +261,28 @@
                 .insert(GrpcMethod::new("larkspring.keys.Keys", "Settle"));
             self.inner.unary(req, path, codec).await
         }
+        /// Takes in what another holder knows of a partition that it is about to give away.
+        pub async fn handover(
+            &mut self,
+            request: impl tonic::IntoRequest<super::HandoverRequest>,
+        ) -> std::result::Result<tonic::Response<super::HandoverReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/larkspring.keys.Keys/Handover",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("larkspring.keys.Keys", "Handover"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Says which run of the process this is, and what it knows of the table.
         pub async fn hello(
             &mut self,
@@ -274,6 +330,11 @@
             &self,
             request: tonic::Request<super::SettleRequest>,
         ) -> std::result::Result<tonic::Response<super::SettleReply>, tonic::Status>;
+        /// Takes in what another holder knows of a partition that it is about to give away.
+        async fn handover(
+            &self,
+            request: tonic::Request<super::HandoverRequest>,
+        ) -> std::result::Result<tonic::Response<super::HandoverReply>, tonic::Status>;
         /// Says which run of the process this is, and what it knows of the table.
         async fn hello(
             &self,
@@ -443,6 +504,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/larkspring.keys.Keys/Handover" => {
+                    #[allow(non_camel_case_types)]
+                    struct HandoverSvc<T: Keys>(pub Arc<T>);
+                    impl<T: Keys> tonic::server::UnaryService<super::HandoverRequest>
+                    for HandoverSvc<T> {
+                        type Response = super::HandoverReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::HandoverRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Keys>::handover(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = HandoverSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/larkspring.keys.Keys/Hello" => {
                     #[allow(non_camel_case_types)]
                     struct HelloSvc<T: Keys>(pub Arc<T>);
--- /dev/null
+++ b/crates/larkspring/src/entry/keys/handover.rs
@@ -0,0 +1,114 @@
+//! A planned stop: what this entry knows of its keys goes to other holders.
+
+use std::sync::atomic::Ordering;
+
+use larkspring_core::claims::{Claim, ClaimKey, Settled};
+use larkspring_core::tenure::{handover, same_run};
+use larkspring_proto::keys::{
+    HandoverReply, HandoverRequest, KeptAnswer, KeptClaim, Tenure,
+};
+use tonic::Status;
+
+use super::{timed, Keys};
+
+/// Tries to write the table.
+const TRIES: u32 = 5;
+
+impl Keys {
+    /// Gives all partitions to other holders, with what is known of their keys.
+    ///
+    /// From its beginning on this run grants nothing more. A partition that can't be
+    /// given away is taken over as after a death.
+    pub async fn give_away(&self) {
+        self.closing.store(true, Ordering::Release);
+        let mut heirs = Vec::new();
+        for partition in 0..self.claims.len() {
+            let Some(tenure) = self.holder(partition) else { continue };
+            if !same_run(&tenure, &self.me) {
+                continue;
+            }
+            if let Some(heir) = self.tell_heir(partition).await {
+                heirs.push((partition, heir));
+            }
+        }
+        let given = heirs.len();
+        for _ in 0..TRIES {
+            if self.write_heirs(&heirs).await {
+                tracing::info!(given, "partitions were given away");
+                return;
+            }
+        }
+        tracing::warn!("the partitions could not be given away");
+    }
+
+    /// Takes in what another holder knows.
+    pub(super) fn inherit(&self, req: HandoverRequest) -> Result<HandoverReply, Status> {
+        let partition = req.partition as usize;
+        let place = self.claims.get(partition);
+        let place = place.ok_or_else(|| Status::invalid_argument("no such partition"))?;
+        let claims: Option<Vec<_>> = req.claims.into_iter().map(from_message).collect();
+        let claims = claims.ok_or_else(|| Status::invalid_argument("a key is faulty"))?;
+        place.lock().import(claims);
+        Ok(HandoverReply { run: self.me.run, vm: self.me.vm.clone() })
+    }
+
+    /// Tells another holder what is known of a partition; returns who it is.
+    async fn tell_heir(&self, partition: usize) -> Option<Tenure> {
+        let mut holders = self.hello().table?.partitions;
+        holders.retain(|t| !t.holder.is_empty() && t.holder != self.me.holder);
+        let heir = fastrand::choice(holders)?;
+        let claims = self.claims[partition].lock().export();
+        let req = HandoverRequest {
+            partition: partition as u32,
+            claims: claims.into_iter().map(to_message).collect(),
+        };
+        let mut client = self.client(&heir).await.ok()?;
+        let reply = timed(client.handover(req)).await.ok()?;
+        Some(Tenure { run: reply.run, vm: reply.vm, ..heir })
+    }
+
+    /// Writes the heirs into the table; false if it changed meanwhile.
+    async fn write_heirs(&self, heirs: &[(usize, Tenure)]) -> bool {
+        let (version, mut table) = self.known_table();
+        let mut left = false;
+        for (partition, heir) in heirs {
+            let Some(t) = table.partitions.get_mut(*partition) else { continue };
+            if same_run(t, &self.me) {
+                *t = handover(t, heir);
+                left = true;
+            }
+        }
+        // A write whose reply was lost shows as nothing left to do.
+        !left || (self.write(version, table).await.is_ok() && self.held() == 0)
+    }
+}
+
+fn to_message((key, claim): (ClaimKey, Claim<KeptAnswer>)) -> KeptClaim {
+    KeptClaim {
+        key: key.to_be_bytes().to_vec().into(),
+        claimed_ms: claim.claimed,
+        request: claim.request,
+        attempt: claim.attempt,
+        deadline_ms: claim.deadline,
+        settled: claim.settled.map_or(0, Settled::code),
+        answer: claim.answer.map(|(answer, _)| answer),
+    }
+}
+
+fn from_message(claim: KeptClaim) -> Option<(ClaimKey, Claim<KeptAnswer>)> {
+    let key = ClaimKey::from_be_bytes((&claim.key[..]).try_into().ok()?);
+    let settled = (claim.settled > 0).then(|| Settled::from_code(claim.settled));
+    let answer = claim.answer.map(|answer| {
+        let len = answer.body.len();
+        (answer, len)
+    });
+    let claim = Claim {
+        claimed: claim.claimed_ms,
+        request: claim.request,
+        attempt: claim.attempt,
+        deadline: claim.deadline_ms,
+        settled,
+        answer,
+    };
+    Some((key, claim))
+}
--- a/crates/larkspring/src/entry/keys/mod.rs
+++ b/crates/larkspring/src/entry/keys/mod.rs
@@ -1,11 +1,13 @@
 //! Keys of requests that run at most once: asking the holder of a key's partition, and
 //! answering for the partitions that this entry holds.
 
+mod handover;
 mod rpc;
 mod table;
 
 use std::fmt::{self, Debug, Formatter};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use event_listener::Event;
@@ -41,6 +43,8 @@
     claims: Vec<Mutex<Claims<KeptAnswer>>>,
     api: HttpObjects,
     pool: Pool,
+    /// Whether this run gives its partitions away and grants nothing more.
+    closing: AtomicBool,
 }
 
 /// A key that is to be claimed.
@@ -102,6 +106,7 @@
             claims: (0..PARTITIONS).map(|_| Mutex::new(Claims::new(limits))).collect(),
             api: HttpObjects::new(&platform.objects, platform.timeout),
             pool: Pool::new(MAX_CONNECTIONS, CALL_TIMEOUT),
+            closing: AtomicBool::new(false),
         }
     }
 
@@ -180,6 +185,10 @@
             return foreign;
         }
         let mut claims = self.claims[key.partition].lock();
+        // Under the lock, so that what is handed over holds each granted claim.
+        if self.closing.load(Ordering::Acquire) {
+            return foreign;
+        }
         if let Some((verdict, answer)) = claims.look(now, &key.ask) {
             return Answered { verdict, retry_after: None, answer };
         }
--- a/crates/larkspring/src/entry/keys/rpc.rs
+++ b/crates/larkspring/src/entry/keys/rpc.rs
@@ -6,7 +6,8 @@
 use larkspring_core::tenure::PARTITIONS;
 use larkspring_proto::keys::keys_server::Keys as KeysRpc;
 use larkspring_proto::keys::{
-    ClaimReply, ClaimRequest, HelloReply, HelloRequest, SettleReply, SettleRequest,
+    ClaimReply, ClaimRequest, HandoverReply, HandoverRequest, HelloReply, HelloRequest,
+    SettleReply, SettleRequest,
 };
 use tonic::{Request, Response, Status};
 
@@ -56,6 +57,13 @@
         Ok(Response::new(SettleReply {}))
     }
 
+    async fn handover(
+        &self,
+        req: Request<HandoverRequest>,
+    ) -> Result<Response<HandoverReply>, Status> {
+        self.keys.inherit(req.into_inner()).map(Response::new)
+    }
+
     async fn hello(
         &self,
         _: Request<HelloRequest>,
--- a/crates/larkspring/src/entry/keys/table.rs
+++ b/crates/larkspring/src/entry/keys/table.rs
@@ -1,6 +1,7 @@
 //! The table that says who holds each partition, kept as one object.
 
 use std::collections::HashSet;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -141,8 +142,14 @@
         }
     }
 
+    /// Returns the known table and its version.
+    pub(super) fn known_table(&self) -> (ObjectVersion, KeyTable) {
+        let view = self.view.lock();
+        (view.version, view.table.clone())
+    }
+
     /// Writes the table; the view changes only if that surely succeeded.
-    async fn write(
+    pub(super) async fn write(
         &self,
         version: ObjectVersion,
         table: KeyTable,
@@ -171,6 +178,9 @@
 
     /// Returns the table with what this run may renew or take, if there is anything.
     fn next_table(&self, view: &View) -> Option<KeyTable> {
+        if self.closing.load(Ordering::Acquire) {
+            return None;
+        }
         let now = wall_clock();
         let mut next = view.table.clone();
         next.partitions.resize(PARTITIONS, Tenure::default());
--- a/crates/larkspring/src/entry/mod.rs
+++ b/crates/larkspring/src/entry/mod.rs
@@ -173,6 +173,7 @@
     pub async fn stop(self) {
         tracing::info!(addr = %self.addr, "entry stops");
         self.inner.stopping.store(true, Ordering::Release);
+        self.inner.keys.give_away().await;
         let idle = self.inner.limits.idle();
         let late = async {
             Timer::after(self.inner.cfg.stop_grace).await;
