Follow the VM list: a leaving VM's endpoint gets nothing new, and serves again if it stays

Cause: leaving came from declarations and signals only, and a drain was for good. Change: processes that watch the object API read the VM list each second and pass the leaving VMs down the tree; agents refuse and entries choose by it. A drain ends when its reason does.

--- a/crates/larkspring-cli/tests/common/mod.rs
+++ b/crates/larkspring-cli/tests/common/mod.rs
@@ -60,6 +60,7 @@
 pub struct Cluster {
     pub objects: Proc,
     pub weights: Proc,
+    pub vms: Proc,
     pub service: Proc,
     pub engines: Vec<Proc>,
     pub agents: Vec<Proc>,
@@ -84,6 +85,7 @@
         let objects = Proc::start(&["standin", "objects"]);
         let weights = Proc::start(&["standin", "weights"]);
         post(&weights.addr, "/faults", &plan.weights);
+        let vms = Proc::start(&["standin", "vms"]);
         let service = Proc::start(&["standin", "service"]);
         let mut engines = Vec::new();
         let mut agents = Vec::new();
@@ -102,6 +104,7 @@
         let mut cluster = Self {
             objects,
             weights,
+            vms,
             service,
             engines,
             agents,
@@ -130,10 +133,13 @@
         let control = own_addr();
         let peers = self.controls.join(", ");
         let text = format!(
-            "hall: h\nvm: vm-entry-{n}\nplatform:\n  objects: {}\n  timeout_ms: 500\n  \
-             peers: [{peers}]\n{}telemetry:\n  spans: true\n\
+            "hall: h\nvm: vm-entry-{n}\nplatform:\n  objects: {}\n  vms: {}\n  \
+             timeout_ms: 500\n  peers: [{peers}]\n{}telemetry:\n  spans: true\n\
              entry:\n  listen: 127.0.0.1:0\n  control: {control}\n{}",
-            self.objects.addr, self.plan.platform_settings, self.plan.entry_settings
+            self.objects.addr,
+            self.vms.addr,
+            self.plan.platform_settings,
+            self.plan.entry_settings
         );
         let operator =
             self.plan.operators.get(n).map(|addr| format!("  operator: {addr}\n"));
@@ -171,7 +177,7 @@
         for (n, agent) in self.agents.iter().enumerate() {
             let _ = write!(
                 text,
-                "- name: engine-{n}\n  hall: h\n  vm: vm-{n}\n  agent: {}\n  \
+                "- name: engine-{n}\n  hall: h\n  vm: vm-engine-{n}\n  agent: {}\n  \
                  base: base\n  checks_fences: true\n{engine_lines}",
                 agent.addr
             );
--- a/crates/larkspring-cli/tests/config.rs
+++ b/crates/larkspring-cli/tests/config.rs
@@ -252,3 +252,41 @@
     let stats = get(&cluster.weights.addr, "/stats");
     assert_eq!(stats["refused"], 0, "{stats}");
 }
+
+#[test]
+fn endpoint_whose_vm_is_leaving_gets_nothing_new_until_it_stays() {
+    let cluster = Cluster::start(Plan { engines: 2, entries: 2, ..Plan::default() });
+    cluster.wait_keys();
+    let list = |leaving: bool| {
+        let vms = json!([{ "name": "vm-engine-0", "leaving": leaving }]);
+        post(&cluster.vms.addr, "/faults", &json!({ "vms": vms, "lag_ms": 100 }));
+    };
+    let seen = |count: usize| {
+        let log = cluster.dir.path().join("engine-0.log");
+        let text = std::fs::read_to_string(log).unwrap();
+        text.matches("VMs are leaving").count() >= count
+    };
+    let runs = || cluster.engine_stats(0)["runs"].as_array().unwrap().len();
+    let ask_all = || {
+        for n in 0..12 {
+            let body = streamed(&format!("a{n}"), "new", 2);
+            let answer = complete(&cluster.entries[n % 2].addr, KEY, &body, &[]);
+            assert_eq!(
+                answer.text(),
+                expected(&format!("a{n}@v1"), "new", 2),
+                "{answer:?}"
+            );
+        }
+    };
+    list(true);
+    until("the agent knows", || seen(1));
+    let before = runs();
+    ask_all();
+    assert_eq!(runs(), before);
+    list(false);
+    until("the agent knows", || seen(2));
+    until("it serves again", || {
+        ask_all();
+        runs() > before
+    });
+}
--- a/crates/larkspring-core/src/route.rs
+++ b/crates/larkspring-core/src/route.rs
@@ -93,7 +93,7 @@
     pub fn choose(
         &self,
         now: Instant,
-        endpoints: &[Arc<Endpoint>],
+        endpoints: &[&Arc<Endpoint>],
         target: Option<TargetHash>,
         tried: &[EndpointId],
         rng: &mut Rng,
@@ -101,7 +101,7 @@
         let usable = |e: &&Arc<Endpoint>| {
             !e.leaving && !tried.contains(&e.name) && !self.avoided(now, &e.name)
         };
-        let open: Vec<_> = endpoints.iter().filter(usable).collect();
+        let open: Vec<_> = endpoints.iter().copied().filter(usable).collect();
         let chosen = match (self.policy, target) {
             (Policy::Random, _) => rng.choice(open),
             (Policy::Predicted, Some(target)) => {
--- a/crates/larkspring-core/src/slots.rs
+++ b/crates/larkspring-core/src/slots.rs
@@ -320,9 +320,10 @@
         self.reachable = false;
     }
 
-    /// Stops taking requests; those that run go on, those that wait are refused.
-    pub fn drain(&mut self) {
-        self.draining = true;
+    /// Stops taking requests, or takes them again; those that run go on, and while no
+    /// requests are taken those that wait are refused.
+    pub fn drain(&mut self, draining: bool) {
+        self.draining = draining;
     }
 
     /// Whether no request waits or runs.
--- a/crates/larkspring-core/tests/slots.rs
+++ b/crates/larkspring-core/tests/slots.rs
@@ -247,7 +247,7 @@
     };
     let case = |name, prepare, limit| Case { name, prepare, limit };
     let cases = [
-        case("draining", |a: &mut Agent| a.slots.drain(), MINUTE),
+        case("draining", |a: &mut Agent| a.slots.drain(true), MINUTE),
         case("unreachable", |a: &mut Agent| a.slots.engine_lost(), MINUTE),
         case("full", fill, MINUTE),
         case("too late", |_: &mut Agent| (), Duration::from_millis(1)),
@@ -269,12 +269,15 @@
     let runs = agent.ask("a");
     assert_eq!(agent.does(), [Action::Start(runs)]);
     let waits = agent.ask("b");
-    agent.slots.drain();
+    agent.slots.drain(true);
     let actions = agent.does();
     assert!(matches!(actions[..], [Action::Refuse(id, _)] if id == waits), "{actions:?}");
     assert!(!agent.slots.is_idle());
     agent.ended(runs);
     assert!(agent.slots.is_idle());
+    agent.slots.drain(false);
+    let again = agent.ask("a");
+    assert_eq!(agent.does(), [Action::Start(again)]);
 }
 
 #[test]
--- a/crates/larkspring-proto/src/gen/larkspring.config.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.config.rs
@@ -28,6 +28,9 @@
     /// Whom to follow instead; the call ends with this message.
     #[prost(string, repeated, tag = "6")]
     pub redirect: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// VMs that the platform's list shows as leaving.
+    #[prost(string, repeated, tag = "7")]
+    pub leaving_vms: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ChangedChunk {
--- a/crates/larkspring/src/agent/endpoint.rs
+++ b/crates/larkspring/src/agent/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::fmt::{self, Debug, Formatter};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -32,6 +32,9 @@
     next: AtomicU64,
     epoch: AtomicU64,
     changed: Event,
+    stopping: AtomicBool,
+    /// VM that it runs on.
+    vm: String,
     /// Its engine or service.
     pub backend: Backend,
     /// The declared state in force here.
@@ -65,6 +68,7 @@
     /// Creates the state of an endpoint of which nothing is known yet.
     pub fn new(
         cfg: AgentCfg,
+        vm: &str,
         in_force: Arc<InForce>,
         metrics: Metrics,
         gate: Gate,
@@ -75,6 +79,8 @@
             next: AtomicU64::new(1),
             epoch: AtomicU64::new(FIRST_EPOCH),
             changed: Event::new(),
+            stopping: AtomicBool::new(false),
+            vm: vm.into(),
             backend: Backend::new(&cfg.backend),
             in_force,
             metrics,
@@ -180,21 +186,25 @@
         self.slots.lock().incarnation().cloned()
     }
 
-    /// Takes no more requests.
-    pub fn drain(self: &Arc<Self>) {
-        self.slots.lock().drain();
-        self.drive();
+    /// Takes no more requests, as the agent stops.
+    pub fn stop(self: &Arc<Self>) {
+        self.stopping.store(true, Ordering::Release);
+        self.follow_leaving();
     }
 
-    /// Whether the endpoint is declared as leaving, or its agent stops.
-    pub fn is_leaving(&self) -> bool {
-        self.slots.lock().is_draining() || self.is_declared_leaving()
+    /// Takes requests or not, by what is declared and what the VM list shows.
+    pub fn follow_leaving(self: &Arc<Self>) {
+        self.slots.lock().drain(self.is_leaving());
+        self.drive();
     }
 
-    /// Whether the endpoint is declared as leaving.
-    pub fn is_declared_leaving(&self) -> bool {
+    /// Whether the endpoint is leaving, by its agent's stop, its declaration or its VM.
+    pub fn is_leaving(&self) -> bool {
         let state = self.in_force.state();
-        state.endpoint(self.name()).is_some_and(|e| e.leaving)
+        let declared = state.endpoint(self.name());
+        self.stopping.load(Ordering::Acquire)
+            || declared.is_some_and(|e| e.leaving)
+            || self.in_force.is_vm_leaving(&self.vm)
     }
 
     /// Waits, up to `limit`, until no request waits or runs.
--- a/crates/larkspring/src/agent/mod.rs
+++ b/crates/larkspring/src/agent/mod.rs
@@ -70,7 +70,8 @@
         let metrics = Metrics::new(&settings.telemetry);
         let grace = cfg.stop_grace;
         let gate = Gate::new(&settings.platform);
-        let endpoint = Arc::new(Endpoint::new(cfg, in_force.clone(), metrics, gate));
+        let endpoint =
+            Arc::new(Endpoint::new(cfg, &settings.vm, in_force.clone(), metrics, gate));
         let follower = Follower::new(in_force, &settings.platform, String::new());
         let follow = exec::spawn(async move { follower.run(|| false).await });
         let polls = exec::spawn(poll::run(endpoint.clone(), objects));
@@ -82,7 +83,7 @@
 
     /// Stops as planned: what waits is refused and what runs goes on to its end.
     pub async fn stop(self) {
-        self.endpoint.drain();
+        self.endpoint.stop();
         tracing::info!(endpoint = self.endpoint.name(), "agent stops");
         self.endpoint.idle(self.grace).await;
         self.stopper.stop(self.grace).await;
--- a/crates/larkspring/src/agent/poll.rs
+++ b/crates/larkspring/src/agent/poll.rs
@@ -1,8 +1,9 @@
 //! Background work of an agent: its epoch, and the reports of its engine.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use futures_lite::FutureExt;
 use larkspring_core::ids::Target;
 use smol::Timer;
 
@@ -44,8 +45,7 @@
                 }
             }
         }
-        drain_if_declared(&endpoint);
-        Timer::after(endpoint.cfg().poll).await;
+        pause(&endpoint).await;
     }
 }
 
@@ -58,14 +58,27 @@
     };
     loop {
         endpoint.reported(&report);
-        drain_if_declared(&endpoint);
-        Timer::after(endpoint.cfg().poll).await;
+        pause(&endpoint).await;
     }
 }
 
-fn drain_if_declared(endpoint: &Arc<Endpoint>) {
-    if endpoint.is_declared_leaving() {
-        endpoint.drain();
+/// Waits for the next look, or for a change of what is declared or leaving.
+async fn pause(endpoint: &Arc<Endpoint>) {
+    let next = Instant::now() + endpoint.cfg().poll;
+    loop {
+        let changed = async {
+            endpoint.in_force.changed().await;
+            true
+        };
+        let late = async {
+            Timer::at(next).await;
+            false
+        };
+        let go_on = changed.or(late).await;
+        endpoint.follow_leaving();
+        if !go_on {
+            return;
+        }
     }
 }
 
--- a/crates/larkspring/src/entry/dispatch.rs
+++ b/crates/larkspring/src/entry/dispatch.rs
@@ -103,7 +103,9 @@
         To::Model { target, base, .. } => (state.engines(base), Some(target.hash())),
         To::Service { service, .. } => (state.service_endpoints(service), None),
     };
-    let chosen = entry.router.choose(Instant::now(), endpoints, target, tried, rng);
+    let staying = |e: &&Arc<Endpoint>| !entry.in_force.is_vm_leaving(&e.vm);
+    let endpoints: Vec<_> = endpoints.iter().filter(staying).collect();
+    let chosen = entry.router.choose(Instant::now(), &endpoints, target, tried, rng);
     chosen.ok_or_else(|| {
         let refusal = Refusal::not_run(Step::Choose, "no endpoint takes the request now");
         refusal.retry_after(NO_ENDPOINT_RETRY)
--- a/crates/larkspring/src/follow.rs
+++ b/crates/larkspring/src/follow.rs
@@ -26,6 +26,7 @@
 use crate::exec;
 use crate::in_force::InForce;
 use crate::platform::objects::{HttpObjects, ObjectApi};
+use crate::platform::vms::{HttpVms, VmList};
 use crate::rpc::channel::Pool;
 use crate::settings::PlatformCfg;
 
@@ -33,6 +34,8 @@
 pub struct Follower {
     in_force: Arc<InForce>,
     api: HttpObjects,
+    /// The VM list, if there is one.
+    vms: Option<HttpVms>,
     pool: Pool,
     peers: Vec<String>,
     /// Address at which this process serves followers; empty if it doesn't.
@@ -47,6 +50,8 @@
 const FANOUT: usize = 16;
 /// Followers that it serves if there is nobody to send them on to.
 const MOST_FOLLOWERS: usize = 256;
+/// How often the VM list is read by each process that watches the object API.
+const VM_LIST_INTERVAL: Duration = Duration::from_secs(1);
 /// How often a sign of life is sent.
 const ALIVE: Duration = Duration::from_secs(1);
 /// Age of the last sign of life at which another process is followed.
@@ -66,6 +71,7 @@
         Self {
             in_force,
             api: HttpObjects::new(&cfg.objects, cfg.timeout),
+            vms: (!cfg.vms.is_empty()).then(|| HttpVms::new(&cfg.vms, cfg.timeout)),
             pool: Pool::new(1, CONNECT_TIMEOUT),
             peers: cfg.peers.clone(),
             relay,
@@ -79,13 +85,8 @@
         let mut holders = Vec::new();
         loop {
             if is_root() {
-                let signs = async {
-                    loop {
-                        *self.alive.lock() = Instant::now();
-                        Timer::after(ALIVE / 2).await;
-                    }
-                };
-                self.in_force.watch(&self.api, &is_root).or(signs).await;
+                let watch = self.in_force.watch(&self.api, &is_root);
+                watch.or(self.be_alive()).or(self.watch_vms()).await;
             }
             if let Some(known) = self.holders().await {
                 holders = known;
@@ -102,6 +103,30 @@
         }
     }
 
+    /// Gives signs of life for ever.
+    async fn be_alive(&self) {
+        loop {
+            *self.alive.lock() = Instant::now();
+            Timer::after(ALIVE / 2).await;
+        }
+    }
+
+    /// Reads the VM list for ever; while it can't be read the last one counts.
+    async fn watch_vms(&self) {
+        let Some(vms) = &self.vms else { return std::future::pending().await };
+        loop {
+            match vms.list().await {
+                Ok(list) => {
+                    let leaving = list.into_iter().filter(|vm| vm.leaving);
+                    let names = leaving.map(|vm| vm.name).collect();
+                    self.in_force.set_leaving_vms(names);
+                }
+                Err(e) => tracing::warn!(error = %e, "the VM list can't be read"),
+            }
+            Timer::after(VM_LIST_INTERVAL).await;
+        }
+    }
+
     /// Returns the addresses of the processes that watch the object API.
     async fn holders(&self) -> Option<Vec<String>> {
         let object = self.api.get(TABLE).await.ok()??;
@@ -164,6 +189,7 @@
             }
             *self.alive.lock() =
                 Instant::now().checked_sub(age).unwrap_or_else(Instant::now);
+            self.in_force.set_leaving_vms(update.leaving_vms);
             for chunk in update.changed {
                 let part = Part::from_message(&chunk.hash, chunk.chunk);
                 let part = part.map_err(|e| Status::data_loss(e.to_string()))?;
@@ -252,6 +278,7 @@
 ) {
     let mut sent = 0;
     loop {
+        let changed = follower.in_force.changed();
         let state = follower.in_force.state();
         let messages = match state.revision == sent {
             true => vec![Update::default()],
@@ -262,6 +289,7 @@
         let age = follower.alive.lock().elapsed().as_millis() as u64;
         for mut message in messages {
             message.age_ms = age;
+            message.leaving_vms = follower.in_force.leaving_vms().to_vec();
             if tx.send(Ok(message)).await.is_err() {
                 follower.followers.lock().remove(&id);
                 return;
@@ -270,7 +298,7 @@
         let pause = async {
             Timer::after(ALIVE).await;
         };
-        follower.in_force.past(sent).or(pause).await;
+        changed.or(pause).await;
     }
 }
 
--- a/crates/larkspring/src/in_force.rs
+++ b/crates/larkspring/src/in_force.rs
@@ -1,6 +1,7 @@
 //! The declared state in force in this process, and how it follows the object API.
 
 use std::collections::HashMap;
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,6 +26,8 @@
 #[derive(Debug, Default)]
 pub struct InForce {
     state: ArcSwap<State>,
+    /// VMs that the platform's list shows as leaving, sorted.
+    leaving_vms: ArcSwap<Vec<String>>,
     changed: event_listener::Event,
 }
 
@@ -56,14 +59,30 @@
         }
     }
 
-    /// Waits until another state than that of `revision` is in force.
-    pub async fn past(&self, revision: Revision) {
-        loop {
-            let listener = self.changed.listen();
-            if self.state.load().revision != revision {
-                return;
-            }
-            listener.await;
+    /// Waits until another state comes in force or other VMs are leaving.
+    ///
+    /// Counts from the call on, not from the first poll.
+    pub fn changed(&self) -> impl Future<Output = ()> {
+        self.changed.listen()
+    }
+
+    /// Returns the VMs that the platform's list shows as leaving.
+    pub fn leaving_vms(&self) -> Arc<Vec<String>> {
+        self.leaving_vms.load_full()
+    }
+
+    /// Whether the platform's list shows a VM as leaving.
+    pub fn is_vm_leaving(&self, vm: &str) -> bool {
+        self.leaving_vms.load().binary_search_by(|name| name.as_str().cmp(vm)).is_ok()
+    }
+
+    /// Takes in which VMs are leaving.
+    pub fn set_leaving_vms(&self, mut vms: Vec<String>) {
+        vms.sort();
+        if **self.leaving_vms.load() != vms {
+            tracing::info!(?vms, "VMs are leaving");
+            self.leaving_vms.store(Arc::new(vms));
+            self.changed.notify(usize::MAX);
         }
     }
 
