Hold less for each open answer; keep the object API's calls flat as entries grow

Ruled out: queues (credit bounds them). The futures of a connection were 25 to 37 KB, with room for reads in each state, and tonic's codec begins with 8 KB for each direction. Cause: each entry watched the keys' table, which returns at each renewal of any holder. Change: holders look every 5 s, others every 60 s and where a key needs it; those that lost whom they followed try known ones before they read the table. Names that adapters of a chunk share are kept once.

--- a/crates/larkspring-core/src/declared.rs
+++ b/crates/larkspring-core/src/declared.rs
@@ -282,7 +282,9 @@
 
     /// Indexes the chunk with content hash `hash`.
     pub fn index(hash: &str, chunk: &wire::Chunk) -> Self {
-        let mut adapters: Vec<_> = chunk.adapters.iter().map(index_adapter).collect();
+        let mut names = Names::default();
+        let adapters = chunk.adapters.iter().map(|a| index_adapter(a, &mut names));
+        let mut adapters: Vec<_> = adapters.collect();
         adapters.sort_by(|a, b| a.name.cmp(&b.name));
         let callers = chunk.callers.iter().map(index_caller).map(Arc::new);
         let services = chunk.services.iter().map(index_service).map(Arc::new);
@@ -320,18 +322,30 @@
     digest.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-fn index_adapter(adapter: &wire::Adapter) -> Adapter {
+/// Names that many adapters of a chunk share, each kept once.
+#[derive(Default)]
+struct Names(HashMap<String, Arc<str>>);
+
+impl Names {
+    fn get(&mut self, name: &str) -> Arc<str> {
+        let known = self.0.entry(name.into()).or_insert_with(|| name.into());
+        known.clone()
+    }
+}
+
+fn index_adapter(adapter: &wire::Adapter, names: &mut Names) -> Adapter {
     let versions = adapter.versions.iter().filter(|v| !v.retired);
     let versions = versions.map(|v| Version {
-        name: v.name.as_str().into(),
+        name: names.get(&v.name),
         weights: v.weights.as_str().into(),
     });
+    let versions = versions.collect();
     Adapter {
         name: adapter.name.as_str().into(),
-        base: adapter.base.as_str().into(),
+        base: names.get(&adapter.base),
         not_repeatable: adapter.not_repeatable,
-        default_version: adapter.default_version.as_str().into(),
-        versions: versions.collect(),
+        default_version: names.get(&adapter.default_version),
+        versions,
         groups: adapter.groups.clone().into(),
     }
 }
--- a/crates/larkspring-proto/src/gen/larkspring.agent.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.agent.rs
@@ -258,7 +258,7 @@
                         format!("Service was not ready: {}", e.into()),
                     )
                 })?;
-            let codec = tonic_prost::ProstCodec::default();
+            let codec = crate::codec::SmallCodec::default();
             let path = http::uri::PathAndQuery::from_static(
                 "/larkspring.agent.Agent/Dispatch",
             );
@@ -400,7 +400,7 @@
                     let inner = self.inner.clone();
                     let fut = async move {
                         let method = DispatchSvc(inner);
-                        let codec = tonic_prost::ProstCodec::default();
+                        let codec = crate::codec::SmallCodec::default();
                         let mut grpc = tonic::server::Grpc::new(codec)
                             .apply_compression_config(
                                 accept_compression_encodings,
--- a/crates/larkspring-proto/src/gen/larkspring.config.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.config.rs
@@ -139,7 +139,7 @@
                         format!("Service was not ready: {}", e.into()),
                     )
                 })?;
-            let codec = tonic_prost::ProstCodec::default();
+            let codec = crate::codec::SmallCodec::default();
             let path = http::uri::PathAndQuery::from_static(
                 "/larkspring.config.Config/Follow",
             );
@@ -283,7 +283,7 @@
                     let inner = self.inner.clone();
                     let fut = async move {
                         let method = FollowSvc(inner);
-                        let codec = tonic_prost::ProstCodec::default();
+                        let codec = crate::codec::SmallCodec::default();
                         let mut grpc = tonic::server::Grpc::new(codec)
                             .apply_compression_config(
                                 accept_compression_encodings,
--- a/crates/larkspring-proto/src/gen/larkspring.keys.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.keys.rs
@@ -230,7 +230,7 @@
                         format!("Service was not ready: {}", e.into()),
                     )
                 })?;
-            let codec = tonic_prost::ProstCodec::default();
+            let codec = crate::codec::SmallCodec::default();
             let path = http::uri::PathAndQuery::from_static(
                 "/larkspring.keys.Keys/Claim",
             );
@@ -252,7 +252,7 @@
                         format!("Service was not ready: {}", e.into()),
                     )
                 })?;
-            let codec = tonic_prost::ProstCodec::default();
+            let codec = crate::codec::SmallCodec::default();
             let path = http::uri::PathAndQuery::from_static(
                 "/larkspring.keys.Keys/Settle",
             );
@@ -274,7 +274,7 @@
                         format!("Service was not ready: {}", e.into()),
                     )
                 })?;
-            let codec = tonic_prost::ProstCodec::default();
+            let codec = crate::codec::SmallCodec::default();
             let path = http::uri::PathAndQuery::from_static(
                 "/larkspring.keys.Keys/Handover",
             );
@@ -296,7 +296,7 @@
                         format!("Service was not ready: {}", e.into()),
                     )
                 })?;
-            let codec = tonic_prost::ProstCodec::default();
+            let codec = crate::codec::SmallCodec::default();
             let path = http::uri::PathAndQuery::from_static(
                 "/larkspring.keys.Keys/Hello",
             );
@@ -446,7 +446,7 @@
                     let inner = self.inner.clone();
                     let fut = async move {
                         let method = ClaimSvc(inner);
-                        let codec = tonic_prost::ProstCodec::default();
+                        let codec = crate::codec::SmallCodec::default();
                         let mut grpc = tonic::server::Grpc::new(codec)
                             .apply_compression_config(
                                 accept_compression_encodings,
@@ -489,7 +489,7 @@
                     let inner = self.inner.clone();
                     let fut = async move {
                         let method = SettleSvc(inner);
-                        let codec = tonic_prost::ProstCodec::default();
+                        let codec = crate::codec::SmallCodec::default();
                         let mut grpc = tonic::server::Grpc::new(codec)
                             .apply_compression_config(
                                 accept_compression_encodings,
@@ -532,7 +532,7 @@
                     let inner = self.inner.clone();
                     let fut = async move {
                         let method = HandoverSvc(inner);
-                        let codec = tonic_prost::ProstCodec::default();
+                        let codec = crate::codec::SmallCodec::default();
                         let mut grpc = tonic::server::Grpc::new(codec)
                             .apply_compression_config(
                                 accept_compression_encodings,
@@ -575,7 +575,7 @@
                     let inner = self.inner.clone();
                     let fut = async move {
                         let method = HelloSvc(inner);
-                        let codec = tonic_prost::ProstCodec::default();
+                        let codec = crate::codec::SmallCodec::default();
                         let mut grpc = tonic::server::Grpc::new(codec)
                             .apply_compression_config(
                                 accept_compression_encodings,
--- a/crates/larkspring-proto/src/gen/larkspring.loads.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.loads.rs
@@ -120,7 +120,7 @@
                         format!("Service was not ready: {}", e.into()),
                     )
                 })?;
-            let codec = tonic_prost::ProstCodec::default();
+            let codec = crate::codec::SmallCodec::default();
             let path = http::uri::PathAndQuery::from_static(
                 "/larkspring.loads.Loads/Permit",
             );
@@ -142,7 +142,7 @@
                         format!("Service was not ready: {}", e.into()),
                     )
                 })?;
-            let codec = tonic_prost::ProstCodec::default();
+            let codec = crate::codec::SmallCodec::default();
             let path = http::uri::PathAndQuery::from_static(
                 "/larkspring.loads.Loads/Done",
             );
@@ -282,7 +282,7 @@
                     let inner = self.inner.clone();
                     let fut = async move {
                         let method = PermitSvc(inner);
-                        let codec = tonic_prost::ProstCodec::default();
+                        let codec = crate::codec::SmallCodec::default();
                         let mut grpc = tonic::server::Grpc::new(codec)
                             .apply_compression_config(
                                 accept_compression_encodings,
@@ -325,7 +325,7 @@
                     let inner = self.inner.clone();
                     let fut = async move {
                         let method = DoneSvc(inner);
-                        let codec = tonic_prost::ProstCodec::default();
+                        let codec = crate::codec::SmallCodec::default();
                         let mut grpc = tonic::server::Grpc::new(codec)
                             .apply_compression_config(
                                 accept_compression_encodings,
--- a/crates/larkspring-proto/src/lib.rs
+++ b/crates/larkspring-proto/src/lib.rs
@@ -3,6 +3,8 @@
 //! `cargo run -p xtask -- generate` writes them anew.
 #![allow(clippy::all, missing_docs)]
 
+pub mod codec;
+
 /// Messages between entries and agents.
 pub mod agent {
     include!("gen/larkspring.agent.rs");
--- a/crates/larkspring/src/agent/job.rs
+++ b/crates/larkspring/src/agent/job.rs
@@ -140,7 +140,8 @@
         let late = || late(Step::Queue, Refusal::not_run);
         self.bounded(deadline, late, async { Ok(place.granted().await?) }).await?;
         let load_wait = if place.resident { Duration::ZERO } else { since.elapsed() };
-        let mut res = self.send(&mut place, &target, deadline).await?;
+        // Boxed, as it ends before the long part of the request.
+        let mut res = Box::pin(self.send(&mut place, &target, deadline)).await?;
         let mut answer = Answer::new(&res);
         self.begin(&res, load_wait).await?;
         answer.body = res.take_body();
--- a/crates/larkspring/src/agent/poll.rs
+++ b/crates/larkspring/src/agent/poll.rs
@@ -5,6 +5,7 @@
 
 use futures_lite::FutureExt;
 use larkspring_core::ids::Target;
+use larkspring_core::retry::backoff;
 use smol::Timer;
 
 use super::backend::Report;
@@ -14,7 +15,9 @@
 
 /// Reports that may be missed before the engine counts as unreachable.
 const MISSES: u32 = 2;
-const EPOCH_RETRY: Duration = Duration::from_millis(500);
+/// Pause after a failed try to take an epoch, at first and at most.
+const FIRST_RETRY: Duration = Duration::from_millis(250);
+const LONGEST_RETRY: Duration = Duration::from_secs(5);
 /// Stands for the run of a plain service, which has none.
 const SERVICE_RUN: &str = "service";
 
@@ -84,12 +87,16 @@
 
 /// Raises the epoch of the endpoint by one and returns it; retries until it could.
 async fn take_epoch(endpoint: &Endpoint, objects: &impl ObjectApi) -> u64 {
+    let mut rng = fastrand::Rng::new();
+    let mut failures = 0;
     loop {
         match try_epoch(endpoint, objects).await {
             Ok(epoch) => return epoch,
             Err(e) => tracing::warn!(error = %e, "no epoch yet"),
         }
-        Timer::after(EPOCH_RETRY).await;
+        let wait = backoff(FIRST_RETRY, LONGEST_RETRY, failures, &mut rng);
+        failures += 1;
+        Timer::after(wait).await;
     }
 }
 
--- a/crates/larkspring/src/entry/keys/handover.rs
+++ b/crates/larkspring/src/entry/keys/handover.rs
@@ -56,6 +56,12 @@
     async fn tell_heir(&self, partition: usize) -> Option<Tenure> {
         let mut holders = self.hello().table?.partitions;
         holders.retain(|t| !t.holder.is_empty() && t.holder != self.me.holder);
+        if holders.is_empty() {
+            let peer =
+                |addr: &String| Tenure { holder: addr.clone(), ..Tenure::default() };
+            holders.extend(self.peers.iter().map(peer));
+            holders.retain(|t| t.holder != self.me.holder);
+        }
         let heir = fastrand::choice(holders)?;
         let claims = self.claims[partition].lock().export();
         let req = HandoverRequest {
--- a/crates/larkspring/src/entry/keys/mod.rs
+++ b/crates/larkspring/src/entry/keys/mod.rs
@@ -43,6 +43,8 @@
     claims: Vec<Mutex<Claims<KeptAnswer>>>,
     api: HttpObjects,
     pool: Pool,
+    /// Other entries, by the settings.
+    peers: Vec<String>,
     /// Whether this run gives its partitions away and grants nothing more.
     closing: AtomicBool,
 }
@@ -106,6 +108,7 @@
             claims: (0..PARTITIONS).map(|_| Mutex::new(Claims::new(limits))).collect(),
             api: HttpObjects::new(&platform.objects, platform.timeout),
             pool: Pool::new(MAX_CONNECTIONS, CALL_TIMEOUT),
+            peers: platform.peers.clone(),
             closing: AtomicBool::new(false),
         }
     }
--- a/crates/larkspring/src/entry/keys/table.rs
+++ b/crates/larkspring/src/entry/keys/table.rs
@@ -24,14 +24,19 @@
     ended: HashSet<(String, RunId)>,
 }
 
+/// Looks at the table in the time of one lease, at least.
+const LOOKS_A_LEASE: u32 = 16;
 /// Name of the object that holds the table.
 pub const TABLE: &str = "keys/table";
 /// Pause between two looks at the table.
 const TICK: Duration = Duration::from_millis(200);
 /// Pause while the object API fails.
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
-/// How long one watch waits at the object API; renewals come between two watches.
-const WATCH: Duration = Duration::from_secs(5);
+/// Time between two looks at the table of an entry that holds partitions; a watch would
+/// return at each renewal of any holder.
+const HOLDER_INTERVAL: Duration = Duration::from_secs(5);
+/// The same of an entry that holds none; it looks at once where a key needs it.
+const OTHER_INTERVAL: Duration = Duration::from_secs(60);
 /// Other entries that are asked for their table at a time.
 const ASKED_AT_A_TIME: usize = 3;
 /// Free partitions taken at a time, so that entries that start together share them.
@@ -114,22 +119,32 @@
             let view = self.view.lock();
             (view.version, self.next_table(&view))
         };
-        let Some(next) = next else { return self.wait(version).await };
+        let Some(next) = next else { return self.wait().await };
         self.write(version, next).await
     }
 
-    /// Waits for a change of the table, or for a suspicion to look into.
-    async fn wait(&self, version: ObjectVersion) -> Result<(), PlatformError> {
+    /// Waits until it is time to look at the table again, or a run is suspected.
+    async fn wait(&self) -> Result<(), PlatformError> {
         use futures_lite::FutureExt;
+        let interval = match self.held() {
+            0 => OTHER_INTERVAL,
+            _ => HOLDER_INTERVAL,
+        };
+        // A lease may be shorter than the usual time between two looks.
+        let interval = interval.min(self.terms.lease / LOOKS_A_LEASE);
         let suspicion = async {
             self.changed.listen().await;
-            Ok(None)
+            true
+        };
+        let late = async {
+            Timer::after(interval.mul_f64(fastrand::f64() * 0.5 + 0.75)).await;
+            false
         };
-        match self.api.watch(TABLE, version, WATCH).or(suspicion).await? {
-            Some(object) => self.take_in(Some(object))?,
-            None => self.suspect_any(),
+        if !suspicion.or(late).await {
+            self.suspect_any();
         }
-        Ok(())
+        let object = self.api.get(TABLE).await?;
+        self.take_in(object)
     }
 
     /// Notes some holder as one to look at, so that an end is found without requests.
--- a/crates/larkspring/src/follow.rs
+++ b/crates/larkspring/src/follow.rs
@@ -13,6 +13,7 @@
 use futures_lite::{FutureExt, Stream, StreamExt};
 use http::Uri;
 use larkspring_core::declared::Part;
+use larkspring_core::retry::backoff;
 use larkspring_proto::config::config_client::ConfigClient;
 use larkspring_proto::config::config_server::Config as ConfigRpc;
 use larkspring_proto::config::{ChangedChunk, FollowRequest, Update};
@@ -47,7 +48,7 @@
 }
 
 /// Followers that a process serves before it sends the next one on.
-const FANOUT: usize = 16;
+const FANOUT: usize = 12;
 /// Followers that it serves if there is nobody to send them on to.
 const MOST_FOLLOWERS: usize = 256;
 /// How often the VM list is read by each process that watches the object API.
@@ -57,8 +58,13 @@
 /// Age of the last sign of life at which another process is followed.
 const STALE: Duration = Duration::from_millis(2500);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Pause before the next process is asked, at most.
-const PAUSE_MS: u64 = 400;
+/// Pause before the next process is asked, at first and at most.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(5);
+/// A process that was followed for this long was no failure.
+const STEADY: Duration = Duration::from_secs(5);
+/// Failures after which the table is read anew.
+const FAILURES_A_READ: u32 = 3;
 /// Bytes of chunks in one message.
 const MESSAGE_BYTES: usize = 256 * 1024;
 const READY_MESSAGES: usize = 2;
@@ -83,23 +89,29 @@
     /// Follows for ever; watches the object API itself while `is_root` says so.
     pub async fn run(&self, is_root: impl Fn() -> bool) {
         let mut holders = Vec::new();
+        let mut failures = 0;
         loop {
             if is_root() {
                 let watch = self.in_force.watch(&self.api, &is_root);
                 watch.or(self.be_alive()).or(self.watch_vms()).await;
             }
-            if let Some(known) = self.holders().await {
-                holders = known;
+            // The table is read seldom, so that a hall's loss sends no herd to the API.
+            let stale = failures % FAILURES_A_READ == FAILURES_A_READ - 1;
+            if holders.is_empty() || stale {
+                holders = self.holders().await.unwrap_or(holders);
             }
             let none = holders.is_empty();
             let first = fastrand::choice(if none { &self.peers } else { &holders });
+            let began = Instant::now();
             if let Some(first) = first.cloned() {
                 if let Err(status) = self.descend(first).await {
                     tracing::info!(%status, "another process is followed");
                 }
             }
-            let pause = Duration::from_millis(fastrand::u64(1..PAUSE_MS));
-            Timer::after(pause).await;
+            let steady = began.elapsed() > STEADY;
+            failures = if steady { 0 } else { failures + 1 };
+            let mut rng = fastrand::Rng::new();
+            Timer::after(backoff(FIRST_PAUSE, LONGEST_PAUSE, failures, &mut rng)).await;
         }
     }
 
--- a/crates/larkspring/src/http/server.rs
+++ b/crates/larkspring/src/http/server.rs
@@ -12,7 +12,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use futures_lite::future;
+use futures_lite::future::{self, poll_fn};
 use futures_lite::io::Cursor;
 use futures_lite::{
     ready, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt,
@@ -114,7 +114,8 @@
             let answering = handler.clone();
             let serve = async_h1::accept(io, move |req| {
                 let handler = answering.clone();
-                async move { Ok(handler.handle(req, peer).await) }
+                // Boxed, as it ends before its answer is sent.
+                Box::pin(async move { Ok(handler.handle(req, peer).await) })
             });
             let served = future::or(async { Some(serve.await) }, async {
                 self.watch_hang_up().await;
@@ -179,15 +180,21 @@
             }
         }
         let rest = self.buf.split_off(len);
-        let message = std::mem::replace(&mut self.buf, rest);
+        let mut message = std::mem::replace(&mut self.buf, rest);
+        message.shrink_to_fit();
         Ok(Ok(Some((head, message))))
     }
 
     async fn read_some(&mut self) -> io::Result<usize> {
-        let mut chunk = [0; READ_SIZE];
-        let n = self.sock.read(&mut chunk).await?;
-        self.buf.extend_from_slice(&chunk[..n]);
-        Ok(n)
+        let mut sock = self.sock.clone();
+        poll_fn(|cx| {
+            // On the stack, so that no waiting connection holds the room.
+            let mut chunk = [0; READ_SIZE];
+            let n = ready!(Pin::new(&mut sock).poll_read(cx, &mut chunk))?;
+            self.buf.extend_from_slice(&chunk[..n]);
+            Poll::Ready(Ok(n))
+        })
+        .await
     }
 
     /// Returns when the caller closes its side or the connection breaks.
@@ -217,8 +224,9 @@
     async fn linger(&mut self) -> io::Result<()> {
         let _ = self.sock.shutdown(std::net::Shutdown::Write);
         let drain = async {
-            let mut chunk = [0; READ_SIZE];
-            while self.sock.read(&mut chunk).await? > 0 {}
+            while self.read_some().await? > 0 {
+                self.buf.clear();
+            }
             Ok(())
         };
         drain.or(timed_out(LINGER)).await
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -40,6 +40,7 @@
     std::fs::create_dir_all(&out)?;
     tonic_prost_build::configure()
         .build_transport(false)
+        .codec_path("crate::codec::SmallCodec")
         .out_dir(out)
         .type_attribute(".larkspring.declared", SERDE)
         .type_attribute(".larkspring.settings", SERDE)
