Copy answers to callers with one small buffer

Cause: async-h1's accept holds two 8 KB buffers for each answer, one to read what is in memory already and one to copy. Change: its decoder and encoder are called directly, with 2 KB between.

--- a/crates/larkspring/src/http/server.rs
+++ b/crates/larkspring/src/http/server.rs
@@ -7,7 +7,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -17,7 +16,7 @@
 use futures_lite::{
     ready, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt,
 };
-use http_types::{Request, Response};
+use http_types::{Method, Request, Response};
 use parking_lot::Mutex;
 use rustix::net::sockopt::set_socket_send_buffer_size;
 use smol::net::{TcpListener, TcpStream};
@@ -96,6 +95,8 @@
 }
 
 const READ_SIZE: usize = 4096;
+/// Bytes of an answer that are copied at a time.
+const COPY_SIZE: usize = 2048;
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 /// Pipelined bytes that are taken in while a request is served.
 const MAX_PIPELINED: usize = 16 * 1024;
@@ -108,26 +109,10 @@
                 Ok(None) => return Ok(()),
                 Err(e) => return self.refuse(&*handler, &e).await,
             };
-            let io = MessageIo::new(message, self.sock.clone(), self.limits.clone());
-            let started = io.started.clone();
-            let peer = self.peer;
-            let answering = handler.clone();
-            let serve = async_h1::accept(io, move |req| {
-                let handler = answering.clone();
-                // Boxed, as it ends before its answer is sent.
-                Box::pin(async move { Ok(handler.handle(req, peer).await) })
-            });
-            let served = future::or(async { Some(serve.await) }, async {
-                self.watch_hang_up().await;
-                None
-            });
-            match served.await {
-                Some(Ok(())) => {}
-                Some(Err(_)) if !started.load(Ordering::Relaxed) => {
-                    let e = HeadError::Malformed("the request can't be read");
-                    return self.refuse(&*handler, &e).await;
-                }
-                Some(Err(_)) | None => return Ok(()),
+            let answer = Box::pin(self.answer(message, handler.clone())).await;
+            let Some((method, res)) = answer? else { return Ok(()) };
+            if !self.send(method, res).await? {
+                return Ok(());
             }
             if !head.keep_alive {
                 return Ok(());
@@ -136,6 +121,53 @@
         Ok(())
     }
 
+    /// Decodes a request and gets its answer; `None` if the caller has hung up.
+    async fn answer<H: Handler>(
+        &mut self,
+        message: Vec<u8>,
+        handler: Arc<H>,
+    ) -> io::Result<Option<(Method, Response)>> {
+        let peer = self.peer;
+        let decoded = async_h1::server::decode(Message::new(message)).await;
+        let Ok(Some((req, body))) = decoded else {
+            let e = HeadError::Malformed("the request can't be read");
+            return self.refuse(&*handler, &e).await.map(|()| None);
+        };
+        let method = req.method();
+        let work = async {
+            let res = handler.handle(req, peer).await;
+            drop(body);
+            Some((method, res))
+        };
+        let gone = async {
+            self.watch_hang_up().await;
+            None
+        };
+        Ok(work.or(gone).await)
+    }
+
+    /// Sends an answer as it comes; false if the caller has hung up.
+    async fn send(&mut self, method: Method, res: Response) -> io::Result<bool> {
+        let mut encoder = async_h1::server::Encoder::new(res, method);
+        let stall = self.limits.stall_timeout;
+        let mut sock = self.sock.clone();
+        let copy = async {
+            let mut buf = vec![0; COPY_SIZE];
+            loop {
+                let n = encoder.read(&mut buf).await?;
+                if n == 0 {
+                    return Ok(true);
+                }
+                sock.write_all(&buf[..n]).or(timed_out(stall)).await?;
+            }
+        };
+        let gone = async {
+            self.watch_hang_up().await;
+            Ok(false)
+        };
+        copy.or(gone).await
+    }
+
     /// Reads the next request whole; `None` if the caller sends no more.
     async fn next_message(
         &mut self,
@@ -212,7 +244,7 @@
     async fn refuse<H: Handler>(&mut self, h: &H, e: &HeadError) -> io::Result<()> {
         let mut res = h.refuse(e);
         res.insert_header("connection", "close");
-        let mut encoder = async_h1::server::Encoder::new(res, http_types::Method::Get);
+        let mut encoder = async_h1::server::Encoder::new(res, Method::Get);
         let mut buf = Vec::new();
         encoder.read_to_end(&mut buf).await?;
         let write = async { self.sock.write_all(&buf).await };
@@ -240,71 +272,40 @@
     Err(io::ErrorKind::TimedOut.into())
 }
 
-/// Reads one request from memory and writes its answer to the socket.
-struct MessageIo {
-    message: Arc<Mutex<Cursor<Vec<u8>>>>,
-    sock: TcpStream,
-    limits: Arc<Limits>,
-    stall: Option<Timer>,
-    /// Whether a byte of the answer was written.
-    started: Arc<AtomicBool>,
-}
+/// A request in memory, as async-h1 reads it; what it would write is dropped.
+#[derive(Clone)]
+struct Message(Arc<Mutex<Cursor<Vec<u8>>>>);
 
-impl MessageIo {
-    fn new(message: Vec<u8>, sock: TcpStream, limits: Arc<Limits>) -> Self {
-        let message = Arc::new(Mutex::new(Cursor::new(message)));
-        Self { message, sock, limits, stall: None, started: Default::default() }
+impl Message {
+    fn new(bytes: Vec<u8>) -> Self {
+        Self(Arc::new(Mutex::new(Cursor::new(bytes))))
     }
 }
 
-impl Clone for MessageIo {
-    fn clone(&self) -> Self {
-        Self {
-            message: self.message.clone(),
-            sock: self.sock.clone(),
-            limits: self.limits.clone(),
-            stall: None,
-            started: self.started.clone(),
-        }
-    }
-}
-
-impl AsyncRead for MessageIo {
+impl AsyncRead for Message {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.message.lock()).poll_read(cx, buf)
+        Pin::new(&mut *self.0.lock()).poll_read(cx, buf)
     }
 }
 
-impl AsyncWrite for MessageIo {
+impl AsyncWrite for Message {
     fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(n) = Pin::new(&mut self.sock).poll_write(cx, buf) {
-            self.stall = None;
-            self.started.store(true, Ordering::Relaxed);
-            return Poll::Ready(n);
-        }
-        let limit = self.limits.stall_timeout;
-        let stall = self.stall.get_or_insert_with(|| Timer::after(limit));
-        ready!(stall.poll(cx));
-        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+        Poll::Ready(Ok(buf.len()))
     }
 
-    fn poll_flush(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.sock).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
     fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        // The connection goes on with the next request.
         Poll::Ready(Ok(()))
     }
 }
