Choose among near endpoints, so that a choice costs the same at any size

Cause: each choice went over all endpoints of a base model, twice with a retry. Change: endpoints fall into groups by hash; a target ranks the groups and has its candidates in the first ones, 48 endpoints or so. Before this the cost grew with the endpoints; not timed. Limit: as the number of endpoints passes a power of two of groups, most adapters get other candidates.

--- a/crates/larkspring-cli/src/args.rs
+++ b/crates/larkspring-cli/src/args.rs
@@ -42,6 +42,8 @@
     Load(LoadArgs),
     /// Run a named scenario with each policy on the real path, and write a report.
     Experiment(ExperimentArgs),
+    /// Print what the choice of an endpoint costs, by adapters and by endpoints.
+    Decisions,
     /// Run one stand-in of an outside system, for trials and tests.
     Standin(StandinArgs),
     /// Print completions for a shell.
--- a/crates/larkspring-cli/src/main.rs
+++ b/crates/larkspring-cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The program `larkspring`: every process and operator command, thin over the library.
 
 mod args;
+mod decisions;
 mod deployment;
 mod dev;
 mod experiment;
@@ -45,6 +46,7 @@
         Command::Dev(args) => dev::run(&args),
         Command::Load(args) => load::run(&args),
         Command::Experiment(args) => experiment::run(&args),
+        Command::Decisions => decisions::run(),
         Command::Standin(args) => standin::run(&args),
         Command::Completions { shell } => {
             let mut cmd = Cli::command();
--- a/crates/larkspring-core/src/declared.rs
+++ b/crates/larkspring-core/src/declared.rs
@@ -1,5 +1,6 @@
 //! The declared state in force, indexed for look-ups on the path of a request.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -8,11 +9,11 @@
 use prost::{DecodeError, Message};
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::ids::{
     AdapterId, BaseId, CallerId, EndpointId, HallId, Revision, ServiceId, Target,
-    VersionId, VmId, VERSION_MARK,
+    TargetHash, VersionId, VmId, VERSION_MARK,
 };
 use crate::outcome::{Refusal, Step};
 
@@ -25,10 +26,18 @@
     callers: HashMap<KeyHash, Arc<Caller>>,
     services: HashMap<ServiceId, Arc<Service>>,
     endpoints: HashMap<EndpointId, Arc<Endpoint>>,
-    by_base: HashMap<BaseId, Vec<Arc<Endpoint>>>,
+    by_base: HashMap<BaseId, Engines>,
     by_service: HashMap<ServiceId, Vec<Arc<Endpoint>>>,
 }
 
+/// The engines of one base model.
+#[derive(Debug, Default)]
+struct Engines {
+    all: Vec<Arc<Endpoint>>,
+    /// The same in groups by the hash of their names, a power of two of them.
+    groups: Vec<Vec<Arc<Endpoint>>>,
+}
+
 /// One chunk of the declared state, indexed; shared by all revisions that hold it.
 #[derive(Debug)]
 pub struct Part {
@@ -131,6 +140,7 @@
         for part in &parts {
             state.add(part);
         }
+        state.by_base.values_mut().for_each(Engines::group);
         state.parts = parts;
         state
     }
@@ -213,7 +223,12 @@
 
     /// Returns the endpoints that serve a base model.
     pub fn engines(&self, base: &str) -> &[Arc<Endpoint>] {
-        self.by_base.get(base).map_or(&[], Vec::as_slice)
+        self.by_base.get(base).map_or(&[], |engines| &engines.all)
+    }
+
+    /// Returns the endpoints of a base model among which a target has its candidates.
+    pub fn engines_near(&self, base: &str, target: TargetHash) -> Vec<&Arc<Endpoint>> {
+        self.by_base.get(base).map_or_else(Vec::new, |engines| engines.near(target))
     }
 
     /// Returns the endpoints of a plain service.
@@ -228,7 +243,7 @@
 
     /// Returns the number of endpoints that are model engines.
     pub fn engine_count(&self) -> usize {
-        self.by_base.values().map(Vec::len).sum()
+        self.by_base.values().map(|engines| engines.all.len()).sum()
     }
 
     /// Returns all endpoints.
@@ -267,13 +282,54 @@
     fn add_endpoint(&mut self, endpoint: &Arc<Endpoint>) {
         self.endpoints.insert(endpoint.name.clone(), endpoint.clone());
         let of_kind = match &endpoint.serves {
-            Serves::Base(base) => self.by_base.entry(base.clone()),
-            Serves::Service(service) => self.by_service.entry(service.clone()),
+            Serves::Base(base) => &mut self.by_base.entry(base.clone()).or_default().all,
+            Serves::Service(service) => {
+                self.by_service.entry(service.clone()).or_default()
+            }
         };
-        of_kind.or_default().push(endpoint.clone());
+        of_kind.push(endpoint.clone());
     }
 }
 
+impl Engines {
+    /// Sorts the engines into groups of [`GROUP`] on average.
+    fn group(&mut self) {
+        let count = self.all.len().div_ceil(GROUP).next_power_of_two();
+        self.groups = vec![Vec::new(); count];
+        for endpoint in &self.all {
+            self.groups[place(&endpoint.name, count)].push(endpoint.clone());
+        }
+    }
+
+    /// Returns the groups that a target ranks first, up to enough endpoints.
+    fn near(&self, target: TargetHash) -> Vec<&Arc<Endpoint>> {
+        if self.all.len() <= NEAR {
+            return self.all.iter().collect();
+        }
+        let weight = |group: usize| xxh3_64_with_seed(&group.to_le_bytes(), target);
+        let mut ranked: Vec<_> = (0..self.groups.len()).collect();
+        let first = NEAR.div_ceil(GROUP) * 2;
+        if ranked.len() > first {
+            ranked.select_nth_unstable_by_key(first, |g| Reverse(weight(*g)));
+            ranked.truncate(first);
+        }
+        ranked.sort_by_cached_key(|g| Reverse(weight(*g)));
+        let mut near = Vec::new();
+        for group in ranked {
+            near.extend(&self.groups[group]);
+            if near.len() >= NEAR {
+                break;
+            }
+        }
+        near
+    }
+}
+
+/// Endpoints of a group, on average.
+const GROUP: usize = 24;
+/// Endpoints among which a target has its candidates, at least.
+const NEAR: usize = 48;
+
 impl Part {
     /// Reads and indexes a chunk that another process passed on.
     pub fn from_message(hash: &str, message: Bytes) -> Result<Self, DecodeError> {
--- /dev/null
+++ b/crates/larkspring-core/tests/route.rs
@@ -0,0 +1,150 @@
+//! The choice of an endpoint: candidates, hints, and what is passed over.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use larkspring_core::declared::{Endpoint, Part, State};
+use larkspring_core::ids::Target;
+use larkspring_core::route::{Hint, Policy, Router};
+use larkspring_proto::declared as wire;
+
+const BASE: &str = "base";
+
+fn state(count: usize) -> State {
+    let endpoint = |n| wire::Endpoint {
+        name: format!("engine-{n}"),
+        base: BASE.into(),
+        ..wire::Endpoint::default()
+    };
+    let endpoints = (0..count).map(endpoint).collect();
+    let chunk = wire::Chunk { endpoints, ..wire::Chunk::default() };
+    State::build(1, vec![Arc::new(Part::index("one", &chunk))])
+}
+
+fn hash(n: usize) -> u64 {
+    Target::new(&format!("tenant-{n}"), "v1").hash()
+}
+
+/// A router over a few endpoints, and what it chooses for one target.
+struct Choice {
+    state: State,
+    router: Router,
+    now: Instant,
+}
+
+impl Choice {
+    fn new() -> Self {
+        let router = Router::new(Policy::Predicted);
+        Self { state: state(6), router, now: Instant::now() }
+    }
+
+    fn choose(&self, tried: &[Arc<Endpoint>]) -> Option<Arc<Endpoint>> {
+        let tried: Vec<_> = tried.iter().map(|e| e.name.clone()).collect();
+        let near = self.state.engines_near(BASE, hash(1));
+        let mut rng = Rng::with_seed(1);
+        self.router.choose(self.now, &near, Some(hash(1)), &tried, &mut rng)
+    }
+
+    fn learn(&self, endpoint: &Endpoint, hint: Hint) {
+        self.router.learn(self.now, &endpoint.name, hint);
+    }
+}
+
+#[test]
+fn entries_that_know_nothing_agree() {
+    for n in 0..20 {
+        let choose = |seed| {
+            let state = state(18);
+            let near = state.engines_near(BASE, hash(n));
+            let router = Router::new(Policy::Predicted);
+            let mut rng = Rng::with_seed(seed);
+            router.choose(Instant::now(), &near, Some(hash(n)), &[], &mut rng).unwrap()
+        };
+        assert_eq!(choose(1).name, choose(2).name);
+    }
+}
+
+#[test]
+fn hints_decide_among_the_candidates() {
+    let it = Choice::new();
+    let first = it.choose(&[]).unwrap();
+    let second = it.choose(&[first.clone()]).unwrap();
+    assert_ne!(first.name, second.name);
+    // One that holds the adapter is better than the first that doesn't.
+    it.learn(&second, Hint { resident: vec![hash(1)], ..Hint::default() });
+    assert_eq!(it.choose(&[]).unwrap().name, second.name);
+    // Not if its queue is long.
+    let resident = vec![hash(1)];
+    it.learn(&second, Hint { resident, waiting: 100, ..Hint::default() });
+    assert_eq!(it.choose(&[]).unwrap().name, first.name);
+}
+
+#[test]
+fn endpoints_that_leave_or_are_unreachable_are_passed_over_for_a_time() {
+    let it = Choice::new();
+    let first = it.choose(&[]).unwrap();
+    it.learn(&first, Hint { leaving: true, ..Hint::default() });
+    assert_ne!(it.choose(&[]).unwrap().name, first.name);
+    it.learn(&first, Hint::default());
+    assert_eq!(it.choose(&[]).unwrap().name, first.name);
+    it.router.unreachable(it.now, &first.name);
+    assert_ne!(it.choose(&[]).unwrap().name, first.name);
+    let later = Choice { now: it.now + Duration::from_secs(2), ..it };
+    assert_eq!(later.choose(&[]).unwrap().name, first.name);
+}
+
+#[test]
+fn all_tried_leaves_none() {
+    let it = Choice::new();
+    let mut tried = Vec::new();
+    while let Some(endpoint) = it.choose(&tried) {
+        tried.push(endpoint);
+    }
+    assert_eq!(tried.len(), 6);
+}
+
+#[test]
+fn candidates_are_enough_distinct_and_stable() {
+    struct Case {
+        endpoints: usize,
+        least: usize,
+        most: usize,
+    }
+    let cases = [
+        Case { endpoints: 0, least: 0, most: 0 },
+        Case { endpoints: 1, least: 1, most: 1 },
+        Case { endpoints: 48, least: 48, most: 48 },
+        Case { endpoints: 500, least: 24, most: 160 },
+        Case { endpoints: 11_000, least: 24, most: 160 },
+    ];
+    for case in cases {
+        let state = state(case.endpoints);
+        for n in 0..50 {
+            let near = state.engines_near(BASE, hash(n));
+            let names: BTreeSet<_> = near.iter().map(|e| &e.name).collect();
+            assert_eq!(names.len(), near.len());
+            let count = near.len();
+            assert!(
+                (case.least..=case.most).contains(&count),
+                "{}: {count}",
+                case.endpoints
+            );
+        }
+    }
+    // One endpoint more changes the first choice of few targets.
+    let first = |state: &State, n| {
+        let router = Router::new(Policy::Hash);
+        let near = state.engines_near(BASE, hash(n));
+        let mut rng = Rng::with_seed(1);
+        router
+            .choose(Instant::now(), &near, Some(hash(n)), &[], &mut rng)
+            .unwrap()
+            .name
+            .clone()
+    };
+    let (before, after) = (state(300), state(301));
+    let moved = (0..1000).filter(|n| first(&before, *n) != first(&after, *n)).count();
+    assert!(moved < 30, "{moved} of 1000 moved");
+}
--- a/crates/larkspring/src/entry/dispatch.rs
+++ b/crates/larkspring/src/entry/dispatch.rs
@@ -9,6 +9,7 @@
 use larkspring_core::ids::EndpointId;
 use larkspring_core::outcome::{Outcome, Refusal, Step};
 use larkspring_core::retry::backoff;
+use larkspring_core::route::Policy;
 use larkspring_proto::agent::agent_client::AgentClient;
 use larkspring_proto::agent::{
     dispatch_down, dispatch_up, Begin, Credit, DispatchDown, DispatchUp, Hint,
@@ -99,12 +100,20 @@
     rng: &mut fastrand::Rng,
 ) -> Result<Arc<Endpoint>, Refusal> {
     let state = entry.in_force.state();
-    let (endpoints, target) = match &req.to {
-        To::Model { target, base, .. } => (state.engines(base), Some(target.hash())),
-        To::Service { service, .. } => (state.service_endpoints(service), None),
+    let (mut endpoints, target) = match &req.to {
+        To::Model { target, base, .. } => {
+            let target = target.hash();
+            let near = match entry.cfg.routing {
+                Policy::Predicted | Policy::Hash => state.engines_near(base, target),
+                Policy::Random | Policy::Least => state.engines(base).iter().collect(),
+            };
+            (near, Some(target))
+        }
+        To::Service { service, .. } => {
+            (state.service_endpoints(service).iter().collect(), None)
+        }
     };
-    let staying = |e: &&Arc<Endpoint>| !entry.in_force.is_vm_leaving(&e.vm);
-    let endpoints: Vec<_> = endpoints.iter().filter(staying).collect();
+    endpoints.retain(|e| !entry.in_force.is_vm_leaving(&e.vm));
     let chosen = entry.router.choose(Instant::now(), &endpoints, target, tried, rng);
     chosen.ok_or_else(|| {
         let refusal = Refusal::not_run(Step::Choose, "no endpoint takes the request now");
