--- a/crates/larkspring-core/tests/route.rs
+++ b/crates/larkspring-core/tests/route.rs
@@ -70,7 +70,7 @@
 fn hints_decide_among_the_candidates() {
     let it = Choice::new();
     let first = it.choose(&[]).unwrap();
-    let second = it.choose(&[first.clone()]).unwrap();
+    let second = it.choose(std::slice::from_ref(&first)).unwrap();
     assert_ne!(first.name, second.name);
     // One that holds the adapter is better than the first that doesn't.
     it.learn(&second, Hint { resident: vec![hash(1)], ..Hint::default() });
--- a/crates/larkspring/src/agent/endpoint.rs
+++ b/crates/larkspring/src/agent/endpoint.rs
@@ -18,6 +18,7 @@
 use smol::Timer;
 
 use super::backend::{Backend, Report};
+use super::fence::Fence;
 use super::gate::Gate;
 use crate::exec;
 use crate::in_force::InForce;
@@ -30,7 +31,6 @@
     slots: Mutex<Slots>,
     verdicts: Mutex<HashMap<AttemptId, Sender<Verdict>>>,
     next: AtomicU64,
-    epoch: AtomicU64,
     changed: Event,
     stopping: AtomicBool,
     /// VM that it runs on.
@@ -41,6 +41,8 @@
     pub in_force: Arc<InForce>,
     /// Where metrics go.
     pub metrics: Metrics,
+    /// Its epoch.
+    pub fence: Fence,
     gate: Gate,
 }
 
@@ -59,10 +61,10 @@
     in_engine: bool,
 }
 
+/// Pause after an order that was not given.
+const ORDER_PAUSE: Duration = Duration::from_secs(1);
 /// How often an engine is asked to end a request until it confirms.
 const CANCEL_INTERVAL: Duration = Duration::from_millis(200);
-/// Retry of loads that need the epoch, while there is none.
-const FIRST_EPOCH: u64 = 0;
 
 impl Endpoint {
     /// Creates the state of an endpoint of which nothing is known yet.
@@ -71,19 +73,20 @@
         vm: &str,
         in_force: Arc<InForce>,
         metrics: Metrics,
+        fence: Fence,
         gate: Gate,
     ) -> Self {
         Self {
             slots: Mutex::new(Slots::new(super::limits(&cfg))),
             verdicts: Mutex::default(),
             next: AtomicU64::new(1),
-            epoch: AtomicU64::new(FIRST_EPOCH),
             changed: Event::new(),
             stopping: AtomicBool::new(false),
             vm: vm.into(),
             backend: Backend::new(&cfg.backend),
             in_force,
             metrics,
+            fence,
             gate,
             cfg,
         }
@@ -108,19 +111,17 @@
         }
     }
 
-    /// Takes the epoch that stamps the orders of this agent.
-    pub fn set_epoch(&self, epoch: u64) {
-        self.epoch.store(epoch, Ordering::Release);
-    }
-
-    /// The epoch that stamps the orders of this agent; 0 before there is one.
-    pub fn epoch(&self) -> u64 {
-        self.epoch.load(Ordering::Acquire)
+    /// Whether this agent may give orders now: an engine that checks epochs decides
+    /// itself, for any other the epoch is read again.
+    async fn may_order(&self) -> bool {
+        let state = self.in_force.state();
+        let checks = state.endpoint(self.name()).is_some_and(|e| e.checks_fences);
+        checks || self.fence.is_held().await
     }
 
     /// Returns the number by which the engine knows a request of this agent.
     pub fn request_id(&self, id: AttemptId) -> String {
-        format!("{}-{}-{id}", self.name(), self.epoch())
+        format!("{}-{}-{id}", self.name(), self.fence.epoch())
     }
 
     /// Asks for a place; the request waits until [`Place::granted`].
@@ -154,7 +155,7 @@
 
     /// Takes in a report of the engine.
     pub fn reported(self: &Arc<Self>, report: &Report) {
-        let own = format!("{}-{}-", self.name(), self.epoch());
+        let own = format!("{}-{}-", self.name(), self.fence.epoch());
         let foreign = |name: &str| {
             let of_adapter = report.running.iter().filter(|r| r.adapter == name);
             of_adapter.filter(|r| !r.id.starts_with(&own)).count()
@@ -263,14 +264,19 @@
 
     /// Loads an adapter and checks that the engine loaded just that one.
     async fn load_checked(&self, target: &Target, weights: &str) -> bool {
+        if !self.may_order().await {
+            tracing::warn!(adapter = %target, "no load, as another agent may be in charge");
+            return false;
+        }
         let limit = self.cfg.load_timeout;
-        let done = match self.backend.load(target, weights, self.epoch(), limit).await {
-            Ok(done) => done,
-            Err(e) => {
-                tracing::warn!(adapter = %target, error = %e, "load failed");
-                return false;
-            }
-        };
+        let done =
+            match self.backend.load(target, weights, self.fence.epoch(), limit).await {
+                Ok(done) => done,
+                Err(e) => {
+                    tracing::warn!(adapter = %target, error = %e, "load failed");
+                    return false;
+                }
+            };
         let run = self.incarnation();
         let same_run = run.as_deref() == Some(&*done.incarnation);
         let exact = done.adapter == target.to_string();
@@ -281,7 +287,14 @@
     }
 
     async fn unload(self: Arc<Self>, target: Target) {
-        let done = self.backend.unload(&target, self.epoch()).await;
+        if !self.may_order().await {
+            tracing::warn!(adapter = %target, "no unload, as another agent may be in charge");
+            self.slots.lock().unloaded(Instant::now(), &target, false);
+            // Without an order the next try must wait, or it would come at once.
+            Timer::after(ORDER_PAUSE).await;
+            return self.drive();
+        }
+        let done = self.backend.unload(&target, self.fence.epoch()).await;
         if let Err(e) = &done {
             tracing::warn!(adapter = %target, error = %e, "unload failed");
         }
--- a/crates/larkspring/src/agent/mod.rs
+++ b/crates/larkspring/src/agent/mod.rs
@@ -5,6 +5,7 @@
 
 mod backend;
 mod endpoint;
+pub mod fence;
 mod gate;
 mod job;
 mod poll;
@@ -23,6 +24,7 @@
 use tonic::{Request, Response, Status, Streaming};
 
 use self::endpoint::Endpoint;
+use self::fence::Fence;
 use self::gate::Gate;
 use crate::exec;
 use crate::follow::Follower;
@@ -66,15 +68,22 @@
         let addr = listener.local_addr().unwrap_or(cfg.listen);
         let objects =
             HttpObjects::new(&settings.platform.objects, settings.platform.timeout);
+        let fence = Fence::new(&cfg.endpoint, Box::new(objects));
         let in_force = Arc::new(InForce::default());
         let metrics = Metrics::new(&settings.telemetry);
         let grace = cfg.stop_grace;
         let gate = Gate::new(&settings.platform);
-        let endpoint =
-            Arc::new(Endpoint::new(cfg, &settings.vm, in_force.clone(), metrics, gate));
+        let endpoint = Arc::new(Endpoint::new(
+            cfg,
+            &settings.vm,
+            in_force.clone(),
+            metrics,
+            fence,
+            gate,
+        ));
         let follower = Follower::new(in_force, &settings.platform, String::new());
         let follow = exec::spawn(async move { follower.run(|| false).await });
-        let polls = exec::spawn(poll::run(endpoint.clone(), objects));
+        let polls = exec::spawn(poll::run(endpoint.clone()));
         let service = AgentServer::new(Service { endpoint: endpoint.clone() });
         let stopper = serve(listener, service);
         tracing::info!(%addr, endpoint = endpoint.name(), "agent started");
--- a/crates/larkspring/src/agent/poll.rs
+++ b/crates/larkspring/src/agent/poll.rs
@@ -1,23 +1,17 @@
 //! Background work of an agent: its epoch, and the reports of its engine.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use futures_lite::FutureExt;
 use larkspring_core::ids::Target;
-use larkspring_core::retry::backoff;
 use smol::Timer;
 
 use super::backend::Report;
 use super::endpoint::Endpoint;
-use crate::platform::objects::ObjectApi;
-use crate::platform::PlatformError;
 
 /// Reports that may be missed before the engine counts as unreachable.
 const MISSES: u32 = 2;
-/// Pause after a failed try to take an epoch, at first and at most.
-const FIRST_RETRY: Duration = Duration::from_millis(250);
-const LONGEST_RETRY: Duration = Duration::from_secs(5);
 /// Stands for the run of a plain service, which has none.
 const SERVICE_RUN: &str = "service";
 
@@ -25,13 +19,12 @@
 pub const SERVICE_VERSION: &str = "-";
 
 /// Takes an epoch and then follows the engine for ever.
-pub async fn run(endpoint: Arc<Endpoint>, objects: impl ObjectApi) {
+pub async fn run(endpoint: Arc<Endpoint>) {
     endpoint.in_force.reached(1).await;
     if let Some(service) = endpoint.service() {
         return follow_service(endpoint, &service).await;
     }
-    let epoch = take_epoch(&endpoint, &objects).await;
-    endpoint.set_epoch(epoch);
+    let epoch = endpoint.fence.take().await;
     tracing::info!(epoch, "epoch taken");
     let mut misses = 0;
     loop {
@@ -84,31 +77,3 @@
         }
     }
 }
-
-/// Raises the epoch of the endpoint by one and returns it; retries until it could.
-async fn take_epoch(endpoint: &Endpoint, objects: &impl ObjectApi) -> u64 {
-    let mut rng = fastrand::Rng::new();
-    let mut failures = 0;
-    loop {
-        match try_epoch(endpoint, objects).await {
-            Ok(epoch) => return epoch,
-            Err(e) => tracing::warn!(error = %e, "no epoch yet"),
-        }
-        let wait = backoff(FIRST_RETRY, LONGEST_RETRY, failures, &mut rng);
-        failures += 1;
-        Timer::after(wait).await;
-    }
-}
-
-/// The version of the object is the epoch: it grows with each conditional write.
-///
-/// After a write whose reply was lost the next try takes a higher epoch, which is as
-/// good.
-async fn try_epoch(
-    endpoint: &Endpoint,
-    objects: &impl ObjectApi,
-) -> Result<u64, PlatformError> {
-    let name = format!("epoch/{}", endpoint.name());
-    let seen = objects.get(&name).await?.map_or(0, |o| o.version);
-    objects.put(&name, seen, b"{}".to_vec()).await
-}
