--- a/crates/larkspring-core/src/slots.rs
+++ b/crates/larkspring-core/src/slots.rs
@@ -3,10 +3,15 @@
 //! The agent reports each event and then asks [`Slots::schedule`] for the actions that
 //! follow. A request that waits for its adapter stays outside the engine's batch.
 
+mod limits;
+mod residency;
+
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
+pub use self::limits::{Eviction, Limits};
+use self::residency::{Heat, Phase, Residency};
 use crate::ids::{AttemptId, Incarnation, Target, TargetHash};
 use crate::outcome::{Refusal, Step};
 
@@ -40,45 +45,6 @@
     pub foreign: usize,
 }
 
-/// Bounds of one engine.
-#[derive(Debug, Clone)]
-pub struct Limits {
-    /// Adapter slots of the engine.
-    pub slots: usize,
-    /// Requests in the engine at a time.
-    pub max_running: usize,
-    /// Requests that may wait.
-    pub max_waiting: usize,
-    /// Loads under way at a time.
-    pub max_loading: usize,
-    /// Wait after which a request may stop new use of a busy adapter to get its slot.
-    pub patience: Duration,
-    /// Time after the agent's start before it unloads, as the engine's reports lag.
-    pub settle: Duration,
-    /// Which adapter is unloaded first.
-    pub eviction: Eviction,
-}
-
-/// Which of the adapters that nobody uses is unloaded first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Eviction {
-    /// The one with the fewest uses, of which older ones count less.
-    Heat,
-    /// The one used longest ago; a baseline.
-    Lru,
-}
-
-impl Eviction {
-    /// Reads the name used in settings.
-    pub fn parse(name: &str) -> Option<Self> {
-        match name {
-            "" | "heat" => Some(Self::Heat),
-            "lru" => Some(Self::Lru),
-            _ => None,
-        }
-    }
-}
-
 /// What the agent has to do next.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
@@ -112,42 +78,12 @@
     since: Instant,
 }
 
-#[derive(Debug)]
-struct Residency {
-    phase: Phase,
-    /// Requests of this agent that use it.
-    pins: usize,
-    /// Requests of earlier agents that use it.
-    foreign: usize,
-    last_used: Instant,
-    heat: Heat,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
-    Loading {
-        since: Instant,
-    },
-    Resident,
-    /// Resident, but no request may start; unloaded when the last pin goes.
-    Retiring,
-    Unloading,
-}
-
 #[derive(Debug)]
 struct Failure {
     count: u32,
     until: Instant,
 }
 
-/// Uses of an adapter, of which half are forgotten every [`HALF_LIFE`].
-#[derive(Debug, Clone, Copy)]
-struct Heat {
-    value: f64,
-    at: Instant,
-}
-
-const HALF_LIFE: Duration = Duration::from_secs(300);
 /// Adapters that are not held and whose uses are remembered.
 const MAX_PAST: usize = 4096;
 /// Uses below which an adapter that is not held is forgotten when room is short.
@@ -530,38 +466,6 @@
     }
 }
 
-impl Residency {
-    fn new(now: Instant, phase: Phase) -> Self {
-        let heat = Heat { value: 0.0, at: now };
-        Self { phase, pins: 0, foreign: 0, last_used: now, heat }
-    }
-
-    fn is_resident(&self) -> bool {
-        matches!(self.phase, Phase::Resident | Phase::Retiring)
-    }
-
-    fn is_loading(&self) -> bool {
-        matches!(self.phase, Phase::Loading { .. })
-    }
-
-    /// Whether a request that comes now would find the adapter without another load.
-    fn serves(&self) -> bool {
-        matches!(self.phase, Phase::Resident | Phase::Loading { .. })
-    }
-}
-
-impl Heat {
-    fn at(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.at);
-        self.value * 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64())
-    }
-
-    fn add(&mut self, now: Instant) {
-        self.value = self.at(now) + 1.0;
-        self.at = now;
-    }
-}
-
 fn average(old: Duration, sample: Duration) -> Duration {
     old.mul_f64(1.0 - SAMPLE_WEIGHT) + sample.mul_f64(SAMPLE_WEIGHT)
 }
--- /dev/null
+++ b/crates/larkspring-core/src/slots/residency.rs
@@ -0,0 +1,66 @@
+//! An adapter in an engine, or on its way in or out.
+
+use std::time::{Duration, Instant};
+
+#[derive(Debug)]
+pub(super) struct Residency {
+    pub phase: Phase,
+    /// Requests of this agent that use it.
+    pub pins: usize,
+    /// Requests of earlier agents that use it.
+    pub foreign: usize,
+    pub last_used: Instant,
+    pub heat: Heat,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Phase {
+    Loading {
+        since: Instant,
+    },
+    Resident,
+    /// Resident, but no request may start; unloaded when the last pin goes.
+    Retiring,
+    Unloading,
+}
+
+/// Uses of an adapter, of which half are forgotten every [`HALF_LIFE`].
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Heat {
+    value: f64,
+    at: Instant,
+}
+
+const HALF_LIFE: Duration = Duration::from_secs(100);
+
+impl Residency {
+    pub fn new(now: Instant, phase: Phase) -> Self {
+        let heat = Heat { value: 0.0, at: now };
+        Self { phase, pins: 0, foreign: 0, last_used: now, heat }
+    }
+
+    pub fn is_resident(&self) -> bool {
+        matches!(self.phase, Phase::Resident | Phase::Retiring)
+    }
+
+    pub fn is_loading(&self) -> bool {
+        matches!(self.phase, Phase::Loading { .. })
+    }
+
+    /// Whether a request that comes now would find the adapter without another load.
+    pub fn serves(&self) -> bool {
+        matches!(self.phase, Phase::Resident | Phase::Loading { .. })
+    }
+}
+
+impl Heat {
+    pub fn at(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.at);
+        self.value * 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64())
+    }
+
+    pub fn add(&mut self, now: Instant) {
+        self.value = self.at(now) + 1.0;
+        self.at = now;
+    }
+}
--- a/crates/larkspring-standin/src/engine.rs
+++ b/crates/larkspring-standin/src/engine.rs
@@ -3,14 +3,12 @@
 //! Each step gives one token to each request of the batch. A step takes a base time and
 //! a part for each request over the knee, as on a real accelerator.
 
+mod run;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
-use futures_lite::{AsyncBufRead, AsyncRead};
 use http_types::{Body, Method, Request, Response};
 use larkspring::exec;
 use larkspring::http::client::{fetch, request};
@@ -19,6 +17,7 @@
 use serde_json::json;
 use smol::Timer;
 
+use self::run::{stream, Run};
 use crate::web::{json as answer_json, query, read, text, Web};
 
 /// A model engine.
@@ -116,34 +115,6 @@
     reports: VecDeque<(std::time::Instant, serde_json::Value)>,
 }
 
-/// One request in the engine.
-#[derive(Debug)]
-struct Run {
-    id: String,
-    adapter: String,
-    prompt: String,
-    chat: bool,
-    stream: bool,
-    max_tokens: u64,
-    priority: u32,
-    out: Mutex<Out>,
-}
-
-#[derive(Debug, Default)]
-struct Out {
-    buf: Vec<u8>,
-    text: String,
-    tokens: u64,
-    done: bool,
-    /// Offset at which the connection breaks.
-    break_at: Option<usize>,
-    /// Whether the request ended without its answer.
-    broken: bool,
-    /// Bytes that the reader has taken.
-    taken: usize,
-    wakers: Vec<Waker>,
-}
-
 #[derive(Debug, Deserialize)]
 struct Completion {
     model: String,
@@ -182,12 +153,9 @@
     16
 }
 
-/// Bytes by which a reader may lag before its request gets no more tokens.
-const MAX_LAG: usize = 64 * 1024;
 /// Reports that are kept to be given out late.
 const REPORTS: usize = 64;
 const LOAD_TIMEOUT: Duration = Duration::from_secs(60);
-const STREAM_END: &[u8] = b"data: [DONE]\n\n";
 
 impl Engine {
     /// Creates an engine that loads from the weight store at `weights`, if given.
@@ -475,161 +443,6 @@
     }
 }
 
-impl Run {
-    fn takes_tokens(&self) -> bool {
-        let out = self.out.lock();
-        !out.done && (!self.stream || out.buf.len() < out.taken + MAX_LAG)
-    }
-
-    /// Adds the next token, and after the last one the end.
-    fn step(&self, break_after: &mut Option<u64>) {
-        let mut out = self.out.lock();
-        let token = match out.tokens {
-            0 => format!("{}|{}|", self.adapter, self.prompt),
-            n => format!(" {n}"),
-        };
-        out.tokens += 1;
-        out.text.push_str(&token);
-        if self.stream {
-            let event = self.event(&token);
-            out.buf.extend_from_slice(event.as_bytes());
-            if out.break_at.is_none() && *break_after == Some(out.tokens) {
-                *break_after = None;
-                out.break_at = Some(out.buf.len());
-            }
-        }
-        if out.tokens == self.max_tokens {
-            if self.stream {
-                out.buf.extend_from_slice(STREAM_END);
-            }
-            out.done = true;
-        }
-        out.wake();
-    }
-
-    fn event(&self, token: &str) -> String {
-        let choice = match self.chat {
-            true => json!({ "index": 0, "delta": { "content": token } }),
-            false => json!({ "index": 0, "text": token }),
-        };
-        let body = json!({ "id": self.id, "model": self.adapter, "choices": [choice] });
-        format!("data: {body}\n\n")
-    }
-
-    fn end(&self, broken: bool) {
-        let mut out = self.out.lock();
-        out.broken |= broken && !out.done;
-        out.done = true;
-        out.wake();
-    }
-
-    fn is_read(&self) -> bool {
-        let out = self.out.lock();
-        out.done && (!self.stream || out.taken >= out.buf.len())
-    }
-
-    fn poll_end(&self, cx: &mut Context<'_>) -> Poll<()> {
-        let mut out = self.out.lock();
-        if out.done {
-            return Poll::Ready(());
-        }
-        out.wakers.push(cx.waker().clone());
-        Poll::Pending
-    }
-
-    /// Returns a whole answer; `None` if the request was broken off.
-    fn whole(&self) -> Option<String> {
-        let out = self.out.lock();
-        let choice = match self.chat {
-            true => json!({ "index": 0,
-                "message": { "role": "assistant", "content": out.text } }),
-            false => json!({ "index": 0, "text": out.text }),
-        };
-        let body = json!({ "id": self.id, "model": self.adapter, "choices": [choice] });
-        (!out.broken).then(|| body.to_string())
-    }
-}
-
-impl Out {
-    fn wake(&mut self) {
-        for waker in self.wakers.drain(..) {
-            waker.wake();
-        }
-    }
-}
-
-fn stream(mut head: Response, run: Arc<Run>, from: usize) -> Response {
-    let reader = Reader { run, at: from, chunk: Vec::new(), used: 0 };
-    head.set_body(Body::from_reader(reader, None));
-    head.insert_header("content-type", "text/event-stream");
-    head
-}
-
-/// Reads a request's answer from an offset on.
-struct Reader {
-    run: Arc<Run>,
-    at: usize,
-    chunk: Vec<u8>,
-    used: usize,
-}
-
-impl Reader {
-    fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.used < self.chunk.len() {
-            return Poll::Ready(Ok(()));
-        }
-        let mut out = self.run.out.lock();
-        let end = out.break_at.unwrap_or(usize::MAX).min(out.buf.len());
-        if self.at < end {
-            self.chunk = out.buf[self.at..end].to_vec();
-            self.used = 0;
-            self.at = end;
-            out.taken = out.taken.max(end);
-            return Poll::Ready(Ok(()));
-        }
-        if out.broken || out.break_at.is_some_and(|at| self.at >= at) {
-            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
-        }
-        if out.done {
-            self.chunk.clear();
-            self.used = 0;
-            return Poll::Ready(Ok(()));
-        }
-        out.wakers.push(cx.waker().clone());
-        Poll::Pending
-    }
-}
-
-impl AsyncRead for Reader {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        futures_lite::ready!(self.poll_chunk(cx))?;
-        let left = &self.chunk[self.used..];
-        let n = left.len().min(buf.len());
-        buf[..n].copy_from_slice(&left[..n]);
-        self.used += n;
-        Poll::Ready(Ok(n))
-    }
-}
-
-impl AsyncBufRead for Reader {
-    fn poll_fill_buf(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<io::Result<&[u8]>> {
-        let reader = self.get_mut();
-        futures_lite::ready!(reader.poll_chunk(cx))?;
-        Poll::Ready(Ok(&reader.chunk[reader.used..]))
-    }
-
-    fn consume(mut self: Pin<&mut Self>, n: usize) {
-        self.used += n;
-    }
-}
-
 fn epoch_of(req: &Request) -> u64 {
     req.header("x-epoch").and_then(|v| v.as_str().parse().ok()).unwrap_or(0)
 }
