--- a/crates/larkspring/src/agent/endpoint.rs
+++ b/crates/larkspring/src/agent/endpoint.rs
@@ -7,7 +7,6 @@
 use std::time::{Duration, Instant};
 
 use event_listener::Event;
-use futures_lite::FutureExt;
 use larkspring_core::declared::Serves;
 use larkspring_core::ids::{AttemptId, Incarnation, Target};
 use larkspring_core::outcome::Refusal;
@@ -20,7 +19,7 @@
 use super::backend::{Backend, Report};
 use super::fence::Fence;
 use super::gate::Gate;
-use crate::exec;
+use crate::exec::{self, within};
 use crate::in_force::InForce;
 use crate::settings::AgentCfg;
 use crate::telemetry::Metrics;
@@ -219,10 +218,7 @@
                 listener.await;
             }
         };
-        let late = async {
-            Timer::after(limit).await;
-        };
-        idle.or(late).await;
+        within(limit, idle).await;
     }
 
     /// Returns what an entry may want to know.
--- a/crates/larkspring/src/agent/gate.rs
+++ b/crates/larkspring/src/agent/gate.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use futures_lite::FutureExt;
-use http::Uri;
 use larkspring_core::budget::BudgetLimits;
 use larkspring_proto::keys::KeyTable;
 use larkspring_proto::loads::loads_client::LoadsClient;
@@ -12,6 +10,7 @@
 use smol::Timer;
 
 use crate::entry::keys::{LEADING_PARTITION, TABLE};
+use crate::exec::within;
 use crate::platform::objects::{HttpObjects, ObjectApi};
 use crate::rpc::channel::{Channel, Pool};
 use crate::settings::PlatformCfg;
@@ -75,30 +74,21 @@
     pub async fn done(&self, permit: Permit) {
         let Some(addr) = permit.leader else { return };
         let Some(mut client) = self.client(&addr).await else { return };
-        let done = async {
-            let _ = client.done(DoneRequest { load: permit.load }).await;
-        };
-        let late = async {
-            Timer::after(CONNECT_TIMEOUT).await;
-        };
-        done.or(late).await;
+        // A permit that is not given back counts as ended after a time.
+        within(CONNECT_TIMEOUT, client.done(DoneRequest { load: permit.load })).await;
     }
 
     /// Asks for a permit: granted, not yet, or `None` if another entry grants.
     async fn ask(&self, addr: &str, req: PermitRequest) -> Option<bool> {
         let mut client = self.client(addr).await?;
-        let late = async {
-            Timer::after(PERMIT_TIMEOUT).await;
-            None
-        };
-        let ask = async { client.permit(req).await.ok() };
-        let reply = ask.or(late).await?.into_inner();
+        let reply = within(PERMIT_TIMEOUT, client.permit(req)).await?;
+        let reply = reply.ok()?.into_inner();
         (!reply.elsewhere).then_some(reply.granted)
     }
 
     async fn client(&self, addr: &str) -> Option<LoadsClient<Channel>> {
         let channel = self.pool.get(addr).await.ok()?;
-        let origin = Uri::try_from(format!("http://{addr}")).ok()?;
+        let origin = channel.origin();
         Some(LoadsClient::with_origin(channel, origin))
     }
 
--- a/crates/larkspring/src/agent/job.rs
+++ b/crates/larkspring/src/agent/job.rs
@@ -20,8 +20,8 @@
 use super::backend::{ADAPTER, INCARNATION, PRIORITY, REQUEST};
 use super::endpoint::{Endpoint, Place};
 use super::poll::SERVICE_VERSION;
-use super::{after, START_TIMEOUT};
-use crate::exec;
+use super::START_TIMEOUT;
+use crate::exec::{self, within};
 use crate::rpc::credit::{units, Credit, MAX_CHUNK};
 use crate::telemetry::TraceParent;
 use crate::wire::refusal_to_wire;
@@ -38,7 +38,7 @@
 
 /// Serves one call of an entry to its end.
 pub async fn run(endpoint: Arc<Endpoint>, mut up: Streaming<DispatchUp>, down: Down) {
-    let first = async { up.next().await }.or(after(START_TIMEOUT)).await;
+    let first = within(START_TIMEOUT, up.next()).await.flatten();
     let Some(Ok(DispatchUp { kind: Some(dispatch_up::Kind::Start(start)) })) = first
     else {
         let _ = down.send(Err(Status::invalid_argument("`start` is missing"))).await;
--- a/crates/larkspring/src/agent/mod.rs
+++ b/crates/larkspring/src/agent/mod.rs
@@ -19,8 +19,8 @@
 use larkspring_proto::agent::agent_server::{Agent as AgentRpc, AgentServer};
 use larkspring_proto::agent::{DispatchDown, DispatchUp};
 use quick_error::quick_error;
+use smol::channel;
 use smol::net::TcpListener;
-use smol::{channel, Timer};
 use tonic::{Request, Response, Status, Streaming};
 
 use self::endpoint::Endpoint;
@@ -125,12 +125,6 @@
     }
 }
 
-/// Waits for a duration and then returns nothing.
-async fn after<T>(limit: Duration) -> Option<T> {
-    Timer::after(limit).await;
-    None
-}
-
 /// Returns the limits of the core from settings.
 fn limits(cfg: &AgentCfg) -> larkspring_core::slots::Limits {
     larkspring_core::slots::Limits {
--- a/crates/larkspring/src/entry/dispatch.rs
+++ b/crates/larkspring/src/entry/dispatch.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
-use http::Uri;
 use larkspring_core::declared::Endpoint;
 use larkspring_core::ids::EndpointId;
 use larkspring_core::outcome::{Outcome, Refusal, Step};
@@ -185,8 +184,7 @@
     };
     let channel = entry.pool.get(&endpoint.agent).await;
     let channel = channel.map_err(|e| not_sent(e.to_string()))?;
-    let origin = Uri::try_from(format!("http://{}", endpoint.agent));
-    let origin = origin.map_err(|e| not_sent(e.to_string()))?;
+    let origin = channel.origin();
     let (up, messages) = channel::unbounded();
     let start = start_message(entry, req);
     let _ = up.try_send(DispatchUp { kind: Some(dispatch_up::Kind::Start(start)) });
--- a/crates/larkspring/src/entry/keys/mod.rs
+++ b/crates/larkspring/src/entry/keys/mod.rs
@@ -11,7 +11,6 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use event_listener::Event;
-use http::Uri;
 use larkspring_core::claims::{Ask, ClaimKey, ClaimLimits, Claims, Settled, Verdict};
 use larkspring_core::outcome::{Refusal, Step};
 use larkspring_core::tenure::{
@@ -28,8 +27,9 @@
 pub use self::rpc::Service;
 use self::table::View;
 pub use self::table::TABLE;
+use crate::exec::within;
 use crate::platform::objects::HttpObjects;
-use crate::rpc::channel::Pool;
+use crate::rpc::channel::{Channel, Pool};
 use crate::settings::{EntryCfg, Settings};
 
 /// The keys' side of an entry.
@@ -244,15 +244,10 @@
         Ok(Answered::from_reply(reply))
     }
 
-    async fn client(
-        &self,
-        holder: &Tenure,
-    ) -> Result<KeysClient<crate::rpc::channel::Channel>, Status> {
-        let unavailable = |e: String| Status::unavailable(e);
+    async fn client(&self, holder: &Tenure) -> Result<KeysClient<Channel>, Status> {
         let channel = self.pool.get(&holder.holder).await;
-        let channel = channel.map_err(|e| unavailable(e.to_string()))?;
-        let origin = Uri::try_from(format!("http://{}", holder.holder));
-        let origin = origin.map_err(|e| unavailable(e.to_string()))?;
+        let channel = channel.map_err(|e| Status::unavailable(e.to_string()))?;
+        let origin = channel.origin();
         Ok(KeysClient::with_origin(channel, origin))
     }
 }
@@ -319,10 +314,7 @@
 async fn timed<T>(
     call: impl std::future::Future<Output = Result<tonic::Response<T>, Status>>,
 ) -> Result<T, Status> {
-    use futures_lite::FutureExt;
-    let late = async {
-        smol::Timer::after(CALL_TIMEOUT).await;
-        Err(Status::deadline_exceeded("no answer in time"))
-    };
-    call.or(late).await.map(tonic::Response::into_inner)
+    let late = || Err(Status::deadline_exceeded("no answer in time"));
+    let reply = within(CALL_TIMEOUT, call).await.unwrap_or_else(late);
+    reply.map(tonic::Response::into_inner)
 }
--- a/crates/larkspring/src/entry/loads.rs
+++ b/crates/larkspring/src/entry/loads.rs
@@ -15,6 +15,7 @@
 use tonic::{Request, Response, Status};
 
 use super::keys::Keys;
+use crate::exec::within;
 
 /// The budget, and the agents that wait for a part of it.
 pub struct Loads {
@@ -82,11 +83,7 @@
             state.budget.ask(Instant::now(), req.load, req.priority, req.waiting);
         }
         self.changed.notify(usize::MAX);
-        let late = async {
-            Timer::after(LONGEST_WAIT).await;
-            false
-        };
-        async { rx.recv().await.is_ok() }.or(late).await
+        matches!(within(LONGEST_WAIT, rx.recv()).await, Some(Ok(())))
     }
 
     fn done(&self, load: &str) {
--- a/crates/larkspring/src/entry/mod.rs
+++ b/crates/larkspring/src/entry/mod.rs
@@ -22,7 +22,6 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use futures_lite::FutureExt;
 use http_types::{Body, Method, Request, Response};
 use hyper::body::Incoming;
 use larkspring_core::budget::BudgetLimits;
@@ -36,7 +35,7 @@
 use parking_lot::Mutex;
 use serde_json::json;
 use smol::net::TcpListener;
-use smol::{Task, Timer};
+use smol::Task;
 use tower_service::Service;
 use tracing::Instrument;
 
@@ -174,11 +173,7 @@
         tracing::info!(addr = %self.addr, "entry stops");
         self.inner.stopping.store(true, Ordering::Release);
         self.inner.keys.give_away().await;
-        let idle = self.inner.limits.idle();
-        let late = async {
-            Timer::after(self.inner.cfg.stop_grace).await;
-        };
-        idle.or(late).await;
+        exec::within(self.inner.cfg.stop_grace, self.inner.limits.idle()).await;
     }
 }
 
--- a/crates/larkspring/src/exec.rs
+++ b/crates/larkspring/src/exec.rs
@@ -2,8 +2,10 @@
 
 use std::future::{pending, Future};
 use std::thread;
+use std::time::Duration;
 
-use smol::{Executor, Task};
+use futures_lite::FutureExt;
+use smol::{Executor, Task, Timer};
 
 static EXECUTOR: Executor<'static> = Executor::new();
 /// Threads of a command that runs a whole deployment.
@@ -14,6 +16,15 @@
     EXECUTOR.spawn(f)
 }
 
+/// Runs `work` for at most `limit`; `None` if it did not end by then.
+pub async fn within<T>(limit: Duration, work: impl Future<Output = T>) -> Option<T> {
+    let late = async {
+        Timer::after(limit).await;
+        None
+    };
+    async { Some(work.await) }.or(late).await
+}
+
 /// Runs `main` to its end with `threads` threads, one at least.
 pub fn run<T>(threads: u32, main: impl Future<Output = T>) -> T {
     for _ in 1..threads {
--- a/crates/larkspring/src/follow.rs
+++ b/crates/larkspring/src/follow.rs
@@ -11,7 +11,6 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::{FutureExt, Stream, StreamExt};
-use http::Uri;
 use larkspring_core::declared::Part;
 use larkspring_core::retry::backoff;
 use larkspring_proto::config::config_client::ConfigClient;
@@ -24,7 +23,7 @@
 use tonic::{Request, Response, Status, Streaming};
 
 use crate::entry::keys::TABLE;
-use crate::exec;
+use crate::exec::{self, within};
 use crate::in_force::InForce;
 use crate::platform::objects::{HttpObjects, ObjectApi};
 use crate::platform::vms::{HttpVms, VmList};
@@ -168,29 +167,23 @@
         let unavailable = |e: String| Status::unavailable(format!("{addr}: {e}"));
         let channel = self.pool.get(addr).await;
         let channel = channel.map_err(|e| unavailable(e.to_string()))?;
-        let origin = Uri::try_from(format!("http://{addr}"));
-        let origin = origin.map_err(|e| unavailable(e.to_string()))?;
+        let origin = channel.origin();
         let state = self.in_force.state();
         let chunks = state.parts().iter().map(|part| part.hash.clone()).collect();
         let req = FollowRequest { relay: self.relay.clone(), chunks };
         let mut client = ConfigClient::with_origin(channel, origin);
-        let late = async {
-            Timer::after(STALE).await;
-            Err(Status::deadline_exceeded("no answer in time"))
-        };
-        let follow = async { client.follow(req).await };
-        Ok(follow.or(late).await?.into_inner())
+        let late = || Err(Status::deadline_exceeded("no answer in time"));
+        let reply = within(STALE, client.follow(req)).await.unwrap_or_else(late)?;
+        Ok(reply.into_inner())
     }
 
     /// Takes in updates until the stream fails; returns whom to follow instead.
     async fn take(&self, down: &mut Streaming<Update>) -> Result<Option<String>, Status> {
         let mut changed = HashMap::new();
         loop {
-            let late = async {
-                Timer::after(STALE).await;
-                Some(Err(Status::deadline_exceeded("no sign of life")))
-            };
-            let Some(update) = down.next().or(late).await else { return Ok(None) };
+            let late = || Some(Err(Status::deadline_exceeded("no sign of life")));
+            let next = within(STALE, down.next()).await.unwrap_or_else(late);
+            let Some(update) = next else { return Ok(None) };
             let update = update?;
             if !update.redirect.is_empty() {
                 return Ok(fastrand::choice(update.redirect));
@@ -307,10 +300,7 @@
                 return;
             }
         }
-        let pause = async {
-            Timer::after(ALIVE).await;
-        };
-        changed.or(pause).await;
+        within(ALIVE, changed).await;
     }
 }
 
--- a/crates/larkspring/src/http/client.rs
+++ b/crates/larkspring/src/http/client.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures_lite::{AsyncReadExt, FutureExt};
+use futures_lite::AsyncReadExt;
 use http_types::{Method, Request, Response, Url};
 use quick_error::quick_error;
 use smol::net::TcpStream;
-use smol::Timer;
+
+use crate::exec::within;
 
 quick_error! {
     /// Why a request has no answer, with the peer.
@@ -48,11 +49,8 @@
 /// Opens a connection within `limit`.
 pub async fn connect(addr: &str, limit: Duration) -> Result<TcpStream, HttpError> {
     let parsed: SocketAddr = addr.parse().map_err(|_| HttpError::Address(addr.into()))?;
-    let late = async {
-        Timer::after(limit).await;
-        Err(std::io::ErrorKind::TimedOut.into())
-    };
-    let sock = TcpStream::connect(parsed).or(late).await;
+    let late = || Err(std::io::ErrorKind::TimedOut.into());
+    let sock = within(limit, TcpStream::connect(parsed)).await.unwrap_or_else(late);
     let sock = sock.map_err(|e| HttpError::Connect(addr.into(), e.to_string()))?;
     let _ = sock.set_nodelay(true);
     Ok(sock)
@@ -80,11 +78,8 @@
         let body = read_whole(addr, &mut res).await?;
         Ok((res, body))
     };
-    let late = async {
-        Timer::after(limit).await;
-        Err(HttpError::Timeout(addr.into()))
-    };
-    work.or(late).await
+    let late = || Err(HttpError::Timeout(addr.into()));
+    within(limit, work).await.unwrap_or_else(late)
 }
 
 /// Reads a body to its declared end.
--- a/crates/larkspring/src/rpc/channel.rs
+++ b/crates/larkspring/src/rpc/channel.rs
@@ -8,6 +8,7 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
+use http::Uri;
 use hyper::body::Incoming;
 use hyper::client::conn::http2::{Builder, SendRequest};
 use parking_lot::Mutex;
@@ -34,6 +35,7 @@
 #[derive(Debug, Clone)]
 pub struct Channel {
     tx: SendRequest<Body>,
+    origin: Uri,
 }
 
 #[derive(Debug)]
@@ -113,6 +115,8 @@
 }
 
 async fn open(addr: &str, limit: Duration) -> Result<Channel, HttpError> {
+    let origin = Uri::try_from(format!("http://{addr}"));
+    let origin = origin.map_err(|_| HttpError::Address(addr.into()))?;
     let sock = connect(addr, limit).await?;
     let shaken = Builder::new(HyperExecutor)
         .timer(SmolTimer::new())
@@ -129,7 +133,14 @@
         let _ = conn.await;
     })
     .detach();
-    Ok(Channel { tx })
+    Ok(Channel { tx, origin })
+}
+
+impl Channel {
+    /// Returns where calls on the connection go, as tonic's clients ask.
+    pub fn origin(&self) -> Uri {
+        self.origin.clone()
+    }
 }
 
 impl Service<http::Request<Body>> for Channel {
--- a/crates/larkspring/src/rpc/serve.rs
+++ b/crates/larkspring/src/rpc/serve.rs
@@ -17,7 +17,7 @@
 use tower_service::Service;
 
 use super::{CONNECTION_WINDOW, PROBE_INTERVAL, PROBE_TIMEOUT, STREAM_WINDOW};
-use crate::exec::{self, HyperExecutor};
+use crate::exec::{self, within, HyperExecutor};
 
 /// Ends the connections of a server, each once its calls have ended.
 #[derive(Debug)]
@@ -30,12 +30,8 @@
     /// Takes no more calls and waits, up to `grace`, until those under way have ended.
     pub async fn stop(self, grace: Duration) {
         self.stop.close();
-        let late = async {
-            Timer::after(grace).await;
-            Err(channel::RecvError)
-        };
         // The channel closes when the last connection has ended.
-        let _ = self.idle.recv().or(late).await;
+        within(grace, self.idle.recv()).await;
     }
 }
 
