--- a/crates/larkspring-cli/src/args.rs
+++ b/crates/larkspring-cli/src/args.rs
@@ -169,6 +169,9 @@
     /// Seed of everything drawn.
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
+    /// Send each request as one that runs at most once, with a key of its own.
+    #[arg(long)]
+    pub keyed: bool,
     /// Process whose processor time and memory are printed; may be given several times.
     #[arg(long)]
     pub watch: Vec<u32>,
--- a/crates/larkspring-cli/src/experiment.rs
+++ b/crates/larkspring-cli/src/experiment.rs
@@ -145,7 +145,11 @@
     let targets: Vec<_> = dev
         .entries
         .iter()
-        .map(|entry| Target { addr: entry.addr.to_string(), key: DEV_KEY.into() })
+        .map(|entry| Target {
+            addr: entry.addr.to_string(),
+            key: DEV_KEY.into(),
+            keyed: false,
+        })
         .collect();
     drive(warm_up, &targets, "tenant").await;
     let before = engine_totals(&dev).await?;
--- a/crates/larkspring-cli/src/load/client.rs
+++ b/crates/larkspring-cli/src/load/client.rs
@@ -7,6 +7,7 @@
 use larkspring::http::client::{connect, exchange, request};
 use serde_json::json;
 use smol::Timer;
+use uuid::Uuid;
 
 use super::arrivals::Arrival;
 
@@ -17,6 +18,8 @@
     pub addr: String,
     /// Key of the caller; empty for none.
     pub key: String,
+    /// Whether each request runs at most once, with a key of its own.
+    pub keyed: bool,
 }
 
 /// What came of a request.
@@ -70,6 +73,10 @@
     req.insert_header("content-type", "application/json");
     req.insert_header("larkspring-deadline-ms", LIMIT_MS);
     req.insert_header("larkspring-priority", arrival.priority.to_string());
+    if target.keyed {
+        req.insert_header("larkspring-repeatable", "no");
+        req.insert_header("idempotency-key", Uuid::now_v7().to_string());
+    }
     if !target.key.is_empty() {
         req.insert_header("authorization", format!("Bearer {}", target.key));
     }
--- a/crates/larkspring-cli/src/load/mod.rs
+++ b/crates/larkspring-cli/src/load/mod.rs
@@ -34,13 +34,18 @@
     exec::run(exec::DEPLOYMENT_THREADS, async {
         let mut reports = Vec::new();
         if let Some(engine) = &args.engine {
-            let direct = [Target { addr: engine.clone(), key: String::new() }];
+            let direct =
+                [Target { addr: engine.clone(), key: String::new(), keyed: false }];
             reports.push(("direct", drive(&arrivals, &direct, &args.name).await));
         }
         let entries: Vec<_> = args
             .entry
             .iter()
-            .map(|addr| Target { addr: addr.clone(), key: args.key.clone() })
+            .map(|addr| Target {
+                addr: addr.clone(),
+                key: args.key.clone(),
+                keyed: args.keyed,
+            })
             .collect();
         let middle = Usage::of(&args.watch);
         reports.push(("entry", drive(&arrivals, &entries, &args.name).await));
