--- a/crates/larkspring/src/follow.rs
+++ b/crates/larkspring/src/follow.rs
@@ -60,8 +60,6 @@
 /// Pause before the next process is asked, at first and at most.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(5);
-/// A process that was followed for this long was no failure.
-const STEADY: Duration = Duration::from_secs(5);
 /// Failures after which the table is read anew.
 const FAILURES_A_READ: u32 = 3;
 /// Bytes of chunks in one message.
@@ -107,8 +105,8 @@
                     tracing::info!(%status, "another process is followed");
                 }
             }
-            let steady = began.elapsed() > STEADY;
-            failures = if steady { 0 } else { failures + 1 };
+            let lived = *self.alive.lock() > began;
+            failures = if lived { 0 } else { failures + 1 };
             let mut rng = fastrand::Rng::new();
             Timer::after(backoff(FIRST_PAUSE, LONGEST_PAUSE, failures, &mut rng)).await;
         }
