Wait for a load's end where the concurrency is used up; answer callers while stopping

Cause: with the rate saved up and all places in use, the next look at the load budget was 'now', so the entry's one thread span until a load ended, whose message it could then not take in: up to 30 s. Test: next_look_is_never_now fails before and passes after. Cause: a stopping entry closed new connections without an answer.

--- a/crates/larkspring-cli/tests/faults.rs
+++ b/crates/larkspring-cli/tests/faults.rs
@@ -260,6 +260,10 @@
         .collect();
     cluster.agents[0].ask_to_stop();
     cluster.entries[0].ask_to_stop();
+    until("the entry refuses at once", || {
+        let refused = complete(cluster.entry(), KEY, &streamed("a0", "late", 2), &[]);
+        refused.status == 503 && refused.outcome() == "not-run"
+    });
     let readers: Vec<_> = asks
         .into_iter()
         .map(|(n, sock)| (n, thread::spawn(move || sock.read())))
--- a/crates/larkspring-cli/tests/once.rs
+++ b/crates/larkspring-cli/tests/once.rs
@@ -296,3 +296,19 @@
     });
     assert_eq!(cluster.runs_of("long"), 1);
 }
+
+#[test]
+fn entry_takes_no_more_partitions_than_it_may() {
+    let settings = "  max_key_partitions: 30\n";
+    let mut cluster =
+        Cluster::start(Plan { entry_settings: settings, ..Plan::default() });
+    until("the first entry has its part", || cluster.entries[0].key_partitions() == 30);
+    for _ in 0..2 {
+        cluster.add_entry();
+    }
+    cluster.wait_keys();
+    for entry in &cluster.entries {
+        let held = entry.key_partitions();
+        assert!((4..=30).contains(&held), "{held}");
+    }
+}
--- a/crates/larkspring-core/src/budget.rs
+++ b/crates/larkspring-core/src/budget.rs
@@ -85,11 +85,15 @@
         granted
     }
 
-    /// Returns when the rate next allows a load, if one waits.
+    /// Returns when to look again if nothing is reported till then; `None` if no load
+    /// waits. After a look at the same time it lies in the future.
     pub fn next(&self, now: Instant) -> Option<Instant> {
         if self.waiting.is_empty() {
             return None;
         }
+        if self.active.len() >= self.limits.concurrency {
+            return self.active.values().min().map(|since| *since + LOST);
+        }
         let missing = (1.0 - self.saved).max(0.0);
         Some(now + Duration::from_secs_f64(missing / self.limits.rate.max(1e-3)))
     }
--- a/crates/larkspring-core/tests/budget.rs
+++ b/crates/larkspring-core/tests/budget.rs
@@ -88,3 +88,27 @@
         assert_eq!(budget.grant(now), ["first"], "{}", case.name);
     }
 }
+
+#[test]
+fn next_look_is_never_now() {
+    let mut budget = budget(8.0, 2);
+    let start = Instant::now();
+    assert_eq!(budget.next(start), None);
+    for load in ["a", "b", "c"] {
+        budget.ask(start, load.into(), 5, 1);
+    }
+    assert_eq!(budget.grant(start).len(), 2);
+    // The rate would allow one more, but two are under way: until one of them ends there
+    // is nothing to look at but their time-out.
+    let later = start + SECOND;
+    assert!(budget.grant(later).is_empty());
+    assert_eq!(budget.next(later), Some(start + SECOND * 30));
+    budget.done("a");
+    budget.done("b");
+    assert_eq!(budget.grant(later).len(), 1);
+    budget.done("c");
+    budget.ask(later, "d".into(), 5, 1);
+    budget.ask(later, "e".into(), 5, 1);
+    assert_eq!(budget.grant(later).len(), 1);
+    assert!(budget.next(later).is_some_and(|at| at > later));
+}
--- a/crates/larkspring-proto/src/gen/larkspring.settings.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.settings.rs
@@ -72,6 +72,9 @@
     /// SHA-256 of the operators' key in hex.
     #[prost(string, tag = "19")]
     pub operator_key_sha256: ::prost::alloc::string::String,
+    /// Partitions of the keys that the entry takes, of 64; one where there are many entries.
+    #[prost(uint32, tag = "20")]
+    pub max_key_partitions: u32,
 }
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/larkspring/src/entry/keys/mod.rs
+++ b/crates/larkspring/src/entry/keys/mod.rs
@@ -37,6 +37,8 @@
     /// This run, as it stands in the table.
     me: Tenure,
     terms: Terms,
+    /// Partitions that this entry takes at most.
+    most: usize,
     view: Mutex<View>,
     changed: Event,
     /// One table of claims for each partition, under its own lock.
@@ -103,6 +105,7 @@
         Self {
             me,
             terms: cfg.terms,
+            most: cfg.max_key_partitions,
             view: Mutex::default(),
             changed: Event::new(),
             claims: (0..PARTITIONS).map(|_| Mutex::new(Claims::new(limits))).collect(),
--- a/crates/larkspring/src/entry/keys/table.rs
+++ b/crates/larkspring/src/entry/keys/table.rs
@@ -208,8 +208,13 @@
         }
         let mut places: Vec<_> = (0..PARTITIONS).collect();
         fastrand::shuffle(&mut places);
+        let held = next.partitions.iter().filter(|t| same_run(t, &self.me)).count();
+        let room = self.most.saturating_sub(held).min(TAKEN_AT_A_TIME);
         let mut taken = 0;
         for place in places {
+            if taken == room {
+                break;
+            }
             let t = &mut next.partitions[place];
             let Some(new) =
                 takeover(t, &self.me, self.state_of(view, t), &self.terms, now)
@@ -218,9 +223,6 @@
             };
             *t = new;
             taken += 1;
-            if taken == TAKEN_AT_A_TIME {
-                break;
-            }
         }
         (changed || taken > 0).then_some(next)
     }
--- a/crates/larkspring/src/entry/mod.rs
+++ b/crates/larkspring/src/entry/mod.rs
@@ -238,7 +238,7 @@
             return Ok(self.health());
         }
         if self.stopping.load(Ordering::Acquire) {
-            let refusal = Refusal::not_run(Step::Admit, "this entry is stopping");
+            let refusal = Refusal::not_run(Step::Choose, "this entry is stopping");
             return Err(refusal.retry_after(STOPPING_RETRY));
         }
         let caller = self.caller(&req)?;
--- a/crates/larkspring/src/http/server.rs
+++ b/crates/larkspring/src/http/server.rs
@@ -103,7 +103,7 @@
 
 impl Connection {
     async fn run<H: Handler>(&mut self, handler: Arc<H>) -> io::Result<()> {
-        while !handler.stopping() {
+        loop {
             let (head, message) = match self.next_message().await? {
                 Ok(Some(message)) => message,
                 Ok(None) => return Ok(()),
@@ -114,11 +114,10 @@
             if !self.send(method, res).await? {
                 return Ok(());
             }
-            if !head.keep_alive {
+            if !head.keep_alive || handler.stopping() {
                 return Ok(());
             }
         }
-        Ok(())
     }
 
     /// Decodes a request and gets its answer; `None` if the caller has hung up.
--- a/crates/larkspring/src/settings.rs
+++ b/crates/larkspring/src/settings.rs
@@ -8,7 +8,7 @@
 use larkspring_core::budget::BudgetLimits;
 use larkspring_core::route::Policy;
 use larkspring_core::slots::Eviction;
-use larkspring_core::tenure::Terms;
+use larkspring_core::tenure::{Terms, PARTITIONS};
 use larkspring_proto::settings as wire;
 use quick_error::quick_error;
 
@@ -77,6 +77,8 @@
     pub control: SocketAddr,
     /// Lengths of time that at-most-once depends on.
     pub terms: Terms,
+    /// Partitions of the keys that the entry takes.
+    pub max_key_partitions: usize,
     /// Bytes of answers kept for resends.
     pub kept_answer_bytes: usize,
     /// Address for operators, if they are served.
@@ -218,6 +220,7 @@
                 addr => Some(self.address("entry.operator", addr)),
             },
             operator_key_sha256: raw.operator_key_sha256.to_ascii_lowercase(),
+            max_key_partitions: count(raw.max_key_partitions, PARTITIONS),
             kept_answer_bytes: bytes(raw.kept_answer_bytes, 8 * 1024 * 1024),
         };
         if cfg.operator.is_some() && cfg.operator_key_sha256.len() != SHA256_DIGITS {
