--- a/crates/larkspring-cli/tests/config.rs
+++ b/crates/larkspring-cli/tests/config.rs
@@ -290,3 +290,21 @@
         runs() > before
     });
 }
+
+#[test]
+fn examples_are_valid() {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    for name in ["agency", "delta"] {
+        let path = |part: &str| root.join(name).join(part).display().to_string();
+        let out = run(&[
+            "check",
+            "--settings",
+            &path("entry.yaml"),
+            "--settings",
+            &path("agent.yaml"),
+            "--declarations",
+            &path("declarations"),
+        ]);
+        assert!(out.status.success(), "{name}: {}", String::from_utf8_lossy(&out.stderr));
+    }
+}
