--- a/crates/larkspring-core/src/declared.rs
+++ b/crates/larkspring-core/src/declared.rs
@@ -256,11 +256,6 @@
         self.parts.iter().map(|part| part.adapters.len()).sum()
     }
 
-    /// Returns the base model of an adapter.
-    pub fn base_of(&self, adapter: &str) -> Option<&BaseId> {
-        self.adapter(adapter).map(|a| &a.base)
-    }
-
     fn adapter(&self, name: &str) -> Option<&Adapter> {
         let part = self.parts.get(place(name, self.parts.len()))?;
         let found = part.adapters.binary_search_by(|a| (*a.name).cmp(name));
--- a/crates/larkspring/src/telemetry.rs
+++ b/crates/larkspring/src/telemetry.rs
@@ -6,8 +6,7 @@
 use std::time::Duration;
 
 use cadence::{
-    BufferedUdpMetricSink, Counted, Gauged, NopMetricSink, QueuingMetricSink,
-    StatsdClient, Timed,
+    BufferedUdpMetricSink, Counted, NopMetricSink, QueuingMetricSink, StatsdClient, Timed,
 };
 use tracing_subscriber::fmt::format::FmtSpan;
 
@@ -55,11 +54,6 @@
     pub fn time(&self, name: &str, took: Duration) {
         let _ = self.client.time(name, took.as_millis() as u64);
     }
-
-    /// Records a present value.
-    pub fn gauge(&self, name: &str, value: u64) {
-        let _ = self.client.gauge(name, value);
-    }
 }
 
 fn udp_sink(addr: &str) -> Option<QueuingMetricSink> {
