Never say 'not-run' after an attempt that may have run

Cause: a repeatable request whose first attempt ended unclear was tried elsewhere, and if that attempt was refused the caller got its 'not-run', though an endpoint may have run the first. Found by reading the retry loop. Ruled out: requests that run at most once, which are not tried again after an unclear attempt. Change: the refusal of a later attempt keeps the outcome of an earlier one; the loop also chooses each endpoint once and not twice.

--- a/crates/larkspring-cli/tests/faults.rs
+++ b/crates/larkspring-cli/tests/faults.rs
@@ -285,3 +285,24 @@
     cluster.agents[0].wait_end();
     cluster.entries[0].wait_end();
 }
+
+#[test]
+fn refusal_after_an_unclear_attempt_never_says_not_run() {
+    let mut cluster = Cluster::start(Plan { engines: 2, slots: 16, ..Plan::default() });
+    cluster.engine_faults(0, json!({ "hang": true }));
+    cluster.engine_faults(1, json!({ "fail_loads": 1000 }));
+    let asks: Vec<_> = (2..10)
+        .map(|n| {
+            let body = streamed(&format!("a{n}"), "unclear", LONG);
+            send(cluster.entry(), &completion(KEY, &body, &[]))
+        })
+        .collect();
+    // Some reach the hanging engine first, and some after the other one refused them.
+    until("all hang", || cluster.runs_of("unclear") == 8);
+    cluster.agents[0].kill();
+    for ask in asks {
+        let answer = ask.read();
+        assert_ne!(answer.status, 200, "{answer:?}");
+        assert_ne!(answer.outcome(), "not-run", "{answer:?}");
+    }
+}
--- a/crates/larkspring-core/src/outcome.rs
+++ b/crates/larkspring-core/src/outcome.rs
@@ -164,6 +164,15 @@
         self
     }
 
+    /// Returns the refusal as the last of several attempts at one request, of which an
+    /// earlier one ended as `earlier`: what may have run then is not "not run" now.
+    pub fn after(mut self, earlier: Option<Outcome>) -> Self {
+        if let (Outcome::NotRun, Some(earlier)) = (self.outcome, earlier) {
+            self.outcome = earlier;
+        }
+        self
+    }
+
     /// Marks that another endpoint may answer now.
     pub fn elsewhere(mut self) -> Self {
         self.elsewhere = true;
--- a/crates/larkspring/src/entry/dispatch.rs
+++ b/crates/larkspring/src/entry/dispatch.rs
@@ -55,28 +55,33 @@
 pub async fn run(entry: &Arc<Inner>, req: Inbound) -> Result<Begun, Refusal> {
     entry.budget.lock().earn();
     let mut tried: Vec<EndpointId> = Vec::new();
+    // How an earlier attempt ended that an endpoint may have run.
+    let mut earlier = None;
     let mut rng = fastrand::Rng::new();
+    let mut next = choose(entry, &req, &tried, &mut rng);
     loop {
-        let last = match choose(entry, &req, &tried, &mut rng) {
-            Ok(endpoint) => {
-                tried.push(endpoint.name.clone());
-                match attempt(entry, &req, endpoint).await {
-                    Ok(begun) => return Ok(begun),
-                    Err(refusal) => refusal,
-                }
-            }
-            Err(refusal) => return Err(refusal),
+        let endpoint = next.map_err(|refusal| refusal.after(earlier))?;
+        tried.push(endpoint.name.clone());
+        let last = match attempt(entry, &req, endpoint).await {
+            Ok(begun) => return Ok(begun),
+            Err(refusal) => refusal.after(earlier),
         };
         let wait = backoff(FIRST_BACKOFF, LONGEST_BACKOFF, tried.len() as u32, &mut rng);
         let in_time = Instant::now() + wait < req.deadline;
-        let allowed = may_retry(&req, &last) && tried.len() < MAX_ATTEMPTS && in_time;
-        if !allowed || !has_other(entry, &req, &tried, &mut rng) {
+        if !may_retry(&req, &last) || tried.len() >= MAX_ATTEMPTS || !in_time {
+            return Err(last);
+        }
+        next = choose(entry, &req, &tried, &mut rng);
+        if next.is_err() {
             return Err(last);
         }
         if !entry.budget.lock().spend() {
             entry.metrics.count("retries", "outcome", "no_budget");
             return Err(last);
         }
+        if last.outcome != Outcome::NotRun {
+            earlier = Some(last.outcome);
+        }
         entry.metrics.count("retries", "outcome", "sent");
         tracing::info!(refusal = %last, "another endpoint is tried");
         Timer::after(wait).await;
@@ -120,15 +125,6 @@
     })
 }
 
-fn has_other(
-    entry: &Inner,
-    req: &Inbound,
-    tried: &[EndpointId],
-    rng: &mut fastrand::Rng,
-) -> bool {
-    choose(entry, req, tried, rng).is_ok()
-}
-
 /// Makes one attempt at one endpoint, up to the beginning of its answer.
 async fn attempt(
     entry: &Arc<Inner>,
