--- /dev/null
+++ b/crates/larkspring-core/tests/fleet_choose.rs
@@ -0,0 +1,192 @@
+//! Where requests are sent.
+
+use std::time::{Duration, Instant};
+
+use larkspring_core::fleet::choose::{
+    copy_pays, for_adapter, for_any, ranked, Holding, View,
+};
+use larkspring_core::fleet::demand::Demand;
+use larkspring_core::fleet::quality::Quality;
+use larkspring_core::ids::Incarnation;
+
+const VIEW: View = View {
+    same_hall: true,
+    holding: Holding::Resident,
+    running: 0,
+    slots: 8,
+    free_places: 4,
+    loads_ahead: 0,
+    can_load: true,
+    prompt_tokens: 100,
+    quality: Duration::ZERO,
+    avoided: false,
+};
+const FAR: View = View { same_hall: false, ..VIEW };
+const ABSENT: View = View { holding: Holding::Absent, ..VIEW };
+
+struct Case {
+    name: &'static str,
+    views: Vec<View>,
+    chosen: Option<usize>,
+}
+
+#[test]
+fn adapters_are_placed_by_the_least_cost() {
+    let deaf = View { can_load: false, ..ABSENT };
+    let cases = [
+        Case { name: "none", views: vec![], chosen: None },
+        Case {
+            name: "the home where nobody holds it",
+            views: vec![ABSENT, ABSENT],
+            chosen: Some(0),
+        },
+        Case {
+            name: "a holder before the home",
+            views: vec![ABSENT, VIEW],
+            chosen: Some(1),
+        },
+        Case {
+            name: "a far holder before a load",
+            views: vec![ABSENT, FAR],
+            chosen: Some(1),
+        },
+        Case {
+            name: "a near holder before a far one",
+            views: vec![FAR, VIEW],
+            chosen: Some(1),
+        },
+        Case {
+            name: "one on its way before a new load",
+            views: vec![ABSENT, View { holding: Holding::Loading, ..VIEW }],
+            chosen: Some(1),
+        },
+        Case {
+            name: "a full batch before nobody",
+            views: vec![View { running: 40, ..VIEW }],
+            chosen: Some(0),
+        },
+        Case {
+            name: "a far holder before a full batch",
+            views: vec![View { running: 40, ..VIEW }, FAR],
+            chosen: Some(1),
+        },
+        Case {
+            name: "the next home where the first has no place",
+            views: vec![View { free_places: 0, ..ABSENT }, ABSENT],
+            chosen: Some(1),
+        },
+        Case {
+            name: "the next home where the first has loads ahead",
+            views: vec![View { loads_ahead: 4, ..ABSENT }, ABSENT],
+            chosen: Some(1),
+        },
+        Case { name: "no load without an agent", views: vec![deaf, deaf], chosen: None },
+        Case {
+            name: "a holder without an agent",
+            views: vec![deaf, View { can_load: false, ..VIEW }],
+            chosen: Some(1),
+        },
+        Case {
+            name: "not one that no connection came up to",
+            views: vec![View { avoided: true, ..VIEW }, ABSENT],
+            chosen: Some(1),
+        },
+        Case {
+            name: "the one that has read the prompt",
+            views: vec![
+                View { prompt_tokens: 6000, ..VIEW },
+                View { prompt_tokens: 500, ..VIEW },
+            ],
+            chosen: Some(1),
+        },
+    ];
+    for c in cases {
+        assert_eq!(for_adapter(&c.views), c.chosen, "{}", c.name);
+    }
+}
+
+#[test]
+fn plain_calls_go_near_until_it_costs() {
+    let answer = Duration::from_millis(30);
+    let busy = |running| View { running, slots: 6, ..VIEW };
+    let cases = [
+        Case { name: "near", views: vec![FAR, VIEW], chosen: Some(1) },
+        Case { name: "near though busier", views: vec![FAR, busy(4)], chosen: Some(1) },
+        Case {
+            name: "far where near is full",
+            views: vec![FAR, busy(6)],
+            chosen: Some(0),
+        },
+        Case {
+            name: "far where near fails",
+            views: vec![FAR, View { quality: Duration::from_millis(100), ..VIEW }],
+            chosen: Some(0),
+        },
+    ];
+    for c in cases {
+        assert_eq!(for_any(&c.views, answer), c.chosen, "{}", c.name);
+    }
+}
+
+#[test]
+fn homes_agree_and_stay() {
+    let ids: Vec<Incarnation> =
+        (0..18).map(|n| format!("run-{n}").as_str().into()).collect();
+    let home = |target: u64, ids: &[Incarnation]| {
+        ranked(target, ids.to_vec(), |id| id)[0].clone()
+    };
+    let mut reversed = ids.clone();
+    reversed.reverse();
+    let fewer = &ids[1..];
+    let mut moved = 0;
+    for target in 0..1000 {
+        let first = home(target, &ids);
+        assert_eq!(
+            first,
+            home(target, &reversed),
+            "the order of the list does not matter"
+        );
+        if first != home(target, fewer) {
+            assert_eq!(first, ids[0], "only what was at the lost endpoint moves");
+            moved += 1;
+        }
+    }
+    assert!((20..100).contains(&moved), "{moved} of 1000 moved");
+}
+
+#[test]
+fn failures_cost_and_are_forgotten() {
+    let start = Instant::now();
+    let mut quality = Quality::new(start);
+    quality.bad(start);
+    let after_one = quality.failure_share(start);
+    assert!(after_one < 0.3, "one failure does not condemn: {after_one}");
+    for _ in 0..20 {
+        quality.bad(start);
+    }
+    assert!(quality.failure_share(start) > 0.8);
+    let later = start + Duration::from_secs(12);
+    assert!(quality.failure_share(later) < 0.1, "{}", quality.failure_share(later));
+    quality.no_connection(start);
+    assert!(quality.avoided(start));
+    assert!(!quality.avoided(start + Duration::from_secs(3)));
+    quality.good(start, Duration::from_millis(5));
+    assert!(!quality.avoided(start));
+}
+
+#[test]
+fn demand_follows_the_rate() {
+    let start = Instant::now();
+    let mut demand = Demand::default();
+    let adapter = "m/a1".into();
+    for n in 0..200 {
+        demand.count(start + Duration::from_millis(100 * n), &adapter);
+    }
+    let end = start + Duration::from_secs(20);
+    let rate = demand.rate(end, &adapter);
+    assert!((9.0..12.0).contains(&rate), "ten a second: {rate}");
+    let later = demand.rate(end + Duration::from_secs(30), &adapter);
+    assert!(later < 0.1, "forgotten: {later}");
+    assert_eq!(demand.rate(end, &"m/other".into()), 0.0);
+    assert!(copy_pays(2.0) && !copy_pays(1.0));
+}
--- /dev/null
+++ b/crates/larkspring-core/tests/repeats.rs
@@ -0,0 +1,57 @@
+//! The shared budget of repeats, in every window.
+
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use larkspring_core::retry::{RepeatTerms, RepeatWindow};
+
+const TERMS: RepeatTerms =
+    RepeatTerms { ratio: 0.2, extra: 52.0, window: Duration::from_secs(10) };
+
+/// Random traffic of several entries: in no window do the repeats of all together exceed
+/// the ratio of the requests plus the fixed part.
+#[test]
+fn all_entries_together_keep_the_budget() {
+    for seed in 0..20 {
+        let mut rng = Rng::with_seed(seed);
+        let entries = rng.usize(1..6);
+        let mut windows: Vec<_> =
+            (0..entries).map(|_| RepeatWindow::new(TERMS)).collect();
+        let start = Instant::now();
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        let mut ms = 0;
+        while ms < 40_000 {
+            // Bursts and lulls.
+            ms += if rng.u32(..100) < 2 { rng.u64(500..4000) } else { rng.u64(0..12) };
+            let now = start + Duration::from_millis(ms);
+            let window = &mut windows[rng.usize(..entries)];
+            window.request(now);
+            requests.push(ms);
+            if rng.bool() && window.repeat(now, entries) {
+                repeats.push(ms);
+            }
+        }
+        assert!(repeats.len() > 20, "seed {seed}: only {} repeats", repeats.len());
+        for end in (0..40_000).step_by(250) {
+            let from = |end: u64| end.saturating_sub(10_000);
+            let inside = |list: &[u64], end: u64| {
+                list.iter().filter(|t| (from(end)..=end).contains(*t)).count() as f64
+            };
+            let allowed = TERMS.ratio * inside(&requests, end) + TERMS.extra;
+            assert!(inside(&repeats, end) <= allowed, "seed {seed}, window to {end}");
+        }
+    }
+}
+
+#[test]
+fn without_requests_only_the_share_of_the_fixed_part_is_left() {
+    let now = Instant::now();
+    let mut alone = RepeatWindow::new(TERMS);
+    let taken = (0..100).filter(|_| alone.repeat(now, 1)).count();
+    assert_eq!(taken, 31, "three fifths of 52");
+    let mut one_of_ten = RepeatWindow::new(TERMS);
+    let taken = (0..100).filter(|_| one_of_ten.repeat(now, 10)).count();
+    assert_eq!(taken, 3);
+    let later = now + Duration::from_secs(11);
+    assert!(one_of_ten.repeat(later, 10), "the window moves on");
+}
