--- a/crates/larkspring/src/direct/edge.rs
+++ b/crates/larkspring/src/direct/edge.rs
@@ -16,7 +16,7 @@
 pub type RequestId = String;
 
 /// Number of a state of the platform's store; it rises with every change.
-pub type StoreRevision = u64;
+pub type ListRevision = u64;
 
 /// The declared state of a platform.
 pub trait Directory: Send + Sync {
@@ -27,7 +27,7 @@
     fn watch(
         &self,
         kind: Kind,
-        after: StoreRevision,
+        after: ListRevision,
         wait: Duration,
     ) -> Answer<'_, Watched>;
 }
@@ -58,7 +58,7 @@
 #[derive(Debug)]
 pub struct Listed {
     /// The state that was read.
-    pub revision: StoreRevision,
+    pub revision: ListRevision,
     /// The items.
     pub items: Vec<Item>,
 }
