Test the whole path on the platform with separate processes and stand-ins

14 tests: kinds of requests, headers, bad requests, smuggling, configuration, leaving workers, orders, versions, restarts, unanswered orders, metrics. Logs of every process go to standard output by a writer that never blocks; the tests keep them beside the settings.

--- a/crates/larkspring-cli/src/deployment.rs
+++ b/crates/larkspring-cli/src/deployment.rs
@@ -9,7 +9,7 @@
 use larkspring::operate::publish;
 use larkspring::platform::objects::HttpObjects;
 use larkspring::settings::{self, Settings};
-use larkspring::telemetry;
+use larkspring::telemetry::{start_log, LogGuard, LogTo};
 use larkspring_core::declared::key_hash;
 use larkspring_proto::declared::{Adapter, Caller, Chunk, Endpoint, Service, Version};
 use larkspring_standin::engine::{Engine, Faults};
@@ -57,6 +57,7 @@
     agents: Vec<Agent>,
     /// Stand-ins with their names.
     pub standins: Vec<(&'static str, Served)>,
+    _log: LogGuard,
 }
 
 impl Deployment {
@@ -66,7 +67,9 @@
         let objects = start(any, Arc::new(Objects::default())).await?;
         let weights = start(any, Arc::new(Weights::new(shape.weights.clone()))).await?;
         let service = start(any, Arc::new(ServiceStandin::default())).await?;
-        let mut dev = Self { entries: vec![], agents: vec![], standins: vec![] };
+        let log = start_log(tracing::Level::WARN, shape.spans, LogTo::Stderr);
+        let mut dev =
+            Self { entries: vec![], agents: vec![], standins: vec![], _log: log };
         let mut endpoints = Vec::new();
         for n in 0..shape.engines {
             let store = Some(weights.addr.to_string());
@@ -172,13 +175,8 @@
     port: u16,
     objects: &Served,
 ) -> Result<Settings, AnyError> {
-    let settings = parse(
-        shape,
-        objects,
-        &format!("entry:\n  listen: 127.0.0.1:{port}\n{}", shape.entry_settings),
-    )?;
-    telemetry::start_log(&settings.telemetry);
-    Ok(settings)
+    let part = format!("entry:\n  listen: 127.0.0.1:{port}\n{}", shape.entry_settings);
+    parse(shape, objects, &part)
 }
 
 fn parse(shape: &Shape, objects: &Served, part: &str) -> Result<Settings, AnyError> {
--- a/crates/larkspring-cli/src/platform.rs
+++ b/crates/larkspring-cli/src/platform.rs
@@ -5,7 +5,8 @@
 
 use larkspring::direct::agent::Agent;
 use larkspring::direct::entry::Entry;
-use larkspring::{exec, telemetry};
+use larkspring::exec;
+use larkspring::telemetry::{start_log, LogTo};
 use larkspring_platform::protocol::Wire;
 use larkspring_platform::settings::Settings;
 use larkspring_platform::store::Store;
@@ -23,7 +24,7 @@
 pub fn entry() -> Result<(), AnyError> {
     let settings = Settings::load()?;
     let cfg = settings.entry()?;
-    telemetry::start_platform_log(cfg.process.log_level);
+    let _log = start_log(cfg.process.log_level, false, LogTo::Stdout);
     let store = Arc::new(Store::new(settings.store(), STORE_TIMEOUT));
     exec::run(THREADS, async {
         let entry = Entry::start(cfg, Arc::new(Wire), store).await?;
@@ -37,7 +38,7 @@
 pub fn agent() -> Result<(), AnyError> {
     let settings = Settings::load()?;
     let cfg = settings.agent()?;
-    telemetry::start_platform_log(cfg.process.log_level);
+    let _log = start_log(cfg.process.log_level, false, LogTo::Stdout);
     exec::run(THREADS, async {
         let agent = Agent::start(cfg, Arc::new(Wire)).await?;
         stop_requested().await;
--- a/crates/larkspring-cli/src/process.rs
+++ b/crates/larkspring-cli/src/process.rs
@@ -3,14 +3,15 @@
 use larkspring::agent::Agent;
 use larkspring::entry::Entry;
 use larkspring::settings::{self, Settings};
-use larkspring::{exec, stop, telemetry};
+use larkspring::telemetry::{start_log, LogGuard, LogTo};
+use larkspring::{exec, stop};
 
 use crate::args::ProcessArgs;
 use crate::AnyError;
 
 /// Runs an entry until asked to stop; its address is printed first.
 pub fn entry(args: &ProcessArgs) -> Result<(), AnyError> {
-    let settings = prepare(args)?;
+    let (settings, _log) = prepare(args)?;
     exec::run(settings.threads, async {
         let entry = Entry::start(&settings).await?;
         println!("{}", entry.addr);
@@ -22,7 +23,7 @@
 
 /// Runs an agent until asked to stop; its address is printed first.
 pub fn agent(args: &ProcessArgs) -> Result<(), AnyError> {
-    let settings = prepare(args)?;
+    let (settings, _log) = prepare(args)?;
     exec::run(settings.threads, async {
         let agent = Agent::start(&settings).await?;
         println!("{}", agent.addr);
@@ -39,8 +40,9 @@
     }
 }
 
-fn prepare(args: &ProcessArgs) -> Result<Settings, AnyError> {
+fn prepare(args: &ProcessArgs) -> Result<(Settings, LogGuard), AnyError> {
     let settings = settings::load(&args.settings)?;
-    telemetry::start_log(&settings.telemetry);
-    Ok(settings)
+    let cfg = &settings.telemetry;
+    let log = start_log(cfg.level, cfg.spans, LogTo::Stdout);
+    Ok((settings, log))
 }
--- a/crates/larkspring-cli/tests/common/mod.rs
+++ b/crates/larkspring-cli/tests/common/mod.rs
@@ -2,9 +2,11 @@
 #![allow(dead_code)]
 
 pub mod client;
+pub mod site;
 
 use std::fmt::Write as _;
-use std::io::{BufRead, BufReader};
+use std::fs::File;
+use std::io::{BufRead, BufReader, Write as _};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -285,18 +287,34 @@
 }
 
 impl Proc {
-    /// Starts the program and waits for its address.
+    /// Starts the program and waits for its address; its log goes beside its settings.
     pub fn start(args: &[&str]) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_larkspring"))
             .args(args)
             .stdout(Stdio::piped())
-            .stderr(log_of(args))
+            .stderr(Stdio::null())
             .spawn()
             .unwrap();
         let mut line = String::new();
-        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+        let mut out = BufReader::new(child.stdout.take().unwrap());
+        let mut log = log_of(args);
+        loop {
+            line.clear();
+            let len = out.read_line(&mut line).unwrap();
+            assert!(len > 0, "{args:?} printed no address");
+            // Log lines may come before the address.
+            if !line.starts_with('{') {
+                break;
+            }
+            if let Some(log) = &mut log {
+                log.write_all(line.as_bytes()).unwrap();
+            }
+        }
+        std::thread::spawn(move || match log {
+            Some(mut log) => std::io::copy(&mut out, &mut log),
+            None => std::io::copy(&mut out, &mut std::io::sink()),
+        });
         let addr = line.trim().to_owned();
-        assert!(!addr.is_empty(), "{args:?} printed no address");
         Self { child, args: args.iter().map(|a| a.to_string()).collect(), addr }
     }
 
@@ -364,13 +382,11 @@
 }
 
 /// Keeps the log of a process with settings beside them, for spans and for a look.
-fn log_of(args: &[&str]) -> Stdio {
-    let Some(settings) = args.iter().skip_while(|a| **a != "--settings").nth(1) else {
-        return Stdio::null();
-    };
+fn log_of(args: &[&str]) -> Option<File> {
+    let settings = args.iter().skip_while(|a| **a != "--settings").nth(1)?;
     let file = Path::new(settings).with_extension("log");
-    let log = std::fs::OpenOptions::new().create(true).append(true).open(file);
-    log.unwrap().into()
+    let log = File::options().create(true).append(true).open(file);
+    Some(log.unwrap())
 }
 
 /// A loopback address that no other process uses: each test process has a range of IP
--- /dev/null
+++ b/crates/larkspring-cli/tests/common/site.rs
@@ -0,0 +1,273 @@
+//! A deployment on stand-ins of the users' platform: separate processes on loopback.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use larkspring_platform_standin::client::{ask, Call};
+use larkspring_platform_standin::settings::{
+    config, Node, FRONT_PORT, HOST, INNER_PORT, READY_PORT,
+};
+use larkspring_platform_standin::store::Store;
+use larkspring_platform_standin::worker::Worker;
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::Value;
+use tempfile::TempDir;
+
+use super::{own_addr, until};
+
+/// Time-out of the routes, in milliseconds: long, so that no test depends on it.
+pub const TIMEOUT_MS: u64 = 30_000;
+/// Adapter places of each engine.
+pub const PLACES: usize = 3;
+/// Port of the engine beside an agent.
+const ENGINE_PORT: u16 = 7200;
+/// Variable that holds the path of a settings file.
+const SETTINGS: &str = concat!("LARKSPRING", "_NODE_FILE");
+
+/// A running deployment; everything ends with it.
+pub struct Site {
+    pub store: Store,
+    /// Plain workers.
+    pub apps: Vec<Worker>,
+    /// Model engines.
+    pub engines: Vec<Worker>,
+    pub agents: Vec<Process>,
+    pub entries: Vec<Process>,
+    pub dir: TempDir,
+    shape: Shape,
+}
+
+/// What a deployment consists of.
+#[derive(Debug, Clone, Copy)]
+pub struct Shape {
+    pub entries: usize,
+    pub apps: usize,
+    pub engines: usize,
+    pub grace_s: u32,
+    pub timeout_ms: u64,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self { entries: 1, apps: 1, engines: 1, grace_s: 8, timeout_ms: TIMEOUT_MS }
+    }
+}
+
+/// One process on an IP number of its own.
+pub struct Process {
+    child: Child,
+    role: &'static str,
+    /// Name of its settings file and log, without the ending.
+    pub name: String,
+    pub ip: String,
+    dir: std::path::PathBuf,
+    lives: usize,
+}
+
+impl Site {
+    /// Starts a deployment and waits until it serves.
+    pub fn start(shape: Shape) -> Self {
+        let mut site = Self::without_config(shape);
+        site.store.put("config", "main", config(1, shape.timeout_ms, PLACES));
+        site.list_all();
+        for n in 0..shape.entries {
+            until("an entry is ready", || site.ready(n) == 200);
+        }
+        if shape.engines > 0 {
+            site.wait_agents();
+        }
+        site
+    }
+
+    /// Starts a deployment whose store holds nothing yet.
+    pub fn without_config(shape: Shape) -> Self {
+        let store = Store::start("127.0.0.1:0");
+        let app = |n| Worker::start("127.0.0.1:0", &format!("app-{n}"));
+        let mut site = Self {
+            store,
+            apps: (0..shape.apps).map(app).collect(),
+            engines: Vec::new(),
+            agents: Vec::new(),
+            entries: Vec::new(),
+            dir: tempfile::tempdir().unwrap(),
+            shape,
+        };
+        for n in 0..shape.engines {
+            let ip = own_ip();
+            let addr = format!("{ip}:{ENGINE_PORT}");
+            let engine = Worker::start(&addr, &format!("llm-{n}")).engine("m0", PLACES);
+            site.engines.push(engine);
+            let agent =
+                site.process("platform-agent", &format!("agent-{n}"), ip, Some(addr));
+            site.agents.push(agent);
+        }
+        for n in 0..shape.entries {
+            let entry =
+                site.process("platform-entry", &format!("entry-{n}"), own_ip(), None);
+            site.entries.push(entry);
+        }
+        site
+    }
+
+    /// Lists all workers as ready.
+    pub fn list_all(&self) {
+        for (n, app) in self.apps.iter().enumerate() {
+            self.store.put(
+                "servers",
+                &format!("app-{n}"),
+                app.entry("app", "hall-a", "ready"),
+            );
+        }
+        for (n, engine) in self.engines.iter().enumerate() {
+            let listed = engine.entry("llm", "hall-a", "ready");
+            self.store.put("servers", &format!("llm-{n}"), listed);
+        }
+    }
+
+    /// Waits until every agent has adapters loaded for every entry.
+    pub fn wait_agents(&self) {
+        for n in 0..self.entries.len() {
+            until("an adapter is served", || {
+                let call = Call::post(HOST, "/stream/x", "warm-up", "warm").model("m0/w");
+                call.send(&self.front(n)).status == 200
+            });
+        }
+    }
+
+    /// Address of an entry for clients.
+    pub fn front(&self, n: usize) -> String {
+        format!("{}:{FRONT_PORT}", self.entries[n].ip)
+    }
+
+    /// Status of an entry's readiness; 0 if it does not answer.
+    pub fn ready(&self, n: usize) -> u16 {
+        let addr = format!("{}:{READY_PORT}", self.entries[n].ip);
+        match std::net::TcpStream::connect(&addr) {
+            Ok(_) => ask(&addr, "/-/readyz").status,
+            Err(_) => 0,
+        }
+    }
+
+    /// Metrics of a process, as text.
+    pub fn metrics(&self, ip: &str) -> String {
+        ask(&format!("{ip}:9464"), "/metrics").text()
+    }
+
+    /// Address at which an agent takes entries.
+    pub fn agent_addr(&self, n: usize) -> SocketAddr {
+        format!("{}:{INNER_PORT}", self.agents[n].ip).parse().unwrap()
+    }
+
+    fn process(
+        &self,
+        role: &'static str,
+        name: &str,
+        ip: String,
+        app: Option<String>,
+    ) -> Process {
+        let node = Node {
+            name: "node",
+            ip: ip.clone(),
+            zone: "hall-a",
+            store: self.store.addr.to_string(),
+            app,
+            grace_s: self.shape.grace_s,
+        };
+        let dir = self.dir.path().to_owned();
+        std::fs::write(dir.join(format!("{name}.yaml")), node.yaml()).unwrap();
+        let child = spawn(role, &dir, name, 0);
+        Process { child, role, name: name.into(), ip, dir, lives: 1 }
+    }
+}
+
+impl Process {
+    /// Kills the process and starts it again at its old address.
+    pub fn restart(&mut self) {
+        self.kill();
+        self.child = spawn(self.role, &self.dir, &self.name, self.lives);
+        self.lives += 1;
+    }
+
+    /// Kills the process outright.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Asks the process to stop as planned.
+    pub fn ask_to_stop(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Pauses the process.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Waits until the process has ended; whether it ended well.
+    pub fn wait_end(&mut self) -> bool {
+        let mut well = false;
+        until("a process ends", || match self.child.try_wait().unwrap() {
+            Some(status) => {
+                well = status.success();
+                true
+            }
+            None => false,
+        });
+        well
+    }
+
+    /// Its log lines of all lives.
+    pub fn log(&self) -> Vec<Value> {
+        let mut lines = Vec::new();
+        for life in 0..self.lives {
+            let file = self.dir.join(format!("{}.{life}.log", self.name));
+            let text = std::fs::read_to_string(file).unwrap_or_default();
+            lines.extend(text.lines().filter_map(|l| serde_json::from_str(l).ok()));
+        }
+        lines
+    }
+
+    /// Its log lines about a request.
+    pub fn log_of(&self, request: &str) -> Vec<Value> {
+        let about = |line: &Value| line["request"] == request;
+        self.log().into_iter().filter(about).collect()
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32).unwrap();
+        kill_process(pid, signal).unwrap();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn spawn(role: &str, dir: &std::path::Path, name: &str, life: usize) -> Child {
+    let log = File::create(dir.join(format!("{name}.{life}.log"))).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_larkspring"))
+        .arg(role)
+        .env(SETTINGS, dir.join(format!("{name}.yaml")))
+        .stdout(log)
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap()
+}
+
+/// An IP number that no other process uses.
+pub fn own_ip() -> String {
+    own_addr().rsplit_once(':').unwrap().0.to_owned()
+}
+
+/// Time for what should not come, in checks that something stays as it is.
+pub const SHORT: Duration = Duration::from_millis(300);
--- /dev/null
+++ b/crates/larkspring-cli/tests/platform_path.rs
@@ -0,0 +1,385 @@
+//! The whole path on the users' platform, with separate processes and stand-ins.
+
+mod common;
+
+use std::thread;
+
+use common::site::{Shape, Site, PLACES};
+use common::until;
+use larkspring_platform_standin::client::{connect, raw, Call};
+use larkspring_platform_standin::http::Message;
+use larkspring_platform_standin::settings::{config, HOST, ONCE, RESUME, SAFE, STREAM};
+use larkspring_platform_standin::worker::{Act, Worker};
+use serde_json::json;
+
+const EVENTS: &str =
+    "id: 0\ndata: piece 0\n\nid: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n\
+                      id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n";
+
+fn path(prefix: &str) -> String {
+    format!("{prefix}x?q=1")
+}
+
+#[test]
+fn every_kind_of_request_is_served_unchanged() {
+    let site = Site::start(Shape::default());
+    let front = site.front(0);
+    let chunked = |mut call: Call| {
+        call.chunked = true;
+        call
+    };
+    let large = "L".repeat(300_000);
+    let cases = [
+        (
+            "a call that runs once",
+            Call::post(HOST, &path(ONCE), "c-1", "body"),
+            "POST /once/x?q=1 body".into(),
+        ),
+        (
+            "one in chunks",
+            chunked(Call::post(HOST, &path(ONCE), "c-2", "some longer body")),
+            "POST /once/x?q=1 some longer body".into(),
+        ),
+        (
+            "one without a body",
+            Call::get(HOST, &path(SAFE), "c-3"),
+            "GET /safe/x?q=1 ".into(),
+        ),
+        (
+            "one that is passed on as it comes",
+            Call::post(HOST, &path(ONCE), "c-4", &large),
+            format!("POST /once/x?q=1 {large}"),
+        ),
+        (
+            "an odd path",
+            Call::get(HOST, "/safe/a%2fb//c/../d;e?f=%20", "c-5"),
+            "GET /safe/a%2fb//c/../d;e?f=%20 ".into(),
+        ),
+        (
+            "a stream of an adapter",
+            Call::post(HOST, &path(STREAM), "c-6", "p").model("m0/a1"),
+            EVENTS.into(),
+        ),
+        (
+            "a stream of the base model",
+            Call::post(HOST, &path(STREAM), "c-7", "p").model("m0"),
+            EVENTS.into(),
+        ),
+        (
+            "a stream that goes on",
+            Call::post(HOST, &path(RESUME), "c-8", "p")
+                .model("m0/a1")
+                .with("Last-Event-Id: 2"),
+            "id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n".into(),
+        ),
+    ];
+    for (name, call, body) in cases {
+        let got = call.send(&front);
+        assert_eq!(got.status, 200, "{name}: {got:?}");
+        assert!(got.whole, "{name}");
+        assert_eq!(got.text(), body, "{name}");
+        let seal = format!("seal-of-{}", call.id);
+        assert_eq!(got.header("server-seal"), Some(seal.as_str()), "{name}");
+        let workers = site.apps.iter().chain(&site.engines);
+        let runs: usize = workers.map(|w| w.runs(&call.id)).sum();
+        assert_eq!(runs, 1, "{name}");
+    }
+}
+
+/// The endpoint gets the caller's headers, and of the system's only what the system set.
+#[test]
+fn endpoints_get_the_callers_headers_and_not_forged_ones() {
+    let site = Site::start(Shape::default());
+    let call = Call::post(HOST, &path(STREAM), "h-1", "p")
+        .model("m0/a1")
+        .within(5000)
+        .with("X-Own: kept")
+        .with("Length-Hint: 12")
+        .with("Hold: forged")
+        .with("Pin-Ms: 4000")
+        .with("Kv-Backup: 10.0.0.1:1")
+        .with("Expect-Instance: forged")
+        .with("Connection: keep-alive, X-Hop")
+        .with("X-Hop: dropped");
+    assert_eq!(call.send(&site.front(0)).status, 200);
+    let seen = site.engines[0].seen();
+    let req =
+        &seen.iter().find(|s| s.req.header("attempt-id") == Some("h-1")).unwrap().req;
+    let cases = [
+        ("x-own", Some("kept")),
+        ("length-hint", Some("12")),
+        ("model", Some("m0/a1")),
+        ("token-count", Some("20,10")),
+        ("prompt-prefix", Some("5c1e07a2:10,e4402b7d:10")),
+        ("host", Some(HOST)),
+        ("expect-instance", Some("llm-0")),
+        ("expect-version", Some("1")),
+        ("request-priority", Some("1")),
+        ("hold", None),
+        ("pin-ms", None),
+        ("kv-backup", None),
+        ("x-hop", None),
+        ("connection", None),
+    ];
+    for (name, value) in cases {
+        assert_eq!(req.header(name), value, "{name}");
+    }
+    let left: u64 = req.header("deadline-ms").unwrap().parse().unwrap();
+    assert!((1..=5000).contains(&left), "{left}");
+}
+
+#[test]
+fn bad_requests_get_a_clear_answer_and_run_nowhere() {
+    let site = Site::start(Shape { engines: 0, ..Shape::default() });
+    let front = site.front(0);
+    let head = format!("POST /once/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: b\r\n");
+    let cases = [
+        ("no id", format!("GET /safe/x HTTP/1.1\r\nHost: {HOST}\r\n\r\n"), 400),
+        (
+            "no such path",
+            format!("GET /none/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: b\r\n\r\n"),
+            404,
+        ),
+        (
+            "no such host",
+            "GET /safe/x HTTP/1.1\r\nHost: other\r\nAttempt-Id: b\r\n\r\n".into(),
+            404,
+        ),
+        ("a bad deadline", format!("{head}Deadline-Ms: soon\r\n\r\n"), 400),
+        ("a body over its limit", format!("{head}Content-Length: 5000000\r\n\r\n"), 413),
+        (
+            "two lengths",
+            format!("{head}Content-Length: 1\r\nContent-Length: 2\r\n\r\nab"),
+            400,
+        ),
+        ("no number for a length", format!("{head}Content-Length: x\r\n\r\n"), 400),
+        ("a head that is none", "what is this\r\n\r\n".into(), 400),
+        (
+            "a head over its limit",
+            format!("{head}X-Pad: {}\r\n\r\n", "p".repeat(20_000)),
+            431,
+        ),
+    ];
+    for (name, bytes, status) in cases {
+        let got = raw(&front, bytes.as_bytes());
+        assert_eq!(got.status, status, "{name}: {got:?}");
+    }
+    assert_eq!(site.apps[0].seen().len(), 0);
+    let well = Call::get(HOST, &path(SAFE), "after").send(&front);
+    assert_eq!(well.status, 200, "others are served on");
+}
+
+/// What looks like a request inside a body stays a part of the body.
+#[test]
+fn a_request_inside_a_body_does_not_run() {
+    let site = Site::start(Shape { engines: 0, ..Shape::default() });
+    let inner = Call::post(HOST, &path(ONCE), "inner", "").bytes();
+    let inner = String::from_utf8(inner).unwrap();
+    let plain = Call::post(HOST, &path(ONCE), "outer-1", &inner);
+    let mut chunked = Call::post(HOST, &path(ONCE), "outer-2", &inner);
+    chunked.chunked = true;
+    let mut both = String::from_utf8(chunked.bytes()).unwrap();
+    both = both.replace("outer-2", "outer-3").replacen(
+        "Attempt-Id",
+        "Content-Length: 4\r\nAttempt-Id",
+        1,
+    );
+    assert_eq!(plain.send(&site.front(0)).status, 200);
+    assert_eq!(chunked.send(&site.front(0)).status, 200);
+    raw(&site.front(0), both.as_bytes());
+    let seen = site.apps[0].seen();
+    let ids: Vec<_> = seen.iter().filter_map(|s| s.req.header("attempt-id")).collect();
+    assert!(!ids.contains(&"inner"), "{ids:?}");
+    for seen in seen {
+        assert_eq!(seen.req.text(), inner, "{:?}", seen.req.header("attempt-id"));
+    }
+}
+
+/// Until the configuration is known nothing is refused for good.
+#[test]
+fn an_entry_without_configuration_says_so_and_then_serves() {
+    let site = Site::without_config(Shape { engines: 0, ..Shape::default() });
+    until("the entry answers", || site.ready(0) == 503);
+    let call = Call::get(HOST, &path(SAFE), "early");
+    let early = call.send(&site.front(0));
+    assert_eq!(early.status, 503);
+    assert!(early.header("retry-after").is_some());
+    site.store.put("config", "main", config(1, 30_000, PLACES));
+    site.list_all();
+    until("the entry is ready", || site.ready(0) == 200);
+    assert_eq!(call.send(&site.front(0)).status, 200);
+}
+
+#[test]
+fn changes_of_the_configuration_are_followed_and_older_ones_are_not() {
+    let site = Site::start(Shape { engines: 0, ..Shape::default() });
+    let status = || Call::get(HOST, "/new/x", "n").send(&site.front(0)).status;
+    assert_eq!(status(), 404);
+    let mut with_new = config(5, 30_000, PLACES);
+    let mut new = with_new["routes"][1].clone();
+    new["pathPrefix"] = json!("/new/");
+    with_new["routes"].as_array_mut().unwrap().push(new);
+    site.store.put("config", "main", with_new);
+    until("the new route is served", || status() == 200);
+    site.store.put("config", "main", config(3, 30_000, PLACES));
+    // A later version proves that the older one was seen and passed over.
+    let mut last = config(9, 30_000, PLACES);
+    last["routes"][1]["pathPrefix"] = json!("/last/");
+    site.store.put("config", "main", last);
+    until("the last one is in force", || {
+        Call::get(HOST, "/last/x", "l").send(&site.front(0)).status == 200
+    });
+    let log = site.entries[0].log();
+    let versions = log.iter().filter(|l| l["event"] == "routing in force");
+    let versions: Vec<_> = versions.filter_map(|l| l["version"].as_u64()).collect();
+    assert_eq!(versions, [1, 5, 9]);
+}
+
+/// Connections are kept for the next request, and closed well before the endpoint would.
+#[test]
+fn connections_to_endpoints_are_kept() {
+    let site = Site::start(Shape { engines: 0, ..Shape::default() });
+    site.apps[0].keep_alive(60);
+    for n in 0..20 {
+        let call = Call::get(HOST, &path(SAFE), &format!("k-{n}"));
+        assert_eq!(call.send(&site.front(0)).status, 200);
+    }
+    assert_eq!(site.apps[0].connections().0, 1);
+}
+
+#[test]
+fn a_leaving_worker_gets_nothing_new_and_a_new_one_does() {
+    let mut site = Site::start(Shape { engines: 0, ..Shape::default() });
+    let call = |id: &str| Call::get(HOST, &path(SAFE), id).send(&site.front(0)).status;
+    assert_eq!(call("before"), 200);
+    let next = Worker::start("127.0.0.1:0", "app-next");
+    site.store.put("servers", "app-next", next.entry("app", "hall-a", "ready"));
+    site.store.put("servers", "app-0", site.apps[0].entry("app", "hall-a", "draining"));
+    until("the new worker gets the requests", || {
+        call("probe");
+        next.runs("probe") > 0
+    });
+    let before = site.apps[0].seen().len();
+    for n in 0..20 {
+        assert_eq!(call(&format!("after-{n}")), 200);
+    }
+    assert_eq!(site.apps[0].seen().len(), before);
+    site.apps.push(next);
+}
+
+/// More adapters than places, from several clients at once: all are served, and no order
+/// ever breaks the engine.
+#[test]
+fn adapters_are_loaded_and_unloaded_by_orders() {
+    let site = Site::start(Shape::default());
+    let front = site.front(0);
+    thread::scope(|scope| {
+        for client in 0..4 {
+            let front = &front;
+            scope.spawn(move || {
+                for n in 0..12 {
+                    let id = format!("o-{client}-{n}");
+                    let model = format!("m0/a{}", (client * 5 + n) % 8);
+                    let call = Call::post(HOST, &path(STREAM), &id, "p").model(&model);
+                    let got = call.send(front);
+                    assert_eq!((got.status, got.whole), (200, true), "{id}");
+                }
+            });
+        }
+    });
+    let engine = &site.engines[0];
+    assert!(!engine.overfull());
+    assert!(engine.adapters().len() <= PLACES);
+    let orders = engine.orders();
+    assert!(orders.iter().any(|o| o["operation"] == "unload"));
+    assert!(orders.iter().all(|o| o["fencingToken"] == 1 && o["holder"] == "node"));
+    assert_eq!(engine.rejected(), 0, "no request met a missing adapter");
+}
+
+#[test]
+fn a_new_version_is_loaded_and_named_in_every_send() {
+    let site = Site::start(Shape::default());
+    let call = |id: &str| Call::post(HOST, &path(STREAM), id, "p").model("m0/a1");
+    assert_eq!(call("v-1").send(&site.front(0)).status, 200);
+    let named = json!({ "model": "m0", "adapter": "a1", "version": 7 });
+    site.store.put("versions", "m0.a1", named);
+    until("the new version is used", || {
+        assert_eq!(call("v-n").send(&site.front(0)).status, 200);
+        let seen = site.engines[0].seen();
+        seen.last().unwrap().req.header("expect-version") == Some("7")
+    });
+    let held = site.engines[0].adapters();
+    let of_a1: Vec<_> = held.iter().filter(|a| a.starts_with("a1@")).collect();
+    assert_eq!(of_a1, ["a1@7"]);
+}
+
+#[test]
+fn an_engine_that_restarted_empty_is_filled_again() {
+    let site = Site::start(Shape::default());
+    let call = |id: &str| Call::post(HOST, &path(STREAM), id, "p").model("m0/a1");
+    assert_eq!(call("r-1").send(&site.front(0)).status, 200);
+    site.engines[0].restart("llm-again");
+    site.store.remove("servers", "llm-0");
+    let again = site.engines[0].entry("llm", "hall-a", "ready");
+    site.store.put("servers", "llm-again", again);
+    until("the adapter is served again", || {
+        call("r-2").send(&site.front(0)).status == 200
+    });
+    let orders = site.engines[0].orders();
+    let base =
+        |o: &&serde_json::Value| o["adapter"].is_null() && o["operation"] == "load";
+    assert_eq!(orders.iter().filter(base).count(), 1, "the base model is loaded once");
+}
+
+/// An order that got no answer is given again, so that the late one can't be taken too.
+#[test]
+fn unanswered_orders_are_settled_by_the_report() {
+    let site = Site::start(Shape::default());
+    site.engines[0].next_orders([Act::IgnoreOrder, Act::LoseOrder]);
+    for n in 0..4 {
+        let id = format!("u-{n}");
+        let call = Call::post(HOST, &path(STREAM), &id, "p").model(&format!("m0/u{n}"));
+        assert_eq!(call.send(&site.front(0)).status, 200, "{id}");
+    }
+    assert!(!site.engines[0].overfull());
+    let orders = site.engines[0].orders();
+    let expected: Vec<_> =
+        orders.iter().filter_map(|o| o["expectedCount"].as_u64()).collect();
+    assert_eq!(expected.len(), orders.len(), "each names the number of orders taken");
+    assert!(expected.windows(2).all(|w| w[0] <= w[1]), "{expected:?}");
+}
+
+#[test]
+fn metrics_tell_what_was_served() {
+    let site = Site::start(Shape::default());
+    assert_eq!(Call::get(HOST, &path(SAFE), "m-1").send(&site.front(0)).status, 200);
+    let text = site.metrics(&site.entries[0].ip);
+    for line in [
+        "larkspring_requests_total{outcome=\"answered\",route=\"r-safe\"} 1",
+        "larkspring_attempts_total{end=\"answered\"}",
+        "larkspring_first_byte_seconds_bucket{route=\"r-safe\",le=\"0.15\"}",
+        "larkspring_state{of=\"routing_version\"} 1",
+        "larkspring_store_calls_total{kind=\"endpoints\",outcome=\"ok\"}",
+    ] {
+        assert!(text.contains(line), "{line} not in\n{text}");
+    }
+    let text = site.metrics(&site.agents[0].ip);
+    assert!(
+        text.contains("larkspring_orders_total{answer=\"under way\",order=\"load\"}"),
+        "{text}"
+    );
+}
+
+/// Two requests one after the other on one connection of a client, and a third after it
+/// rested: each gets its own answer.
+#[test]
+fn a_client_keeps_its_connection() {
+    let site = Site::start(Shape { engines: 0, ..Shape::default() });
+    let mut conn = connect(&site.front(0)).unwrap();
+    for n in 0..3 {
+        let call = Call::post(HOST, &path(ONCE), &format!("same-{n}"), "b");
+        conn.send(&call.bytes()).unwrap();
+        let got: Message = conn.answer().unwrap();
+        assert_eq!(got.header("attempt-id"), Some(call.id.as_str()));
+    }
+}
--- a/crates/larkspring/src/settings.rs
+++ b/crates/larkspring/src/settings.rs
@@ -135,7 +135,7 @@
     /// Whether spans are written to the log.
     pub spans: bool,
     /// Lowest level of the log lines.
-    pub level: String,
+    pub level: tracing::Level,
 }
 
 /// Reads and checks a file of settings.
@@ -310,11 +310,12 @@
             self.address("telemetry.statsd", &raw.statsd);
         }
         let level = if raw.level.is_empty() { "info" } else { &raw.level };
-        if level.parse::<tracing::Level>().is_err() {
+        let level = level.parse().unwrap_or_else(|_| {
             let text = "one of error, warn, info, debug, trace is needed";
             self.fault("telemetry.level", text);
-        }
-        TelemetryCfg { statsd: raw.statsd.clone(), spans: raw.spans, level: level.into() }
+            tracing::Level::INFO
+        });
+        TelemetryCfg { statsd: raw.statsd.clone(), spans: raw.spans, level }
     }
 
     fn named(&mut self, key: &str, value: &str) {
--- a/crates/larkspring/src/telemetry.rs
+++ b/crates/larkspring/src/telemetry.rs
@@ -8,6 +8,7 @@
 use cadence::{
     BufferedUdpMetricSink, Counted, NopMetricSink, QueuingMetricSink, StatsdClient, Timed,
 };
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::fmt::format::FmtSpan;
 
 use crate::settings::TelemetryCfg;
@@ -15,29 +16,42 @@
 /// Prefix of every metric.
 const PREFIX: &str = "larkspring";
 
+/// Where log lines go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogTo {
+    /// Standard output, as for every process of a deployment.
+    Stdout,
+    /// Standard error, for commands whose standard output is read by a person.
+    Stderr,
+}
+
+/// Keeps the log going; the lines that wait are written when it is dropped.
+#[must_use]
+#[derive(Debug)]
+pub struct LogGuard(#[allow(dead_code)] WorkerGuard);
+
+/// Lines that may wait for a reader that is slow; more are left out, as a request never
+/// waits for the log.
+const WAITING_LINES: usize = 4096;
+
 /// Starts the log of the process; later calls change nothing.
-pub fn start_log(cfg: &TelemetryCfg) {
-    let level = cfg.level.parse().unwrap_or(tracing::Level::INFO);
-    let spans = if cfg.spans { FmtSpan::CLOSE } else { FmtSpan::NONE };
+pub fn start_log(level: tracing::Level, spans: bool, to: LogTo) -> LogGuard {
+    let spans = if spans { FmtSpan::CLOSE } else { FmtSpan::NONE };
+    let lines =
+        NonBlockingBuilder::default().buffered_lines_limit(WAITING_LINES).lossy(true);
+    let (writer, guard) = match to {
+        LogTo::Stdout => lines.finish(std::io::stdout()),
+        LogTo::Stderr => lines.finish(std::io::stderr()),
+    };
     let log = tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
         .with_max_level(level)
         .with_span_events(spans)
-        .with_writer(std::io::stderr);
+        .with_writer(writer);
     // In one process with several roles the first one starts the log.
     let _ = log.try_init();
-}
-
-/// Starts the log of a process on a platform that collects standard output.
-pub fn start_platform_log(level: tracing::Level) {
-    let log = tracing_subscriber::fmt()
-        .json()
-        .flatten_event(true)
-        .with_target(false)
-        .with_max_level(level)
-        .with_writer(std::io::stdout);
-    let _ = log.try_init();
+    LogGuard(guard)
 }
 
 /// Sends metrics to a statsd address, or nowhere.
