--- a/crates/larkspring-core/src/fleet/members.rs
+++ b/crates/larkspring-core/src/fleet/members.rs
@@ -32,6 +32,8 @@
     pub slots: usize,
     /// Whether it takes new requests.
     pub leaving: bool,
+    /// Rises with each run that is listed, so that of two at one address the later is known.
+    pub listed_since: u64,
     /// Adapters that it said it holds.
     pub holds: Vec<Target>,
 }
--- a/crates/larkspring-core/src/slots.rs
+++ b/crates/larkspring-core/src/slots.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-pub use self::limits::{Eviction, Limits};
+pub use self::limits::{Eviction, Limits, LoadOrder};
 use self::residency::{Heat, Phase, Residency};
 use crate::ids::{AttemptId, Incarnation, Target, TargetHash};
 use crate::outcome::{Refusal, Step};
@@ -386,7 +386,11 @@
 
     /// Loads the adapters that the most urgent requests wait for.
     fn load_next(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        for id in self.by_urgency() {
+        let order = match self.limits.order {
+            LoadOrder::Urgency => self.by_urgency(),
+            LoadOrder::Demand => self.by_demand(now),
+        };
+        for id in order {
             let loading = self.adapters.values().filter(|a| a.is_loading()).count();
             if loading >= self.limits.max_loading {
                 return;
--- a/crates/larkspring-core/src/slots/limits.rs
+++ b/crates/larkspring-core/src/slots/limits.rs
@@ -19,6 +19,18 @@
     pub settle: Duration,
     /// Which adapter is unloaded first.
     pub eviction: Eviction,
+    /// Which adapter is loaded first.
+    pub order: LoadOrder,
+}
+
+/// Which of the adapters that requests wait for is loaded first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoadOrder {
+    /// The one of the most urgent request.
+    Urgency,
+    /// The one that the most requests wait for, of which older and more urgent ones count
+    /// more.
+    Demand,
 }
 
 /// Which of the adapters that nobody uses is unloaded first.
--- a/crates/larkspring-core/tests/fleet_members.rs
+++ b/crates/larkspring-core/tests/fleet_members.rs
@@ -12,6 +12,7 @@
         hall: "h".into(),
         slots: 1,
         leaving,
+        listed_since: 1,
         holds: Vec::new(),
     }
 }
--- a/crates/larkspring-core/tests/slots.rs
+++ b/crates/larkspring-core/tests/slots.rs
@@ -4,7 +4,7 @@
 
 use larkspring_core::ids::{Incarnation, Target};
 use larkspring_core::outcome::{Outcome, Step};
-use larkspring_core::slots::{Action, Eviction, Held, Limits, Slots, Waiting};
+use larkspring_core::slots::{Action, Eviction, Held, Limits, LoadOrder, Slots, Waiting};
 
 const MINUTE: Duration = Duration::from_secs(60);
 const SETTLE: Duration = Duration::from_secs(3);
@@ -34,6 +34,7 @@
             patience: PATIENCE,
             settle: SETTLE,
             eviction: Eviction::Heat,
+            order: LoadOrder::Urgency,
         };
         let slots = Slots::new(limits);
         let mut agent = Self { slots, now: Instant::now(), next: 0 };
--- a/crates/larkspring-core/tests/slots_fresh.rs
+++ b/crates/larkspring-core/tests/slots_fresh.rs
@@ -4,7 +4,7 @@
 
 use fastrand::Rng;
 use larkspring_core::ids::{AttemptId, Incarnation, Target};
-use larkspring_core::slots::{Action, Eviction, Limits, Slots, Waiting};
+use larkspring_core::slots::{Action, Eviction, Limits, LoadOrder, Slots, Waiting};
 
 fn slots(places: usize) -> Slots {
     Slots::new(Limits {
@@ -15,6 +15,7 @@
         patience: Duration::from_millis(100),
         settle: Duration::ZERO,
         eviction: Eviction::Heat,
+        order: LoadOrder::Demand,
     })
 }
 
--- a/crates/larkspring-core/tests/slots_random.rs
+++ b/crates/larkspring-core/tests/slots_random.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use larkspring_core::ids::{Incarnation, Target};
-use larkspring_core::slots::{Action, Eviction, Held, Limits, Slots, Waiting};
+use larkspring_core::slots::{Action, Eviction, Held, Limits, LoadOrder, Slots, Waiting};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -80,6 +80,7 @@
             patience: Duration::from_secs(2),
             settle: Duration::from_secs(3),
             eviction: Eviction::Heat,
+            order: LoadOrder::Urgency,
         };
         let mut world = Self {
             slots: Slots::new(limits),
--- a/crates/larkspring/src/agent/mod.rs
+++ b/crates/larkspring/src/agent/mod.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 
 use futures_lite::Stream;
+use larkspring_core::slots::{Limits, LoadOrder};
 use larkspring_proto::agent::agent_server::{Agent as AgentRpc, AgentServer};
 use larkspring_proto::agent::{DispatchDown, DispatchUp};
 use quick_error::quick_error;
@@ -126,8 +127,8 @@
 }
 
 /// Returns the limits of the core from settings.
-fn limits(cfg: &AgentCfg) -> larkspring_core::slots::Limits {
-    larkspring_core::slots::Limits {
+fn limits(cfg: &AgentCfg) -> Limits {
+    Limits {
         slots: cfg.slots,
         max_running: cfg.max_running,
         max_waiting: cfg.max_waiting,
@@ -135,6 +136,7 @@
         patience: PATIENCE,
         settle: SETTLE,
         eviction: cfg.eviction,
+        order: LoadOrder::Urgency,
     }
 }
 
--- a/crates/larkspring/src/direct/agent/keeper.rs
+++ b/crates/larkspring/src/direct/agent/keeper.rs
@@ -7,7 +7,7 @@
 use futures_lite::future;
 use larkspring_core::ids::{AttemptId, Incarnation, Target};
 use larkspring_core::outcome::Refusal;
-use larkspring_core::slots::{Action, Eviction, Limits, Slots, Waiting};
+use larkspring_core::slots::{Action, Eviction, Limits, LoadOrder, Slots, Waiting};
 use larkspring_proto::residency as wire;
 use larkspring_proto::residency::from_agent::Kind as Say;
 use larkspring_proto::residency::from_entry::Kind as Said;
@@ -127,6 +127,7 @@
             patience: PATIENCE,
             settle: Duration::ZERO,
             eviction: Eviction::Heat,
+            order: LoadOrder::Demand,
         };
         Self {
             holder: cfg.process.vm.to_string(),
--- a/crates/larkspring/src/direct/beliefs.rs
+++ b/crates/larkspring/src/direct/beliefs.rs
@@ -21,6 +21,7 @@
     members: Mutex<Members>,
     store: Mutex<StoreHealth>,
     changed: Event,
+    store_back: Event,
 }
 
 /// Whether the platform's store answers this process.
@@ -40,6 +41,7 @@
             members: Mutex::default(),
             store: Mutex::default(),
             changed: Event::new(),
+            store_back: Event::new(),
         }
     }
 }
@@ -70,6 +72,11 @@
         self.store.lock().away_since
     }
 
+    /// Notifies when the store answers again.
+    pub fn store_back(&self) -> EventListener {
+        self.store_back.listen()
+    }
+
     /// Takes in all items of a kind.
     pub fn replace(&self, now: Instant, kind: Kind, listed: Listed) {
         if kind != Kind::Endpoints {
@@ -124,6 +131,7 @@
         if store.away_since.take().is_some() {
             store.back_at = Some(now);
             logs::dependency("store", true, "");
+            self.store_back.notify(usize::MAX);
         }
     }
 
--- a/crates/larkspring/src/direct/entry/answer.rs
+++ b/crates/larkspring/src/direct/entry/answer.rs
@@ -44,6 +44,7 @@
     BadRequest,
     NoRoute,
     BodyTooLarge,
+    Stopping,
     NoRouting,
     NoEndpoint,
     NoAdapterInTime,
@@ -61,6 +62,7 @@
             Self::BadRequest => "bad request",
             Self::NoRoute => "no route",
             Self::BodyTooLarge => "body too large",
+            Self::Stopping => "the entry stops",
             Self::NoRouting => "routing not known yet",
             Self::NoEndpoint => "no endpoint",
             Self::NoAdapterInTime => "adapter not ready in time",
@@ -78,7 +80,8 @@
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NoRouting
+            Self::Stopping
+            | Self::NoRouting
             | Self::NoEndpoint
             | Self::NoAdapterInTime
             | Self::Rejected
@@ -90,6 +93,37 @@
     }
 }
 
+/// When to come back to an entry that stops: at once, on a connection to another one.
+const COME_BACK_ELSEWHERE: Duration = Duration::from_millis(50);
+/// When to come back to an entry that does not know the routing yet, or whose engines are
+/// all being filled: loading a base model takes half a second and the adapters more. A
+/// caller comes back only once or twice, so too early is worse than too late.
+const COME_BACK_FILLED: Duration = Duration::from_millis(1000);
+/// When to come back after other refusals: an endpoint frees a place within this time.
+const COME_BACK_SOON: Duration = Duration::from_millis(250);
+/// Callers that are refused together are spread over this part of the time.
+const SPREAD: f64 = 0.3;
+
+impl Reason {
+    /// When a caller should come back; `None` where it would get the same answer.
+    pub fn come_back(self, needs_adapter: bool) -> Option<Duration> {
+        let after = match self {
+            Self::Stopping => COME_BACK_ELSEWHERE,
+            Self::NoRouting => COME_BACK_FILLED,
+            Self::NoEndpoint if needs_adapter => COME_BACK_FILLED,
+            Self::NoEndpoint
+            | Self::NoAdapterInTime
+            | Self::Rejected
+            | Self::Unsent
+            | Self::LateNotRun => COME_BACK_SOON,
+            Self::BadRequest | Self::NoRoute | Self::BodyTooLarge => return None,
+            Self::Unclear | Self::LateUnclear => return None,
+        };
+        let spread = 1.0 + SPREAD * (2.0 * fastrand::f64() - 1.0);
+        Some(after.mul_f64(spread))
+    }
+}
+
 impl AnswerBody {
     /// Creates a body that is held whole.
     pub fn whole(bytes: Bytes, done: Option<Done>) -> Self {
--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -1,5 +1,6 @@
 //! One send of a request, and what the head of its answer says.
 
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
@@ -115,10 +116,10 @@
         };
         let version = placed.target.as_ref().map(|t| &*t.version);
         let req = self.request(&endpoint.id, version, body);
-        self.in_flight = true;
+        self.in_flight.store(true, Ordering::Release);
         let res = conn.send(endpoint.addr, req).await;
         if matches!(res, Err(SendError::Unsent(..))) {
-            self.in_flight = false;
+            self.in_flight.store(false, Ordering::Release);
         } else if !self.tried.contains(&endpoint.id) {
             self.history.endpoints += 1;
             self.tried.push(endpoint.id.clone());
@@ -182,6 +183,9 @@
         if status == StatusCode::MISDIRECTED_REQUEST {
             let same = said.incarnation.is_none_or(|id| id == endpoint.id);
             let end = if same { AttemptEnd::Lacking } else { AttemptEnd::Moved };
+            if end == AttemptEnd::Moved {
+                peer.is_gone();
+            }
             if let (Some(link), Some(target)) = (&peer.link, &placed.target) {
                 link.lacks(target.hash());
             }
--- a/crates/larkspring/src/direct/entry/fleet.rs
+++ b/crates/larkspring/src/direct/entry/fleet.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use event_listener::{Event, EventListener};
+use larkspring_core::fleet::members::Endpoint;
 use larkspring_core::ids::{Incarnation, ServiceId};
 use parking_lot::Mutex;
 use smol::{Task, Timer};
@@ -22,6 +24,7 @@
     agent_port: u16,
     peers: ArcSwap<Peers>,
     links: Mutex<HashMap<SocketAddr, Kept>>,
+    news: Arc<Event>,
 }
 
 /// Endpoints by run and by service.
@@ -49,6 +52,7 @@
             agent_port,
             peers: ArcSwap::default(),
             links: Mutex::default(),
+            news: Arc::default(),
         })
     }
 
@@ -75,7 +79,12 @@
     pub fn open(&self, service: &str) -> Vec<Arc<Peer>> {
         let peers = self.peers.load();
         let all = peers.by_service.get(service).map_or(&[][..], |all| all);
-        all.iter().filter(|p| !p.endpoint().leaving).cloned().collect()
+        all.iter().filter(|p| p.is_open()).cloned().collect()
+    }
+
+    /// Notifies of the next change that may make an endpoint usable.
+    pub fn news(&self) -> EventListener {
+        self.news.listen()
     }
 
     /// Whether any endpoint is known.
@@ -99,7 +108,7 @@
         let routing = self.beliefs.routing();
         let before = self.peers.load();
         let mut now = Peers::default();
-        for endpoint in self.beliefs.endpoints() {
+        for endpoint in latest_by_addr(self.beliefs.endpoints()) {
             let engine = routing.as_ref().and_then(|r| r.service(&endpoint.service));
             let is_engine = engine.is_some_and(|s| s.engine.is_some());
             let known = before.by_id.get(&endpoint.id);
@@ -125,6 +134,7 @@
         let used: HashSet<_> = addrs.collect();
         self.links.lock().retain(|addr, _| used.contains(addr));
         self.peers.store(Arc::new(now));
+        self.news.notify(usize::MAX);
     }
 
     fn link(&self, endpoint: SocketAddr, service: &ServiceId) -> Arc<Link> {
@@ -133,7 +143,7 @@
         if let Some(kept) = links.get(&addr) {
             return kept.link.clone();
         }
-        let link = Link::new(addr.to_string());
+        let link = Link::new(addr.to_string(), self.news.clone());
         let (beliefs, service) = (self.beliefs.clone(), service.clone());
         let engine = move || engine_of(beliefs.routing().as_deref(), &service);
         let task = exec::spawn(link.clone().run(self.who.clone(), engine));
@@ -146,3 +156,14 @@
         SocketAddr::new(endpoint.ip(), self.agent_port)
     }
 }
+
+/// Leaves out runs whose address a later run has: their entries outlive them for a while.
+fn latest_by_addr(endpoints: Vec<Arc<Endpoint>>) -> Vec<Arc<Endpoint>> {
+    let mut latest: HashMap<SocketAddr, u64> = HashMap::new();
+    for endpoint in &endpoints {
+        let since = latest.entry(endpoint.addr).or_default();
+        *since = endpoint.listed_since.max(*since);
+    }
+    let is_latest = |e: &Arc<Endpoint>| latest[&e.addr] == e.listed_since;
+    endpoints.into_iter().filter(is_latest).collect()
+}
--- a/crates/larkspring/src/direct/entry/job.rs
+++ b/crates/larkspring/src/direct/entry/job.rs
@@ -1,17 +1,18 @@
 //! One request, from its head to its answer.
 
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use futures_lite::future::poll_fn;
+use futures_lite::future::{self, poll_fn};
 use http::header::{HeaderName, CONNECTION, CONTENT_LENGTH, HOST};
 use http::{HeaderMap, Method, Request, Response, Uri};
 use hyper::body::{Body, Incoming};
 use larkspring_core::fleet::attempt::{next, AttemptEnd, History, Next};
 use larkspring_core::fleet::routes::{Route, RouteClass, Routing, Service};
 use larkspring_core::ids::Incarnation;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::answer::{close_if_leaving, own, AnswerBody, Reason};
 use super::attempt::{Answered, Ended};
@@ -42,7 +43,11 @@
     /// Endpoints that it was sent to, and those that could not be reached.
     pub tried: Vec<Incarnation>,
     /// Whether an attempt that may run is under way.
-    pub in_flight: bool,
+    pub in_flight: Arc<AtomicBool>,
+    /// Tells the request when it comes back under another id; `None` without a body.
+    pub fingerprint: Option<u64>,
+    /// Whether it was told to come back before.
+    pub is_back: bool,
     /// The last event that the caller has of a stream.
     pub resume_after: Option<String>,
     /// How long it waited for its adapter.
@@ -68,10 +73,12 @@
 const MAX_HELD_BODY: usize = 128 * 1024;
 /// Deadline of a request that names none, on a route without a time-out.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
-/// When to come back to an entry that does not know the routing yet.
-const RETRY_NO_ROUTING: Duration = Duration::from_millis(300);
-/// When to come back where no endpoint can take the request now.
-const RETRY_NO_ENDPOINT: Duration = Duration::from_millis(250);
+/// How long a request waits for the routing, which an entry knows soon after its start.
+const WAIT_FOR_ROUTING: Duration = Duration::from_millis(100);
+/// Part of the objective within which a refusal costs the caller little.
+pub(super) const EARLY_PART: f64 = 0.25;
+/// Time that is kept back for the answer itself of a request that waits for an endpoint.
+const KEPT_FOR_ANSWER: Duration = Duration::from_millis(500);
 /// Headers that concern one connection only.
 const HOP_HEADERS: [HeaderName; 8] = [
     CONNECTION,
@@ -101,20 +108,26 @@
             return own(&entry, Reason::BadRequest, "", None, Some(done));
         }
     };
-    let refuse = |reason, after, done| {
+    let needs_adapter = caller.model.is_some();
+    let refuse = |reason: Reason, done| {
         log_refused(&entry, &caller, reason, received);
+        entry.stats.request("", reason.name());
+        let after = reason.come_back(needs_adapter);
         own(&entry, reason, &caller.id, after, Some(done))
     };
-    let Some(routing) = entry.beliefs.routing() else {
-        return refuse(Reason::NoRouting, Some(RETRY_NO_ROUTING), done);
+    if entry.stop.is_closing() {
+        return refuse(Reason::Stopping, done);
+    }
+    let Some(routing) = routing(&entry).await else {
+        return refuse(Reason::NoRouting, done);
     };
     let host = head.headers.get(HOST).and_then(|h| h.to_str().ok()).unwrap_or_default();
     let Some(route) = routing.find(host, head.uri.path()).cloned() else {
-        return refuse(Reason::NoRoute, None, done);
+        return refuse(Reason::NoRoute, done);
     };
     let service = route.service(fastrand::u32(..));
     let Some(service) = service.and_then(|name| routing.service(name)).cloned() else {
-        return refuse(Reason::NoEndpoint, Some(RETRY_NO_ENDPOINT), done);
+        return refuse(Reason::NoEndpoint, done);
     };
     let waits = caller.deadline.unwrap_or(DEFAULT_DEADLINE);
     let allowed = waits.min(route.timeout.unwrap_or(waits));
@@ -123,17 +136,21 @@
     let read = within(allowed, read_body(&entry, body, routing.bounds.max_body)).await;
     let body = match read {
         Some(Ok(body)) => body,
-        Some(Err(reason)) => return refuse(reason, None, done),
-        None => return refuse(Reason::LateNotRun, Some(RETRY_NO_ENDPOINT), done),
+        Some(Err(reason)) => return refuse(reason, done),
+        None => return refuse(Reason::LateNotRun, done),
     };
+    let fingerprint = fingerprint(head.uri.path(), &body);
+    let is_back = fingerprint.is_some_and(|f| entry.is_back(f));
     let job = Job {
+        fingerprint,
+        is_back,
         resume_after: caller.resume_after.clone(),
         method: head.method,
         uri: head.uri,
         headers: passed_on(head.headers),
         history: History::default(),
         tried: Vec::new(),
-        in_flight: false,
+        in_flight: Arc::default(),
         waited: Duration::ZERO,
         entry,
         routing,
@@ -149,21 +166,43 @@
 
 impl Job {
     async fn run(mut self, done: Done) -> Response<AnswerBody> {
-        let left = self.left();
-        let ended = within(left, self.attempts()).await;
+        let (left, in_flight) = (self.left(), self.in_flight.clone());
+        let entry = self.entry.clone();
+        let stopping = async {
+            entry.stop.ending().await;
+            if in_flight.load(Ordering::Acquire) {
+                // What an endpoint works on is waited for to the end.
+                future::pending::<()>().await;
+            }
+            Some(Err((Reason::Stopping, None)))
+        };
+        let ended = future::or(within(left, self.attempts()), stopping).await;
+        let may_run = self.in_flight.load(Ordering::Acquire) || self.history.may_have_run;
         let (reason, after) = match ended {
             Some(Ok(answered)) => return self.deliver(answered, done),
             Some(Err((reason, after))) => (reason, after),
-            None if self.in_flight || self.history.may_have_run => {
-                (Reason::LateUnclear, None)
-            }
-            None => (Reason::LateNotRun, Some(RETRY_NO_ENDPOINT)),
+            None if may_run => (Reason::LateUnclear, None),
+            None => (Reason::LateNotRun, None),
         };
+        let after = after.or_else(|| reason.come_back(self.caller.model.is_some()));
+        if let (Some(_), Some(fingerprint)) = (after, self.fingerprint) {
+            self.entry.expect_back(fingerprint);
+        }
         log_refused(&self.entry, &self.caller, reason, self.received);
         self.entry.stats.request(&self.route.name, reason.name());
         own(&self.entry, reason, &self.caller.id, after, Some(done))
     }
 
+    /// How long it may still wait for an endpoint before it is refused. One that was told
+    /// to come back waits as long as it can still be answered.
+    pub fn patience(&self) -> Duration {
+        if self.is_back {
+            return self.left().saturating_sub(KEPT_FOR_ANSWER);
+        }
+        let early = self.route.objective.mul_f64(EARLY_PART);
+        early.saturating_sub(self.received.elapsed()).min(self.left())
+    }
+
     /// Places and sends the request until it is answered or given up.
     pub async fn attempts(&mut self) -> Result<Answered, (Reason, Option<Duration>)> {
         loop {
@@ -184,7 +223,7 @@
                         AttemptEnd::Unsent => Reason::Unsent,
                         _ => Reason::Rejected,
                     };
-                    return Err((reason, Some(RETRY_NO_ENDPOINT)));
+                    return Err((reason, None));
                 }
             }
         }
@@ -192,7 +231,7 @@
 
     /// Records the end of an attempt and decides what follows.
     pub fn after(&mut self, end: AttemptEnd, peer: &Arc<Peer>) -> Next {
-        self.in_flight = false;
+        self.in_flight.store(false, Ordering::Release);
         self.history.attempts += 1;
         let id = peer.endpoint().id.clone();
         if end == AttemptEnd::Moved {
@@ -259,6 +298,25 @@
     }
 }
 
+/// Returns the routing; waits for it a little, as just after the entry's start.
+async fn routing(entry: &Inner) -> Option<Arc<Routing>> {
+    let changed = entry.beliefs.changed();
+    if let Some(routing) = entry.beliefs.routing() {
+        return Some(routing);
+    }
+    within(WAIT_FOR_ROUTING, changed).await;
+    entry.beliefs.routing()
+}
+
+fn fingerprint(path: &str, body: &KeptBody) -> Option<u64> {
+    match body {
+        KeptBody::Held { bytes, .. } if !bytes.is_empty() => {
+            Some(xxh3_64_with_seed(bytes, xxh3_64_with_seed(path.as_bytes(), 0)))
+        }
+        _ => None,
+    }
+}
+
 /// Removes the headers that concern one connection only.
 fn passed_on(mut headers: HeaderMap) -> HeaderMap {
     let named: Vec<HeaderName> = headers
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use event_listener::Event;
 use larkspring_core::fleet::choose::Holding;
 use larkspring_core::fleet::routes::Routing;
 use larkspring_core::ids::{HallId, ServiceId, Target, TargetHash, VmId};
@@ -30,6 +31,8 @@
     holds: Mutex<HashMap<u64, Held>>,
     next_id: AtomicU64,
     granted: AtomicU32,
+    /// Notified when the agent can be asked again, or its engine serves again.
+    news: Arc<Event>,
 }
 
 /// What the agent last said.
@@ -106,7 +109,7 @@
 
 impl Link {
     /// Creates the connection to an agent, closed as yet.
-    pub fn new(addr: String) -> Arc<Self> {
+    pub fn new(addr: String, news: Arc<Event>) -> Arc<Self> {
         Arc::new(Self {
             addr,
             tx: Mutex::default(),
@@ -114,6 +117,7 @@
             holds: Mutex::default(),
             next_id: AtomicU64::new(1),
             granted: AtomicU32::new(0),
+            news,
         })
     }
 
@@ -257,6 +261,9 @@
         let regained = !std::mem::replace(&mut known.live, true);
         match message.kind {
             Some(FromAgentKind::State(state)) => {
+                if regained || state.serving != known.state.serving {
+                    self.news.notify(usize::MAX);
+                }
                 known.resident = state.resident.iter().copied().collect();
                 known.loading = state.loading.iter().copied().collect();
                 known.mine_then = self.granted.load(Ordering::Relaxed);
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -20,11 +20,12 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use event_listener::Event;
+use futures_lite::future;
 use http::StatusCode;
 use larkspring_core::fleet::demand::Demand;
 use larkspring_core::ids::{ServiceId, TargetHash};
@@ -73,6 +74,8 @@
     repeats: Mutex<HashMap<ServiceId, RepeatWindow>>,
     /// Copies that were ordered ahead of requests, and when.
     copies: Mutex<HashMap<TargetHash, Instant>>,
+    /// Requests that were told to come back, and when.
+    refused: Mutex<HashMap<u64, Instant>>,
     stop: Stop,
     kept_bytes: AtomicUsize,
 }
@@ -80,17 +83,25 @@
 /// How far the entry is on its way to its end.
 #[derive(Default)]
 pub(super) struct Stop {
-    /// Not ready any more; answers close their connections.
-    leaving: AtomicBool,
-    /// Connections close as soon as they are at rest.
-    closing: AtomicBool,
+    /// 0 while the entry runs, then one of [`LEAVING`] to [`ENDING`].
+    stage: AtomicU8,
     connections: AtomicUsize,
     changed: Event,
 }
 
-/// How long after the signal to stop new connections are still taken: the balancer asks
-/// each second and needs two misses, and callers' connections on their way need to land.
-const TAKE_CONNECTIONS: Duration = Duration::from_millis(3300);
+/// Not ready any more; answers close their connections.
+const LEAVING: u8 = 1;
+/// Connections close as soon as they are at rest, and nothing new is taken.
+const CLOSING: u8 = 2;
+/// What was not sent yet is refused.
+const ENDING: u8 = 3;
+
+/// How long after the signal to stop new requests are still taken. The balancer asks each
+/// second and needs two misses, and callers' connections on their way need to land; what
+/// is taken later may not end within the grace.
+const TAKE_REQUESTS: Duration = Duration::from_millis(2500);
+/// Time before the end of the grace at which requests that were not sent are refused.
+const REFUSE_UNSENT: Duration = Duration::from_millis(900);
 /// Time before the end of the grace at which the process ends by itself.
 const END_EARLY: Duration = Duration::from_millis(300);
 /// How long a copy that was ordered is not ordered again.
@@ -123,6 +134,7 @@
             demand: Mutex::default(),
             repeats: Mutex::default(),
             copies: Mutex::default(),
+            refused: Mutex::default(),
             stop: Stop::default(),
             kept_bytes: AtomicUsize::new(0),
         });
@@ -153,13 +165,23 @@
     pub async fn stop(self) {
         let began = Instant::now();
         tracing::info!(event = "stop", process = "entry");
-        self.inner.stop.leaving.store(true, Ordering::Release);
-        let end = began + self.inner.cfg.process.stop_grace.saturating_sub(END_EARLY);
-        Timer::at((began + TAKE_CONNECTIONS).min(end)).await;
-        self.inner.stop.closing.store(true, Ordering::Release);
-        self.inner.stop.changed.notify(usize::MAX);
-        let left = end.saturating_duration_since(Instant::now());
-        let idle = exec::within(left, self.inner.stop.idle()).await.is_some();
+        let stop = &self.inner.stop;
+        stop.enter(LEAVING);
+        let grace = self.inner.cfg.process.stop_grace;
+        let end = began + grace.saturating_sub(END_EARLY);
+        Timer::at((began + TAKE_REQUESTS).min(end)).await;
+        stop.enter(CLOSING);
+        let ending = async {
+            Timer::at(began + grace.saturating_sub(REFUSE_UNSENT)).await;
+            stop.enter(ENDING);
+            Timer::at(end).await;
+            false
+        };
+        let idle = async {
+            stop.idle().await;
+            true
+        };
+        let idle = future::or(idle, ending).await;
         let open = self.inner.stop.connections.load(Ordering::Acquire);
         tracing::info!(event = "stopped", process = "entry", idle, open);
         drop(self.tasks);
@@ -219,20 +241,63 @@
     }
 }
 
+/// How long a request that was told to come back is expected.
+const EXPECTED: Duration = Duration::from_secs(8);
+/// Requests that are expected back at a time.
+const MAX_EXPECTED: usize = 8192;
+
+impl Inner {
+    /// Remembers that a request was told to come back.
+    fn expect_back(&self, fingerprint: u64) {
+        let now = Instant::now();
+        let mut refused = self.refused.lock();
+        if refused.len() >= MAX_EXPECTED {
+            refused.retain(|_, at| now.saturating_duration_since(*at) < EXPECTED);
+        }
+        if refused.len() < MAX_EXPECTED {
+            refused.insert(fingerprint, now);
+        }
+    }
+
+    /// Whether a request was told to come back a moment ago.
+    fn is_back(&self, fingerprint: u64) -> bool {
+        let at = self.refused.lock().remove(&fingerprint);
+        at.is_some_and(|at| at.elapsed() < EXPECTED)
+    }
+}
+
 impl Stop {
+    fn enter(&self, stage: u8) {
+        self.stage.store(stage, Ordering::Release);
+        self.changed.notify(usize::MAX);
+    }
+
+    fn is_past(&self, stage: u8) -> bool {
+        self.stage.load(Ordering::Acquire) >= stage
+    }
+
     fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
+        self.is_past(LEAVING)
     }
 
     fn is_closing(&self) -> bool {
-        self.closing.load(Ordering::Acquire)
+        self.is_past(CLOSING)
     }
 
     /// Waits until connections are to be closed.
     async fn closing(&self) {
+        self.wait(CLOSING).await;
+    }
+
+    /// Waits until what was not sent yet is to be refused.
+    async fn ending(&self) {
+        self.wait(ENDING).await;
+    }
+
+    async fn wait(&self, stage: u8) {
         loop {
             let changed = self.changed.listen();
-            if self.is_closing() {
+            if self.is_past(stage) {
                 return;
             }
             changed.await;
--- a/crates/larkspring/src/direct/entry/peer.rs
+++ b/crates/larkspring/src/direct/entry/peer.rs
@@ -1,7 +1,7 @@
 //! What an entry keeps for each endpoint: connections at rest, open requests, quality.
 
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::Arc;
 use std::task::Context;
 use std::time::{Duration, Instant};
@@ -23,6 +23,8 @@
     pub link: Option<Arc<Link>>,
     rested: Mutex<Vec<Conn>>,
     open: AtomicU32,
+    /// Whether another run answered at its address.
+    gone: AtomicBool,
     quality: Mutex<Quality>,
     read: Mutex<ReadParts>,
     /// Until when surplus bytes on its connections are to be expected.
@@ -61,6 +63,7 @@
             link,
             rested: Mutex::default(),
             open: AtomicU32::new(0),
+            gone: AtomicBool::new(false),
             quality: Mutex::new(Quality::new(Instant::now())),
             read: Mutex::default(),
             garbles_until: Mutex::default(),
@@ -72,6 +75,16 @@
         self.endpoint.load_full()
     }
 
+    /// Whether it takes new requests, as far as known.
+    pub fn is_open(&self) -> bool {
+        !self.gone.load(Ordering::Relaxed) && !self.endpoint.load().leaving
+    }
+
+    /// Records that another run has its address.
+    pub fn is_gone(&self) {
+        self.gone.store(true, Ordering::Relaxed);
+    }
+
     /// Takes in what the platform now lists of it.
     pub fn update(&self, endpoint: Arc<Endpoint>) {
         self.endpoint.store(endpoint);
--- a/crates/larkspring/src/direct/entry/place.rs
+++ b/crates/larkspring/src/direct/entry/place.rs
@@ -12,7 +12,7 @@
 
 use super::answer::Reason;
 use super::attempt::Placed;
-use super::job::Job;
+use super::job::{Job, EARLY_PART};
 use super::link::HoldEnd;
 use super::peer::Peer;
 use crate::direct::edge::ModelRequest;
@@ -27,18 +27,35 @@
 const FIRST_ANSWER: Duration = Duration::from_millis(30);
 /// Time left below which a request is not sent: it could not be answered in time.
 const LEAST_LEFT: Duration = Duration::from_millis(20);
-/// When to come back where no endpoint is known that could serve a request.
-const RETRY_NO_ENDPOINT: Duration = Duration::from_millis(250);
 /// Priority of a copy that is loaded ahead of requests: the least.
 const COPY_PRIORITY: u32 = 9;
 /// How long a copy that is loaded ahead may wait for a place.
-const COPY_WAIT: Duration = Duration::from_millis(1500);
+const COPY_WAIT: Duration = Duration::from_secs(5);
+/// Time from an adapter's being ready to the first event: reading a typical prompt.
+const FIRST_EVENT: Duration = Duration::from_millis(80);
+/// Bounds on when to come back for an adapter that is being loaded.
+const COME_BACK_FIRST: Duration = Duration::from_millis(400);
+const COME_BACK_LAST: Duration = Duration::from_millis(1500);
 /// Endpoints that are asked for an adapter, one after the other.
 const MAX_HOLDS: u32 = 3;
 
 impl Job {
     /// Chooses an endpoint and waits until it can take the request.
+    ///
+    /// Where there is none it waits for one, as long as that costs the caller little.
     pub(super) async fn place(&mut self) -> Result<Placed, NotPlaced> {
+        loop {
+            let news = self.entry.fleet.news();
+            let placed = self.try_place().await;
+            let Err((Reason::NoEndpoint, _)) = placed else { return placed };
+            let patience = self.patience();
+            if patience.is_zero() || within(patience, news).await.is_none() {
+                return placed;
+            }
+        }
+    }
+
+    async fn try_place(&mut self) -> Result<Placed, NotPlaced> {
         if self.left() < LEAST_LEFT {
             return Err((Reason::LateNotRun, None));
         }
@@ -98,7 +115,7 @@
     ) -> Result<Placed, NotPlaced> {
         let now = Instant::now();
         let rate = self.entry.demand.lock().count(now, adapter);
-        let mut last: NotPlaced = (Reason::NoEndpoint, Some(RETRY_NO_ENDPOINT));
+        let mut last: NotPlaced = (Reason::NoEndpoint, None);
         let mut passed_over = Vec::new();
         for _ in 0..MAX_HOLDS {
             let Some(choice) = self.choose(model, adapter, engine, rate, &passed_over)
@@ -116,8 +133,9 @@
             let asked = Instant::now();
             let limit = self.left().saturating_sub(LEAST_LEFT);
             let was = link.holding(hash);
+            let wait = self.adapter_patience().min(limit);
             let mut hold =
-                link.hold(target.clone(), self.route.priority, limit, &self.caller.id);
+                link.hold(target.clone(), self.route.priority, wait, &self.caller.id);
             let end = within(limit, hold.granted()).await.unwrap_or(HoldEnd::Lost);
             let took = asked.elapsed();
             self.waited += took;
@@ -131,7 +149,13 @@
                 HoldEnd::Refused { reason, retry_after } => {
                     self.entry.stats.hold("refused");
                     self.log_hold(&peer, &reason, took);
-                    last = (Reason::NoAdapterInTime, Some(retry_after));
+                    last = (Reason::NoAdapterInTime, Some(come_back_loaded(retry_after)));
+                    if wait < limit {
+                        // It would come late; loaded meanwhile, it is in time next time.
+                        drop(hold);
+                        self.copy(Some(&peer), &target);
+                        return Err(last);
+                    }
                 }
                 HoldEnd::Lost => {
                     self.entry.stats.hold("lost");
@@ -146,6 +170,19 @@
         Err(last)
     }
 
+    /// How long a request may be predicted to wait for its adapter before it is refused.
+    ///
+    /// A caller that is refused early and then served in time is served better than one
+    /// that is served late; one that came back, or was here for long, waits.
+    fn adapter_patience(&self) -> Duration {
+        let spent = self.received.elapsed();
+        let early = self.route.objective.mul_f64(EARLY_PART);
+        if self.is_back || spent > early || self.fingerprint.is_none() {
+            return self.left();
+        }
+        self.route.objective.saturating_sub(spent + FIRST_EVENT)
+    }
+
     /// Chooses an endpoint and a version of the adapter for it.
     fn choose(
         &self,
@@ -263,7 +300,7 @@
         at: Option<usize>,
     ) -> Result<Placed, NotPlaced> {
         let Some(at) = at else {
-            return Err((Reason::NoEndpoint, Some(RETRY_NO_ENDPOINT)));
+            return Err((Reason::NoEndpoint, None));
         };
         Ok(Placed { open: peers[at].enter(), target: None, _hold: None })
     }
@@ -330,6 +367,12 @@
     }
 }
 
+/// When to come back for an adapter that will be ready after `predicted`.
+fn come_back_loaded(predicted: Duration) -> Duration {
+    let spread = Duration::from_millis(fastrand::u64(..200));
+    predicted.clamp(COME_BACK_FIRST, COME_BACK_LAST) + spread
+}
+
 /// An endpoint for a request, and what it has to hold.
 struct Choice {
     peer: Arc<Peer>,
--- a/crates/larkspring/src/direct/watch.rs
+++ b/crates/larkspring/src/direct/watch.rs
@@ -10,7 +10,7 @@
 use super::beliefs::Beliefs;
 use super::edge::{Directory, Kind, Watched};
 use super::stats::Stats;
-use crate::exec;
+use crate::exec::{self, within};
 use crate::platform::PlatformError;
 
 /// How long one watch waits for a change. It also bounds how long a connection that
@@ -24,7 +24,10 @@
 const OTHERS_PAUSE: Duration = Duration::from_millis(50);
 /// First and longest pause after a call that failed.
 const BACKOFF_FIRST: Duration = Duration::from_millis(150);
-const BACKOFF_MOST: Duration = Duration::from_millis(1000);
+const BACKOFF_MOST: Duration = Duration::from_millis(400);
+/// How long the followers that do not ask while the store is away wait for the one that
+/// does; a bound in case that one's calls alone fail.
+const WAIT_FOR_STORE: Duration = Duration::from_secs(2);
 
 /// Follows all kinds in the background, as long as the tasks are kept.
 pub fn follow(
@@ -61,11 +64,17 @@
     async fn run(mut self) {
         loop {
             let end = self.follow().await;
+            let back = self.beliefs.store_back();
             self.failed(&end);
-            let wait =
-                backoff(BACKOFF_FIRST, BACKOFF_MOST, self.failures, &mut Rng::new());
+            let mut rng = Rng::new();
+            let wait = backoff(BACKOFF_FIRST, BACKOFF_MOST, self.failures, &mut rng);
             self.failures += 1;
-            Timer::after(wait).await;
+            // A single call may fail by itself; while the store is away one follower asks.
+            if self.kind == Kind::Routing || self.failures == 1 {
+                Timer::after(wait).await;
+            } else {
+                within(WAIT_FOR_STORE, back).await;
+            }
         }
     }
 
