--- a/crates/larkspring-core/src/fleet/choose.rs
+++ b/crates/larkspring-core/src/fleet/choose.rs
@@ -27,6 +27,8 @@
     pub loads_ahead: u32,
     /// Whether its agent can be asked to load an adapter.
     pub can_load: bool,
+    /// Whether it is still being given its base model.
+    pub filling: bool,
     /// Tokens of the prompt that would have to be read.
     pub prompt_tokens: u32,
     /// What its recent failures cost.
@@ -66,6 +68,9 @@
 /// Time for an adapter from the weight store when few are fetched (measured: 250 to
 /// 270 ms), and the part of its price that a caller's wait would have to outweigh.
 const LOAD_MS: f64 = 260.0;
+/// Time until an engine holds its base model, half of it on average; small against what a
+/// few adapters more at another endpoint would take, so that homes are waited for.
+const FILLING_MS: f64 = 150.0;
 /// Time until an adapter that is on its way is ready: half of a load on average.
 const LOADING_MS: f64 = 130.0;
 /// Each load ahead shares the store and the endpoint's link.
@@ -112,7 +117,8 @@
         Holding::Absent => {
             let ahead = LOAD_AHEAD_MS * f64::from(v.loads_ahead);
             let place = if v.free_places == 0 { NO_PLACE_MS } else { 0.0 };
-            LOAD_MS + ahead + place + home
+            let filling = if v.filling { FILLING_MS } else { 0.0 };
+            LOAD_MS + ahead + place + home + filling
         }
     };
     common_cost(v) + load + batch_cost(v)
--- a/crates/larkspring-core/src/slots.rs
+++ b/crates/larkspring-core/src/slots.rs
@@ -33,6 +33,8 @@
     service_time: Duration,
     draining: bool,
     reachable: bool,
+    /// Whether the engine can't take adapters now, though it will.
+    loads_paused: bool,
     /// Before this no adapter is unloaded.
     settled_at: Option<Instant>,
 }
@@ -112,6 +114,7 @@
             service_time: FIRST_SERVICE_TIME,
             draining: false,
             reachable: false,
+            loads_paused: false,
             settled_at: None,
         }
     }
@@ -386,6 +389,9 @@
 
     /// Loads the adapters that the most urgent requests wait for.
     fn load_next(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.loads_paused {
+            return;
+        }
         let order = match self.limits.order {
             LoadOrder::Urgency => self.by_urgency(),
             LoadOrder::Demand => self.by_demand(now),
--- a/crates/larkspring-core/src/slots/fresh.rs
+++ b/crates/larkspring-core/src/slots/fresh.rs
@@ -31,6 +31,7 @@
             self.incarnation = Some(run.clone());
         }
         self.reachable = true;
+        self.loads_paused = false;
         self.settled_at.get_or_insert(now);
         let mut failed = Vec::new();
         let mut gone = Vec::new();
@@ -77,6 +78,16 @@
         true
     }
 
+    /// Records that the engine holds no base model yet: requests wait, nothing is loaded.
+    pub fn engine_fills(&mut self, run: &Incarnation) {
+        if self.incarnation.as_ref() != Some(run) {
+            self.adapters.clear();
+            self.incarnation = Some(run.clone());
+        }
+        self.reachable = true;
+        self.loads_paused = true;
+    }
+
     /// Sets how many adapters the engine may hold.
     pub fn set_places(&mut self, places: usize) {
         self.limits.slots = places;
--- a/crates/larkspring-core/tests/fleet_choose.rs
+++ b/crates/larkspring-core/tests/fleet_choose.rs
@@ -17,6 +17,7 @@
     free_places: 4,
     loads_ahead: 0,
     can_load: true,
+    filling: false,
     prompt_tokens: 100,
     quality: Duration::ZERO,
     avoided: false,
--- a/crates/larkspring-proto/src/gen/larkspring.residency.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.residency.rs
@@ -97,39 +97,69 @@
     #[prost(uint64, tag = "3")]
     pub retry_after_ms: u64,
 }
-/// The state of the engine, sent when it changes and now and then.
+/// The state of the engine, sent when it changes and now and then. It is short, since
+/// there is one for each engine and entry several times a second.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct State {
-    /// Whether the engine answers and holds its base model.
-    #[prost(bool, tag = "1")]
-    pub serving: bool,
-    /// Run of the engine; empty if not known.
-    #[prost(string, tag = "2")]
-    pub incarnation: ::prost::alloc::string::String,
+    #[prost(enumeration = "Engagement", tag = "1")]
+    pub engagement: i32,
     /// Holds of all entries that are granted.
-    #[prost(uint32, tag = "3")]
+    #[prost(uint32, tag = "2")]
     pub held: u32,
-    /// Requests in the engine and in its queue, by its own report.
-    #[prost(uint32, tag = "4")]
-    pub running: u32,
-    #[prost(uint32, tag = "5")]
-    pub queued: u32,
-    /// Hashes of the adapters that are ready and on their way.
-    #[prost(fixed64, repeated, tag = "6")]
-    pub resident: ::prost::alloc::vec::Vec<u64>,
-    #[prost(fixed64, repeated, tag = "7")]
-    pub loading: ::prost::alloc::vec::Vec<u64>,
     /// Adapters that could be taken in without waiting for a request to end.
-    #[prost(uint32, tag = "8")]
+    #[prost(uint32, tag = "3")]
     pub free_places: u32,
     /// Loads that wait for their turn.
-    #[prost(uint32, tag = "9")]
+    #[prost(uint32, tag = "4")]
     pub loads_ahead: u32,
     /// Entries that follow, in all and in the hall of the receiver.
-    #[prost(uint32, tag = "10")]
+    #[prost(uint32, tag = "5")]
     pub entries: u32,
-    #[prost(uint32, tag = "11")]
+    #[prost(uint32, tag = "6")]
     pub entries_in_hall: u32,
+    /// Whether the lists below are whole; else they hold what changed since the last state.
+    #[prost(bool, tag = "7")]
+    pub whole: bool,
+    /// Hashes of adapters that are ready, on their way, and neither any more.
+    #[prost(fixed64, repeated, tag = "8")]
+    pub resident: ::prost::alloc::vec::Vec<u64>,
+    #[prost(fixed64, repeated, tag = "9")]
+    pub loading: ::prost::alloc::vec::Vec<u64>,
+    #[prost(fixed64, repeated, tag = "10")]
+    pub gone: ::prost::alloc::vec::Vec<u64>,
+}
+/// What an engine can be asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum Engagement {
+    /// It does not answer.
+    Away = 0,
+    /// It is being given its base model; adapters can be waited for.
+    Filling = 1,
+    /// It serves.
+    Serving = 2,
+}
+impl Engagement {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Away => "ENGAGEMENT_AWAY",
+            Self::Filling => "ENGAGEMENT_FILLING",
+            Self::Serving => "ENGAGEMENT_SERVING",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "ENGAGEMENT_AWAY" => Some(Self::Away),
+            "ENGAGEMENT_FILLING" => Some(Self::Filling),
+            "ENGAGEMENT_SERVING" => Some(Self::Serving),
+            _ => None,
+        }
+    }
 }
 /// Generated client implementations.
 pub mod residency_client {
--- a/crates/larkspring/src/direct/agent/keeper.rs
+++ b/crates/larkspring/src/direct/agent/keeper.rs
@@ -1,16 +1,16 @@
 //! The state of an engine's adapters and of the holds on them, owned by one task.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use futures_lite::future;
-use larkspring_core::ids::{AttemptId, Incarnation, Target};
+use larkspring_core::ids::{AttemptId, Incarnation, Target, TargetHash};
 use larkspring_core::outcome::Refusal;
 use larkspring_core::slots::{Action, Eviction, Limits, LoadOrder, Slots, Waiting};
-use larkspring_proto::residency as wire;
 use larkspring_proto::residency::from_agent::Kind as Say;
 use larkspring_proto::residency::from_entry::Kind as Said;
+use larkspring_proto::residency::{self as wire, Engagement};
 use smol::channel::{Receiver, Sender};
 use smol::Timer;
 
@@ -59,6 +59,8 @@
 struct Follower {
     tx: Sender<wire::FromAgent>,
     hall: String,
+    /// Whether it was not told the whole state yet.
+    is_new: bool,
 }
 
 /// What is known of the engine.
@@ -76,7 +78,7 @@
 
 /// What the entries were told last.
 struct Told {
-    news: Option<News>,
+    news: News,
     at: Instant,
     /// Whether there is news that was not told yet.
     due: bool,
@@ -84,12 +86,11 @@
 
 /// The part of the state that entries are told at once; the rest changes with every
 /// request and goes along.
-#[derive(PartialEq, Eq)]
+#[derive(Default, PartialEq, Eq)]
 struct News {
-    serving: bool,
-    incarnation: String,
-    resident: Vec<u64>,
-    loading: Vec<u64>,
+    engagement: i32,
+    resident: HashSet<TargetHash>,
+    loading: HashSet<TargetHash>,
     entries: usize,
 }
 
@@ -105,9 +106,12 @@
 /// Reports in a row without an answer after which the engine counts as failed.
 const MAX_FAILURES: u32 = 2;
 /// How often entries are told the state, changed or not.
-const TELL_EVERY: Duration = Duration::from_millis(300);
-/// Least time between two tellings.
-const TELL_PAUSE: Duration = Duration::from_millis(20);
+const TELL_EVERY: Duration = Duration::from_millis(400);
+/// Least time between two tellings: each goes to every entry, and bytes between halls are
+/// charged.
+const TELL_PAUSE: Duration = Duration::from_millis(40);
+/// Messages that an entry may leave untaken before it is cut off.
+const MAX_UNTAKEN: usize = 1024;
 /// Adapter loads that an engine takes at a time.
 const MAX_LOADING: usize = 4;
 /// Requests that may wait for adapters.
@@ -143,7 +147,7 @@
             todo: VecDeque::new(),
             driving: false,
             report_at: now,
-            told: Told { news: None, at: now, due: false },
+            told: Told { news: News::default(), at: now, due: false },
             in_use: Vec::new(),
         }
     }
@@ -186,9 +190,8 @@
     fn take(&mut self, now: Instant, event: Event) {
         match event {
             Event::EntryUp(number, tx) => {
-                let follower = Follower { tx, hall: String::new() };
+                let follower = Follower { tx, hall: String::new(), is_new: true };
                 self.entries.insert(number, follower);
-                self.told.news = None;
             }
             Event::EntrySaid(number, said) => self.entry_said(now, number, said),
             Event::EntryDown(number) => self.entry_down(now, number),
@@ -356,7 +359,7 @@
             let slots = &mut self.slots;
             self.in_use.retain(|(id, target)| !slots.adopt(now, *id, target));
         } else {
-            self.slots.engine_lost();
+            self.slots.engine_fills(&run);
             self.load_base();
         }
         self.report_at = now + self.report_pause(now);
@@ -364,12 +367,18 @@
 
     /// Has the base model loaded into an engine that holds none.
     fn load_base(&mut self) {
-        let Some(base) = self.declared.bases.first() else { return };
         let engine = &self.engine.report;
+        let declared = self.declared.bases.first().map(|base| base.as_str().into());
+        // What it held before is on its VM; no need to wait for an entry to name it.
+        let base = match &engine.copied_bases[..] {
+            [only] => declared.or_else(|| Some(only.clone())),
+            _ => declared,
+        };
+        let Some(base) = base else { return };
         let asked = self.todo.iter().any(|c| matches!(c, Change::LoadBase(_)));
         if !engine.busy && engine.bases.is_empty() && !asked {
-            self.todo.retain(|_| false);
-            self.todo.push_back(Change::LoadBase(base.as_str().into()));
+            self.todo.clear();
+            self.todo.push_back(Change::LoadBase(base));
         }
     }
 
@@ -450,62 +459,71 @@
     fn tell(&mut self, now: Instant) {
         let news = self.news();
         let since = now.saturating_duration_since(self.told.at);
-        self.told.due = self.told.news.as_ref() != Some(&news);
+        self.told.due = self.told.news != news;
         let pause = if self.told.due { TELL_PAUSE } else { TELL_EVERY };
         if since < pause {
             return;
         }
-        let state = self.state(&news);
+        let changes = self.state(&news, &self.told.news);
+        let whole = wire::State { whole: true, ..self.state(&news, &News::default()) };
         let mut halls: HashMap<String, u32> = HashMap::new();
         for entry in self.entries.values() {
             *halls.entry(entry.hall.clone()).or_default() += 1;
         }
-        let entries = self.entries.iter();
-        let entries: Vec<_> = entries.map(|(n, e)| (*n, halls[&e.hall])).collect();
-        for (number, entries_in_hall) in entries {
-            let state = wire::State { entries_in_hall, ..state.clone() };
-            self.say(number, Say::State(state));
+        let numbers: Vec<_> = self.entries.keys().copied().collect();
+        for number in numbers {
+            let Some(entry) = self.entries.get_mut(&number) else { continue };
+            let is_new = std::mem::take(&mut entry.is_new);
+            let state = if is_new { whole.clone() } else { changes.clone() };
+            let entries_in_hall = halls[&entry.hall];
+            self.say(number, Say::State(wire::State { entries_in_hall, ..state }));
         }
-        self.told = Told { news: Some(news), at: now, due: false };
+        self.told = Told { news, at: now, due: false };
     }
 
     fn news(&self) -> News {
         let (resident, loading) = self.slots.held();
-        let hashes = |targets: Vec<&Target>| {
-            let mut hashes: Vec<_> = targets.into_iter().map(Target::hash).collect();
-            hashes.sort_unstable();
-            hashes
-        };
-        let report = &self.engine.report;
         News {
-            serving: self.engine.failures < MAX_FAILURES && !report.bases.is_empty(),
-            incarnation: report.incarnation.as_deref().unwrap_or_default().into(),
-            resident: hashes(resident),
-            loading: hashes(loading),
+            engagement: self.engagement().into(),
+            resident: resident.into_iter().map(Target::hash).collect(),
+            loading: loading.into_iter().map(Target::hash).collect(),
             entries: self.entries.len(),
         }
     }
 
-    fn state(&self, news: &News) -> wire::State {
+    fn engagement(&self) -> Engagement {
+        match (self.engine.failures < MAX_FAILURES, &self.engine.run) {
+            (false, _) | (_, None) => Engagement::Away,
+            _ if self.engine.report.bases.is_empty() => Engagement::Filling,
+            _ => Engagement::Serving,
+        }
+    }
+
+    /// The state as it differs from what was told.
+    fn state(&self, news: &News, told: &News) -> wire::State {
+        let held = |of: &News, hash: &TargetHash| {
+            of.resident.contains(hash) || of.loading.contains(hash)
+        };
+        let before = told.resident.iter().chain(&told.loading);
         wire::State {
-            serving: news.serving,
-            incarnation: news.incarnation.clone(),
+            engagement: news.engagement,
             held: self.slots.running() as u32,
-            running: self.engine.report.running,
-            queued: self.engine.report.queued,
-            resident: news.resident.clone(),
-            loading: news.loading.clone(),
             free_places: self.slots.free_places() as u32,
             loads_ahead: self.slots.loads_ahead() as u32,
             entries: news.entries as u32,
             entries_in_hall: 0,
+            whole: false,
+            resident: news.resident.difference(&told.resident).copied().collect(),
+            loading: news.loading.difference(&told.loading).copied().collect(),
+            gone: before.filter(|hash| !held(news, hash)).copied().collect(),
         }
     }
 
     /// Sends a message; an entry that does not take its messages is cut off.
     fn say(&mut self, number: EntryNumber, kind: Say) {
         let Some(entry) = self.entries.get(&number) else { return };
-        if entry.tx.try_send(wire::FromAgent { kind: Some(kind) }).is_err() {
+        let sent = entry.tx.try_send(wire::FromAgent { kind: Some(kind) });
+        if sent.is_err() || entry.tx.len() > MAX_UNTAKEN {
             entry.tx.close();
         }
     }
--- a/crates/larkspring/src/direct/agent/mod.rs
+++ b/crates/larkspring/src/direct/agent/mod.rs
@@ -33,8 +33,6 @@
     _tasks: Vec<Task<()>>,
 }
 
-/// Events that may wait for the keeper.
-const QUEUE: usize = 16 * 1024;
 /// Time for connections of entries to end; entries go on without the agent.
 const STOP_GRACE: Duration = Duration::from_millis(200);
 
@@ -49,7 +47,7 @@
             listener.map_err(|e| StartError::Listen("entries", cfg.listen, e))?;
         let addr = listener.local_addr().unwrap_or(cfg.listen);
         let stats = Arc::new(Stats::new());
-        let (tx, rx) = channel::bounded(QUEUE);
+        let (tx, rx) = channel::unbounded();
         let commands = driver::start(cfg.engine, protocol, tx.clone());
         let metrics = cfg.process.metrics;
         let shown = stats.clone();
--- a/crates/larkspring/src/direct/agent/serve.rs
+++ b/crates/larkspring/src/direct/agent/serve.rs
@@ -16,9 +16,6 @@
 use crate::exec;
 use crate::rpc::serve::{serve, Stopper};
 
-/// Messages that may wait for one entry; one that does not take them is cut off.
-const QUEUE: usize = 1024;
-
 struct Service {
     events: Sender<Event>,
     next: AtomicU64,
@@ -39,7 +36,7 @@
         req: Request<Streaming<FromEntry>>,
     ) -> Result<Response<Following>, Status> {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let (tx, rx) = channel::bounded(QUEUE);
+        let (tx, rx) = channel::unbounded();
         let gone = |_| Status::unavailable("the agent stops");
         self.events.send(Event::EntryUp(number, tx)).await.map_err(gone)?;
         let reader = read(number, req.into_inner(), self.events.clone());
--- a/crates/larkspring/src/direct/beliefs.rs
+++ b/crates/larkspring/src/direct/beliefs.rs
@@ -22,6 +22,7 @@
     store: Mutex<StoreHealth>,
     changed: Event,
     store_back: Event,
+    store_lost: Event,
 }
 
 /// Whether the platform's store answers this process.
@@ -42,6 +43,7 @@
             store: Mutex::default(),
             changed: Event::new(),
             store_back: Event::new(),
+            store_lost: Event::new(),
         }
     }
 }
@@ -77,6 +79,17 @@
         self.store_back.listen()
     }
 
+    /// Returns once the store does not answer.
+    pub async fn store_lost(&self) {
+        loop {
+            let lost = self.store_lost.listen();
+            if self.store_away_since().is_some() {
+                return;
+            }
+            lost.await;
+        }
+    }
+
     /// Takes in all items of a kind.
     pub fn replace(&self, now: Instant, kind: Kind, listed: Listed) {
         if kind != Kind::Endpoints {
@@ -122,6 +135,7 @@
         if store.away_since.is_none() {
             store.away_since = Some(now);
             logs::dependency("store", false, cause);
+            self.store_lost.notify(usize::MAX);
         }
     }
 
--- a/crates/larkspring/src/direct/cfg.rs
+++ b/crates/larkspring/src/direct/cfg.rs
@@ -24,6 +24,8 @@
     pub metrics: SocketAddr,
     /// Time from the signal to stop until the process is killed.
     pub stop_grace: Duration,
+    /// Time within which a leaving endpoint has to be passed over.
+    pub drain: Duration,
     /// Lowest level of the log lines.
     pub log_level: tracing::Level,
 }
--- a/crates/larkspring/src/direct/edge.rs
+++ b/crates/larkspring/src/direct/edge.rs
@@ -226,6 +226,8 @@
     pub busy: bool,
     /// Base models that it holds.
     pub bases: Vec<BaseId>,
+    /// Base models of which its VM has a copy.
+    pub copied_bases: Vec<BaseId>,
     /// Adapters that it holds.
     pub adapters: Vec<Target>,
     /// Adapters on their way to it.
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -9,10 +9,10 @@
 use larkspring_core::fleet::choose::Holding;
 use larkspring_core::fleet::routes::Routing;
 use larkspring_core::ids::{HallId, ServiceId, Target, TargetHash, VmId};
-use larkspring_proto::residency as wire;
 use larkspring_proto::residency::from_agent::Kind as FromAgentKind;
 use larkspring_proto::residency::from_entry::Kind;
 use larkspring_proto::residency::residency_client::ResidencyClient;
+use larkspring_proto::residency::{self as wire, Engagement};
 use parking_lot::Mutex;
 use smol::channel::{self, Receiver, Sender};
 use smol::Timer;
@@ -77,12 +77,12 @@
 }
 
 /// What an entry believes of an engine, by its agent.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub(super) struct EngineView {
     /// Whether the agent was heard a moment ago.
     pub live: bool,
-    /// Whether the engine answers its agent.
-    pub serving: bool,
+    /// What the engine can be asked for.
+    pub engagement: Engagement,
     /// Requests in the engine, of all entries.
     pub running: u32,
     pub free_places: u32,
@@ -96,16 +96,16 @@
     pub hall: HallId,
 }
 
-/// An agent speaks every 300 ms; after two that did not come it counts as silent.
-const SILENCE: Duration = Duration::from_millis(800);
+/// An agent speaks every 400 ms; after two that did not come it counts as silent.
+const SILENCE: Duration = Duration::from_millis(900);
 /// After this time of silence the connection is opened anew.
 const GIVE_UP: Duration = Duration::from_millis(2500);
 /// Time for a connection to come up.
 const CONNECT: Duration = Duration::from_millis(500);
 /// Pause before the connection is opened again.
 const RECONNECT: Duration = Duration::from_millis(250);
-/// Messages that may wait for the connection.
-const QUEUE: usize = 4096;
+/// Messages that may wait for the connection; an agent that does not take them is lost.
+const MAX_UNTAKEN: usize = 4096;
 
 impl Link {
     /// Creates the connection to an agent, closed as yet.
@@ -150,7 +150,7 @@
         };
         let origin = channel.origin();
         let mut client = ResidencyClient::with_origin(channel, origin);
-        let (tx, rx) = channel::bounded(QUEUE);
+        let (tx, rx) = channel::unbounded();
         let hello = wire::Hello { entry: who.vm.to_string(), hall: who.hall.to_string() };
         send(&tx, Kind::Hello(hello));
         let first = engine();
@@ -215,10 +215,10 @@
         let held = known.state.held.saturating_sub(known.mine_then) + mine;
         EngineView {
             live: known.live,
-            serving: known.state.serving,
+            engagement: known.state.engagement(),
             running: held.max(mine),
             free_places: known.state.free_places,
-            loads_ahead: known.state.loads_ahead + known.state.loading.len() as u32,
+            loads_ahead: known.state.loads_ahead + known.loading.len() as u32,
         }
     }
 
@@ -240,11 +240,6 @@
         self.known.lock().resident.remove(&target);
     }
 
-    /// The run of the engine that the agent speaks of, if it said so.
-    pub fn incarnation(&self) -> String {
-        self.known.lock().state.incarnation.clone()
-    }
-
     /// Entries that follow the agent: in all, and in this entry's hall.
     pub fn entries(&self) -> (u32, u32) {
         let known = self.known.lock();
@@ -261,11 +256,10 @@
         let regained = !std::mem::replace(&mut known.live, true);
         match message.kind {
             Some(FromAgentKind::State(state)) => {
-                if regained || state.serving != known.state.serving {
+                if regained || state.engagement != known.state.engagement {
                     self.news.notify(usize::MAX);
                 }
-                known.resident = state.resident.iter().copied().collect();
-                known.loading = state.loading.iter().copied().collect();
+                known.apply(&state);
                 known.mine_then = self.granted.load(Ordering::Relaxed);
                 known.state = state;
             }
@@ -348,6 +342,24 @@
     }
 }
 
+impl Known {
+    /// Takes in what changed.
+    fn apply(&mut self, state: &wire::State) {
+        if state.whole {
+            self.resident.clear();
+            self.loading.clear();
+        }
+        for hash in state.loading.iter().chain(&state.gone) {
+            self.resident.remove(hash);
+        }
+        for hash in state.resident.iter().chain(&state.gone) {
+            self.loading.remove(hash);
+        }
+        self.resident.extend(&state.resident);
+        self.loading.extend(&state.loading);
+    }
+}
+
 impl Hold {
     /// Waits for the grant.
     pub async fn granted(&mut self) -> HoldEnd {
@@ -383,6 +395,9 @@
 }
 
 fn send(tx: &Sender<wire::FromEntry>, kind: Kind) -> bool {
+    if tx.len() > MAX_UNTAKEN {
+        tx.close();
+    }
     tx.try_send(wire::FromEntry { kind: Some(kind) }).is_ok()
 }
 
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -138,7 +138,8 @@
             stop: Stop::default(),
             kept_bytes: AtomicUsize::new(0),
         });
-        let mut tasks = watch::follow(directory, beliefs, stats.clone());
+        let drain = inner.cfg.process.drain;
+        let mut tasks = watch::follow(directory, beliefs, stats.clone(), drain);
         tasks.push(exec::spawn(fleet.clone().follow()));
         tasks.push(exec::spawn(fleet.sweep()));
         tasks.push(exec::spawn(logs::report_left_out()));
--- a/crates/larkspring/src/direct/entry/place.rs
+++ b/crates/larkspring/src/direct/entry/place.rs
@@ -8,6 +8,7 @@
 };
 use larkspring_core::fleet::routes::Engine;
 use larkspring_core::ids::{AdapterId, Target, TargetHash, VersionId};
+use larkspring_proto::residency::Engagement;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::answer::Reason;
@@ -96,6 +97,7 @@
         let views = peers.iter().map(|p| {
             let mut view = self.engine_view(now, p, base, model, engine);
             view.holding = Holding::Resident;
+            view.avoided |= view.filling;
             view.quality += Duration::from_secs_f64(batch_cost(&view) / 1000.0);
             view
         });
@@ -315,6 +317,7 @@
             free_places: 0,
             loads_ahead: 0,
             can_load: false,
+            filling: false,
             prompt_tokens: 0,
             quality: peer.quality(|q| q.cost(now)),
             avoided: peer.quality(|q| q.avoided(now)),
@@ -335,21 +338,20 @@
         let Some(link) = &peer.link else { return view };
         let known = link.view();
         let endpoint = peer.endpoint();
-        // What an agent says of another run of the engine says nothing of this one.
-        let said_of = link.incarnation();
-        let speaks = said_of.is_empty() || *said_of == *endpoint.id;
         view.running = view.running.max(known.running);
         view.free_places = known.free_places;
         view.loads_ahead = known.loads_ahead;
-        view.can_load = known.live && known.serving && speaks;
-        view.avoided |= known.live && !known.serving;
+        let engaged = known.live.then_some(known.engagement);
+        view.filling = engaged == Some(Engagement::Filling);
+        view.can_load = view.filling || engaged == Some(Engagement::Serving);
+        view.avoided |= engaged == Some(Engagement::Away);
         let listed = || match endpoint.holds.iter().any(|t| t.hash() == target) {
             true => Holding::Resident,
             false => Holding::Absent,
         };
         view.holding = match link.holding(target) {
-            Some(holding) if speaks => holding,
-            _ => listed(),
+            Some(holding) => holding,
+            None => listed(),
         };
         view
     }
--- a/crates/larkspring/src/direct/watch.rs
+++ b/crates/larkspring/src/direct/watch.rs
@@ -4,23 +4,26 @@
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
+use futures_lite::future;
 use larkspring_core::retry::backoff;
 use smol::Timer;
 
 use super::beliefs::Beliefs;
-use super::edge::{Directory, Kind, Watched};
+use super::edge::{Directory, Kind, ListRevision, Watched};
 use super::stats::Stats;
 use crate::exec::{self, within};
 use crate::platform::PlatformError;
 
-/// How long one watch waits for a change. It also bounds how long a connection that
-/// nothing comes through any more goes unnoticed, which must stay well under the three
-/// seconds that the operators give a process to be in touch again.
-const WATCH_WAIT: Duration = Duration::from_millis(2000);
-/// Least time between two watches of endpoints, whose entries change all the time: each
-/// call is charged, and a leaving endpoint has to be passed over within two seconds.
-const ENDPOINTS_PAUSE: Duration = Duration::from_millis(600);
-/// The same for kinds that change seldom, so that a series of changes is read at once.
+/// How long a watch of endpoints waits for a change. Their entries change all the time, so
+/// these watches also show that the store is there.
+const ENDPOINTS_WAIT: Duration = Duration::from_millis(2000);
+/// The same for kinds that change seldom; they are cut short once the store is away, so a
+/// connection that nothing comes through any more does not hold them up.
+const OTHERS_WAIT: Duration = Duration::from_secs(8);
+/// Least time between two watches of endpoints, as a part of the time within which a
+/// leaving endpoint has to be passed over: each call is charged.
+const ENDPOINTS_PAUSE_PART: f64 = 0.5;
+/// The same for other kinds, so that a series of changes is read at once.
 const OTHERS_PAUSE: Duration = Duration::from_millis(50);
 /// First and longest pause after a call that failed.
 const BACKOFF_FIRST: Duration = Duration::from_millis(150);
@@ -34,6 +37,7 @@
     directory: Arc<dyn Directory>,
     beliefs: Arc<Beliefs>,
     stats: Arc<Stats>,
+    drain: Duration,
 ) -> Vec<smol::Task<()>> {
     let kinds = [Kind::Routing, Kind::Endpoints, Kind::Versions];
     let start = |kind| {
@@ -42,6 +46,7 @@
             directory: directory.clone(),
             beliefs: beliefs.clone(),
             stats: stats.clone(),
+            drain,
             failures: 0,
         };
         exec::spawn(follower.run())
@@ -56,6 +61,8 @@
     directory: Arc<dyn Directory>,
     beliefs: Arc<Beliefs>,
     stats: Arc<Stats>,
+    /// Time within which a leaving endpoint has to be passed over.
+    drain: Duration,
     /// Calls in a row that failed.
     failures: u32,
 }
@@ -90,8 +97,7 @@
             self.beliefs.replace(Instant::now(), self.kind, listed);
             loop {
                 Timer::after(self.pause()).await;
-                let watched = self.directory.watch(self.kind, revision, WATCH_WAIT).await;
-                match watched {
+                match self.watch(revision).await {
                     Ok(Watched::Changes(changes)) => {
                         self.answered();
                         revision = changes.revision;
@@ -108,9 +114,22 @@
         }
     }
 
+    async fn watch(&self, revision: ListRevision) -> Result<Watched, PlatformError> {
+        let wait = match self.kind {
+            Kind::Endpoints => ENDPOINTS_WAIT,
+            Kind::Routing | Kind::Versions => OTHERS_WAIT,
+        };
+        let away = async {
+            self.beliefs.store_lost().await;
+            let cause = "the store does not answer other calls".into();
+            Err(PlatformError::NoEffect("watch objects", cause))
+        };
+        future::or(self.directory.watch(self.kind, revision, wait), away).await
+    }
+
     fn pause(&self) -> Duration {
         match self.kind {
-            Kind::Endpoints => ENDPOINTS_PAUSE,
+            Kind::Endpoints => self.drain.mul_f64(ENDPOINTS_PAUSE_PART),
             Kind::Routing | Kind::Versions => OTHERS_PAUSE,
         }
     }
