--- a/crates/larkspring-cli/tests/common/site.rs
+++ b/crates/larkspring-cli/tests/common/site.rs
@@ -24,7 +24,7 @@
 /// Port of the engine beside an agent.
 const ENGINE_PORT: u16 = 7200;
 /// Variable that holds the path of a settings file.
-const SETTINGS: &str = concat!("LARKSPRING", "_NODE_FILE");
+pub const SETTINGS: &str = concat!("LARKSPRING", "_NODE_FILE");
 
 /// A running deployment; everything ends with it.
 pub struct Site {
@@ -69,7 +69,7 @@
 impl Site {
     /// Starts a deployment and waits until it serves.
     pub fn start(shape: Shape) -> Self {
-        let mut site = Self::without_config(shape);
+        let site = Self::without_config(shape);
         site.store.put("config", "main", config(1, shape.timeout_ms, PLACES));
         site.list_all();
         for n in 0..shape.entries {
--- /dev/null
+++ b/crates/larkspring-cli/tests/platform_faults.rs
@@ -0,0 +1,351 @@
+//! Failures on the users' platform: of workers, agents, the store, callers and entries.
+
+mod common;
+
+use std::io::Read;
+use std::net::Shutdown;
+use std::thread;
+
+use common::site::{Shape, Site};
+use common::until;
+use larkspring_platform_standin::client::{connect, Call};
+use larkspring_platform_standin::http::{Conn, Message};
+use larkspring_platform_standin::settings::{config, HOST, ONCE, RESUME, SAFE, STREAM};
+use larkspring_platform_standin::store::Mode;
+use larkspring_platform_standin::worker::Act;
+
+/// No engines, one or two plain workers.
+fn plain(apps: usize) -> Site {
+    Site::start(Shape { engines: 0, apps, ..Shape::default() })
+}
+
+fn once(id: &str) -> Call {
+    Call::post(HOST, &format!("{ONCE}x"), id, "body")
+}
+
+fn safe(id: &str) -> Call {
+    Call::get(HOST, &format!("{SAFE}x"), id)
+}
+
+struct Case {
+    name: &'static str,
+    act: Act,
+    /// Status of a call that runs once, and how often it ran.
+    once: (u16, usize),
+    /// The same of a call that may be repeated, with another worker at hand.
+    safe: (u16, usize),
+}
+
+/// Each way in which a worker may answer, or not. What may have run is never sent again
+/// unless that is allowed, and is never called "not run".
+#[test]
+fn each_fault_of_a_worker_has_its_answer() {
+    let cases = [
+        Case {
+            name: "its own failure",
+            act: Act::Fail(500),
+            once: (500, 1),
+            safe: (200, 2),
+        },
+        Case {
+            name: "a failure of the caller",
+            act: Act::Fail(404),
+            once: (404, 1),
+            safe: (404, 1),
+        },
+        Case { name: "not run", act: Act::Reject, once: (503, 0), safe: (200, 1) },
+        Case {
+            name: "another run has the address",
+            act: Act::Moved,
+            once: (200, 1),
+            safe: (200, 1),
+        },
+        Case {
+            name: "closes without an answer",
+            act: Act::Close,
+            once: (502, 1),
+            safe: (200, 2),
+        },
+        Case {
+            name: "another request's answer",
+            act: Act::WrongId,
+            once: (502, 1),
+            safe: (200, 2),
+        },
+        Case { name: "no signature", act: Act::Unsigned, once: (502, 1), safe: (200, 2) },
+        Case {
+            name: "bytes that are no answer",
+            act: Act::Garbage,
+            once: (502, 1),
+            safe: (200, 2),
+        },
+        Case { name: "no length", act: Act::Unframed, once: (200, 1), safe: (200, 1) },
+        Case {
+            name: "a surplus answer",
+            act: Act::Surplus,
+            once: (200, 1),
+            safe: (200, 1),
+        },
+        Case {
+            name: "half of an answer",
+            act: Act::Half,
+            once: (200, 1),
+            safe: (200, 2),
+        },
+    ];
+    // Two count as gone after another run answered at their address.
+    let site = plain(4);
+    // Whichever worker is chosen, the first send meets the fault.
+    for app in &site.apps[1..] {
+        app.shares_acts_with(&site.apps[0]);
+    }
+    let front = site.front(0);
+    for (n, c) in cases.into_iter().enumerate() {
+        for (call, (status, runs)) in
+            [(once(&format!("once-{n}")), c.once), (safe(&format!("safe-{n}")), c.safe)]
+        {
+            site.apps[0].next([c.act.clone()]);
+            let answers = call.send(&front);
+            let name = format!("{}, {}", c.name, call.id);
+            // A broken answer may show its head or not; it never looks whole.
+            let broken = c.act == Act::Half && call.id.starts_with("once");
+            assert_eq!(answers.whole, !broken, "{name}");
+            assert!(broken || answers.status == status, "{name}: {answers:?}");
+            let ran: usize = site.apps.iter().map(|app| app.runs(&call.id)).sum();
+            assert_eq!(ran, runs, "{name}");
+            if status == 503 {
+                assert!(answers.header("retry-after").is_some(), "{name}");
+            }
+        }
+    }
+}
+
+/// A worker that answers a long body early and reads on gets the rest of that body there,
+/// and never another request in its place.
+#[test]
+fn an_early_answer_to_a_long_body_confuses_nobody() {
+    let site = plain(1);
+    site.apps[0].next([Act::Early]);
+    let long = Call::post(HOST, &format!("{ONCE}x"), "early", &"e".repeat(2_000_000));
+    let got = long.send(&site.front(0));
+    assert_eq!(got.status, 503, "{got:?}");
+    for n in 0..5 {
+        let got = once(&format!("later-{n}")).send(&site.front(0));
+        assert_eq!((got.status, got.text()), (200, "POST /once/x body".into()));
+    }
+    assert_eq!(site.apps[0].runs("early"), 0);
+}
+
+/// A surplus answer on a kept connection never becomes the answer to the next request.
+#[test]
+fn surplus_answers_reach_nobody() {
+    let site = plain(1);
+    site.apps[0].keep_alive(60);
+    for n in 0..10 {
+        site.apps[0].next([Act::Surplus]);
+        let got = safe(&format!("s-{n}")).send(&site.front(0));
+        assert_eq!((got.status, got.text()), (200, "GET /safe/x ".into()), "{n}");
+    }
+}
+
+#[test]
+fn a_stream_goes_on_elsewhere_with_no_event_missing_or_twice() {
+    let site = Site::start(Shape { engines: 2, ..Shape::default() });
+    site.engines[1].shares_acts_with(&site.engines[0]);
+    for events in 0..5 {
+        site.engines[0].next([Act::Break(events)]);
+        let id = format!("resume-{events}");
+        let call = Call::post(HOST, &format!("{RESUME}x"), &id, "p").model("m0/a1");
+        let got = call.send(&site.front(0));
+        let ids: Vec<_> = got.text().lines().filter_map(id_of).collect();
+        assert!(got.whole, "{events}: {got:?}");
+        assert_eq!(ids, [0, 1, 2, 3, 4], "{events}");
+        let runs: Vec<_> = site.engines.iter().map(|e| e.runs(&id)).collect();
+        assert_eq!(runs, [1, 1], "{events}: one run at each");
+    }
+    // Both break: two endpoints are allowed, and the stream ends visibly broken.
+    site.engines[0].next([Act::Break(1), Act::Break(1)]);
+    let call = Call::post(HOST, &format!("{RESUME}x"), "both", "p").model("m0/a1");
+    let got = call.send(&site.front(0));
+    let ids: Vec<_> = got.text().lines().filter_map(id_of).collect();
+    assert!(!got.whole);
+    assert!([0, 1].starts_with(&ids), "{ids:?}");
+    site.engines[0].next([Act::Break(2)]);
+    let call = Call::post(HOST, &format!("{STREAM}x"), "plain", "p").model("m0/a1");
+    let got = call.send(&site.front(0));
+    assert!(!got.whole, "a stream that can't be resumed breaks off visibly");
+    let runs: usize = site.engines.iter().map(|e| e.runs("plain")).sum();
+    assert_eq!(runs, 1);
+}
+
+fn id_of(line: &str) -> Option<usize> {
+    line.strip_prefix("id: ")?.parse().ok()
+}
+
+/// A caller that leaves ends the work at the endpoint.
+#[test]
+fn a_callers_hang_up_closes_the_endpoints_connection() {
+    let site = Site::start(Shape::default());
+    for (id, model) in [("gone-plain", None), ("gone-stream", Some("m0/a1"))] {
+        let (worker, call) = match model {
+            None => (&site.apps[0], once(id)),
+            Some(model) => {
+                let call = Call::post(HOST, &format!("{STREAM}x"), id, "p").model(model);
+                (&site.engines[0], call)
+            }
+        };
+        worker.hold_back(true);
+        if model.is_none() {
+            worker.next([Act::Hang]);
+        }
+        let mut conn = connect(&site.front(0)).unwrap();
+        conn.send(&call.bytes()).unwrap();
+        until("it runs", || worker.runs(id) == 1);
+        let (_, ended) = worker.connections();
+        conn.sock.shutdown(Shutdown::Both).unwrap();
+        drop(conn);
+        worker.hold_back(false);
+        until("its connection ends", || worker.connections().1 > ended);
+    }
+}
+
+/// A request whose time is up is answered at once: "not run" only where that is so.
+#[test]
+fn a_route_timeout_ends_a_request() {
+    let site = plain(1);
+    site.store.put("config", "main", config(2, 300, 3));
+    until("it is in force", || site.entries[0].log().iter().any(|l| l["version"] == 2));
+    site.apps[0].next([Act::Hang]);
+    site.apps[0].hold_back(true);
+    let got = once("slow").send(&site.front(0));
+    assert_eq!(got.status, 504);
+    site.apps[0].hold_back(false);
+    let got = once("well").send(&site.front(0));
+    assert_eq!(got.status, 200);
+}
+
+#[test]
+fn nothing_is_lost_while_the_store_is_away() {
+    let site = Site::start(Shape::default());
+    for mode in [Mode::Status(503), Mode::Reset, Mode::Silent] {
+        site.store.set(mode);
+        for n in 0..5 {
+            let id = format!("{mode:?}-{n}");
+            assert_eq!(once(&id).send(&site.front(0)).status, 200, "{id}");
+            let call = Call::post(HOST, &format!("{STREAM}x"), &id, "p").model("m0/a1");
+            assert_eq!(call.send(&site.front(0)).status, 200, "{id}");
+        }
+        site.store.set(Mode::Well);
+    }
+    // Its history is gone meanwhile, and a change made then is found.
+    site.store.forget();
+    site.store.put("config", "main", config(7, 30_000, 3));
+    until("the change is found", || {
+        site.entries[0].log().iter().any(|l| l["version"] == 7)
+    });
+}
+
+/// Without its agent an engine goes on with what it holds.
+#[test]
+fn an_engine_serves_on_without_its_agent() {
+    let mut site = Site::start(Shape::default());
+    let call = |id: &str| Call::post(HOST, &format!("{STREAM}x"), id, "p").model("m0/a1");
+    assert_eq!(call("with").send(&site.front(0)).status, 200);
+    for (name, frozen) in [("frozen", true), ("killed", false)] {
+        if frozen {
+            site.agents[0].freeze();
+        } else {
+            site.agents[0].kill();
+        }
+        let got = call(name).send(&site.front(0));
+        assert_eq!(got.status, 200, "{name}");
+        if frozen {
+            site.agents[0].resume();
+        } else {
+            site.agents[0].restart();
+        }
+        until("the agent loads again", || {
+            let call = call("again").model(&format!("m0/{name}"));
+            call.send(&site.front(0)).status == 200
+        });
+    }
+    assert!(!site.engines[0].overfull());
+}
+
+/// A planned stop: not ready at once, nothing cut off, nothing taken late, and the end.
+#[test]
+fn a_planned_stop_loses_nothing() {
+    let mut site = Site::start(Shape { entries: 2, ..Shape::default() });
+    let front = site.front(0);
+    site.engines[0].hold_back(true);
+    let call = Call::post(HOST, &format!("{STREAM}x"), "long", "p").model("m0/a1");
+    let mut long = connect(&front).unwrap();
+    long.send(&call.bytes()).unwrap();
+    until("the stream runs", || site.engines[0].runs("long") == 1);
+    let mut kept = connect(&front).unwrap();
+    assert_eq!(exchange(&mut kept, "kept-0").status, 200);
+    site.entries[0].ask_to_stop();
+    until("it is not ready", || site.ready(0) != 200);
+    let got = exchange(&mut kept, "kept-1");
+    assert_eq!(got.status, 200, "what comes soon after is served");
+    assert_eq!(got.header("connection"), Some("close"));
+    // A connection that was opened before and carries its first request late.
+    let mut late = connect(&front).unwrap();
+    until("nothing new is taken", || std::net::TcpStream::connect(&front).is_err());
+    let unread = late.send(&once("late").bytes()).is_err();
+    let got = if unread { Message::default() } else { late.answer().unwrap_or_default() };
+    assert!(matches!(got.status, 0 | 503), "late: {got:?}");
+    assert_eq!(site.apps[0].runs("late"), 0);
+    site.engines[0].hold_back(false);
+    let got = long.answer().unwrap();
+    assert!(got.whole, "the stream comes to its end");
+    assert!(site.entries[0].wait_end(), "it ends well");
+    assert_eq!(once("other").send(&site.front(1)).status, 200);
+}
+
+fn exchange(conn: &mut Conn, id: &str) -> Message {
+    conn.send(&once(id).bytes()).unwrap();
+    conn.answer().unwrap()
+}
+
+/// A pipe that nobody reads holds up no request: the log leaves lines out.
+#[test]
+fn a_log_that_nobody_reads_holds_nothing_up() {
+    use std::process::{Command, Stdio};
+    let site = plain(1);
+    let name = site.dir.path().join("entry-0.yaml");
+    let ip = common::site::own_ip();
+    let yaml = std::fs::read_to_string(&name).unwrap();
+    let yaml = yaml.replace(&site.entries[0].ip, &ip);
+    let own = site.dir.path().join("unread.yaml");
+    std::fs::write(&own, yaml).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_larkspring"))
+        .arg("platform-entry")
+        .env(common::site::SETTINGS, own)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let front = format!("{ip}:7100");
+    until("it serves", || {
+        std::net::TcpStream::connect(&front).is_ok()
+            && safe("w").send(&front).status == 200
+    });
+    // Far more lines than a pipe holds.
+    thread::scope(|scope| {
+        for client in 0..8 {
+            let front = &front;
+            scope.spawn(move || {
+                for n in 0..250 {
+                    let id = format!("unread-{client}-{n}-{}", "x".repeat(800));
+                    let got = Call::get(HOST, "/none/x", &id).send(front);
+                    assert_eq!(got.status, 404, "{n}");
+                }
+            });
+        }
+    });
+    child.kill().unwrap();
+    let mut text = String::new();
+    let _ = child.stdout.take().unwrap().read_to_string(&mut text);
+    child.wait().unwrap();
+    assert!(text.contains("\"event\":\"start\""));
+}
--- a/crates/larkspring/src/direct/entry/job.rs
+++ b/crates/larkspring/src/direct/entry/job.rs
@@ -76,7 +76,7 @@
 /// How long a request waits for the routing, which an entry knows soon after its start.
 const WAIT_FOR_ROUTING: Duration = Duration::from_millis(100);
 /// Part of the objective within which a refusal costs the caller little.
-pub(super) const EARLY_PART: f64 = 0.25;
+const EARLY_PART: f64 = 0.25;
 /// Time that is kept back for the answer itself of a request that waits for an endpoint.
 const KEPT_FOR_ANSWER: Duration = Duration::from_millis(500);
 /// Headers that concern one connection only.
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -284,6 +284,13 @@
         let mut holds = self.holds.lock();
         let Some(held) = holds.get_mut(&id) else { return };
         let waiter = held.waiter.take();
+        if end == HoldEnd::Granted {
+            // Known before the agent tells its state, which may be too late.
+            let hash = held.target.hash();
+            let mut known = self.known.lock();
+            known.loading.remove(&hash);
+            known.resident.insert(hash);
+        }
         if end != HoldEnd::Granted {
             holds.remove(&id);
         } else if waiter.is_some() {
--- a/crates/larkspring/src/direct/entry/peer.rs
+++ b/crates/larkspring/src/direct/entry/peer.rs
@@ -1,7 +1,7 @@
 //! What an entry keeps for each endpoint: connections at rest, open requests, quality.
 
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 use std::task::Context;
 use std::time::{Duration, Instant};
@@ -23,8 +23,8 @@
     pub link: Option<Arc<Link>>,
     rested: Mutex<Vec<Conn>>,
     open: AtomicU32,
-    /// Whether another run answered at its address.
-    gone: AtomicBool,
+    /// Until when it counts as gone, as another run answered at its address.
+    gone_until: Mutex<Option<Instant>>,
     quality: Mutex<Quality>,
     read: Mutex<ReadParts>,
     /// Until when surplus bytes on its connections are to be expected.
@@ -52,6 +52,9 @@
 const RESTED_ONCE: Duration = Duration::from_millis(500);
 /// Connections at rest that are kept for each endpoint.
 const MAX_RESTED: usize = 32;
+/// How long an endpoint counts as gone once another run answered at its address; the
+/// platform lists the other one by then.
+const GONE_FOR: Duration = Duration::from_secs(4);
 /// How long after a surplus answer requests that must not run twice get new connections.
 const GARBLES_FOR: Duration = Duration::from_secs(3);
 
@@ -63,7 +66,7 @@
             link,
             rested: Mutex::default(),
             open: AtomicU32::new(0),
-            gone: AtomicBool::new(false),
+            gone_until: Mutex::default(),
             quality: Mutex::new(Quality::new(Instant::now())),
             read: Mutex::default(),
             garbles_until: Mutex::default(),
@@ -77,12 +80,13 @@
 
     /// Whether it takes new requests, as far as known.
     pub fn is_open(&self) -> bool {
-        !self.gone.load(Ordering::Relaxed) && !self.endpoint.load().leaving
+        let gone = self.gone_until.lock().is_some_and(|until| until > Instant::now());
+        !gone && !self.endpoint.load().leaving
     }
 
     /// Records that another run has its address.
     pub fn is_gone(&self) {
-        self.gone.store(true, Ordering::Relaxed);
+        *self.gone_until.lock() = Some(Instant::now() + GONE_FOR);
     }
 
     /// Takes in what the platform now lists of it.
--- a/crates/larkspring/src/direct/entry/place.rs
+++ b/crates/larkspring/src/direct/entry/place.rs
@@ -13,7 +13,7 @@
 
 use super::answer::Reason;
 use super::attempt::Placed;
-use super::job::{Job, EARLY_PART};
+use super::job::Job;
 use super::link::HoldEnd;
 use super::peer::Peer;
 use crate::direct::edge::ModelRequest;
@@ -32,11 +32,9 @@
 const COPY_PRIORITY: u32 = 9;
 /// How long a copy that is loaded ahead may wait for a place.
 const COPY_WAIT: Duration = Duration::from_secs(5);
-/// Time from an adapter's being ready to the first event: reading a typical prompt.
-const FIRST_EVENT: Duration = Duration::from_millis(80);
-/// Bounds on when to come back for an adapter that is being loaded.
-const COME_BACK_FIRST: Duration = Duration::from_millis(400);
-const COME_BACK_LAST: Duration = Duration::from_millis(1500);
+/// Time for an agent to grant what its engine holds: a few times the way between halls and
+/// a turn of a busy process. An agent that takes longer may be frozen or cut off.
+const GRANT: Duration = Duration::from_millis(80);
 /// Endpoints that are asked for an adapter, one after the other.
 const MAX_HOLDS: u32 = 3;
 
@@ -135,10 +133,11 @@
             let asked = Instant::now();
             let limit = self.left().saturating_sub(LEAST_LEFT);
             let was = link.holding(hash);
-            let wait = self.adapter_patience().min(limit);
             let mut hold =
-                link.hold(target.clone(), self.route.priority, wait, &self.caller.id);
-            let end = within(limit, hold.granted()).await.unwrap_or(HoldEnd::Lost);
+                link.hold(target.clone(), self.route.priority, limit, &self.caller.id);
+            let resident = was == Some(Holding::Resident);
+            let patience = if resident { limit.min(GRANT) } else { limit };
+            let end = within(patience, hold.granted()).await.unwrap_or(HoldEnd::Lost);
             let took = asked.elapsed();
             self.waited += took;
             match end {
@@ -151,17 +150,20 @@
                 HoldEnd::Refused { reason, retry_after } => {
                     self.entry.stats.hold("refused");
                     self.log_hold(&peer, &reason, took);
-                    last = (Reason::NoAdapterInTime, Some(come_back_loaded(retry_after)));
-                    if wait < limit {
-                        // It would come late; loaded meanwhile, it is in time next time.
-                        drop(hold);
-                        self.copy(Some(&peer), &target);
-                        return Err(last);
-                    }
+                    last = (Reason::NoAdapterInTime, Some(retry_after));
                 }
                 HoldEnd::Lost => {
                     self.entry.stats.hold("lost");
                     self.log_hold(&peer, "the agent is silent", took);
+                    if resident {
+                        // The engine itself refuses what it does not hold any more.
+                        peer.reads(hash, model);
+                        return Ok(Placed {
+                            open,
+                            target: Some(target),
+                            _hold: Some(hold),
+                        });
+                    }
                 }
             }
             passed_over.push(peer.endpoint().id.clone());
@@ -172,19 +174,6 @@
         Err(last)
     }
 
-    /// How long a request may be predicted to wait for its adapter before it is refused.
-    ///
-    /// A caller that is refused early and then served in time is served better than one
-    /// that is served late; one that came back, or was here for long, waits.
-    fn adapter_patience(&self) -> Duration {
-        let spent = self.received.elapsed();
-        let early = self.route.objective.mul_f64(EARLY_PART);
-        if self.is_back || spent > early || self.fingerprint.is_none() {
-            return self.left();
-        }
-        self.route.objective.saturating_sub(spent + FIRST_EVENT)
-    }
-
     /// Chooses an endpoint and a version of the adapter for it.
     fn choose(
         &self,
@@ -267,7 +256,10 @@
 
     /// Has an adapter loaded at the first endpoint of this hall.
     fn copy_here(&self, peers: &[Arc<Peer>], views: &[View], target: &Target) {
-        let fit = |v: &View| v.same_hall && v.can_load && v.free_places > 0;
+        // A copy is only worth it where it delays nobody.
+        let fit = |v: &View| {
+            v.same_hall && v.can_load && v.free_places > 0 && v.loads_ahead == 0
+        };
         let at = views.iter().position(fit);
         self.copy(at.map(|at| &peers[at]), target);
     }
@@ -369,12 +361,6 @@
     }
 }
 
-/// When to come back for an adapter that will be ready after `predicted`.
-fn come_back_loaded(predicted: Duration) -> Duration {
-    let spread = Duration::from_millis(fastrand::u64(..200));
-    predicted.clamp(COME_BACK_FIRST, COME_BACK_LAST) + spread
-}
-
 /// An endpoint for a request, and what it has to hold.
 struct Choice {
     peer: Arc<Peer>,
