Explain a request from its id: choices in the log lines, and the command explain

The lines of a request that ended carry what its endpoint was chosen on, the version of the routing and the age of the store's last answer. A test plays a refused, a broken and a late request and asserts the lines that lead to the cause.

--- a/crates/larkspring-cli/src/args.rs
+++ b/crates/larkspring-cli/src/args.rs
@@ -28,6 +28,8 @@
     PlatformEntry,
     /// Run, on the users' platform, the process beside one model engine.
     PlatformAgent,
+    /// Print what log lines tell of one request, in order, with the beliefs behind it.
+    Explain(ExplainArgs),
     /// Check settings and declarations without changing anything.
     Check(CheckArgs),
     /// Ask an entry what a folder of declarations would change.
@@ -65,6 +67,15 @@
     pub settings: PathBuf,
 }
 
+/// Arguments of `explain`.
+#[derive(Debug, Args)]
+pub struct ExplainArgs {
+    /// Id of the request, as in its answer.
+    pub id: String,
+    /// Log files of processes; standard input if none is named.
+    pub logs: Vec<PathBuf>,
+}
+
 /// Arguments of `check`.
 #[derive(Debug, Args)]
 pub struct CheckArgs {
--- /dev/null
+++ b/crates/larkspring-cli/src/explain.rs
@@ -0,0 +1,99 @@
+//! What the log lines of several processes tell of one request.
+
+use std::collections::BTreeSet;
+use std::io::Read;
+
+use serde_json::{Map, Value};
+
+use crate::args::ExplainArgs;
+use crate::AnyError;
+
+/// Events that change what a process believes, whichever request comes next.
+const BELIEFS: [&str; 5] =
+    ["routing in force", "dependency lost", "dependency regained", "start", "stop"];
+/// Belief lines shown before a request's first line.
+const SHOWN_BELIEFS: usize = 8;
+/// Fields that are shown in front of the others, or that say nothing to a reader.
+const PLACED_FIELDS: [&str; 6] =
+    ["timestamp", "event", "level", "target", "request", "fields"];
+
+/// Prints the lines about a request in order, after the beliefs that held then.
+pub fn run(args: &ExplainArgs) -> Result<(), AnyError> {
+    let mut lines = Vec::new();
+    if args.logs.is_empty() {
+        let mut text = String::new();
+        std::io::stdin().read_to_string(&mut text)?;
+        lines.extend(parse("-", &text));
+    }
+    for file in &args.logs {
+        let name = file.display().to_string();
+        let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
+        lines.extend(parse(&name, &text));
+    }
+    lines.sort_by(|a, b| a.time.cmp(&b.time));
+    let shown = history(&lines, &args.id);
+    if shown.is_empty() {
+        let text = "no line names the request; lines may have been left out";
+        return Err(format!("{}: {text}", args.id).into());
+    }
+    for line in shown {
+        println!("{}", line.text());
+    }
+    Ok(())
+}
+
+/// A log line and where it stood.
+#[derive(Debug)]
+struct Line {
+    file: String,
+    time: String,
+    fields: Map<String, Value>,
+}
+
+/// Returns the lines to show for a request.
+fn history<'a>(lines: &'a [Line], id: &str) -> Vec<&'a Line> {
+    let of_request: Vec<_> = lines.iter().filter(|l| l.field("request") == id).collect();
+    let Some(first) = of_request.first() else { return Vec::new() };
+    let last = of_request.last().map_or("", |l| &l.time);
+    let files: BTreeSet<_> = of_request.iter().map(|l| &l.file).collect();
+    let endpoints: BTreeSet<_> = of_request.iter().map(|l| l.field("endpoint")).collect();
+    let concerns = |l: &&Line| {
+        let belief = BELIEFS.contains(&l.field("event")) && files.contains(&l.file);
+        let endpoint = l.field("endpoint");
+        let of_endpoint = l.field("request").is_empty()
+            && !endpoint.is_empty()
+            && endpoints.contains(endpoint);
+        belief || of_endpoint
+    };
+    let before: Vec<_> =
+        lines.iter().filter(|l| l.time < first.time).filter(concerns).collect();
+    let during = lines.iter().filter(|l| l.time >= first.time && *l.time <= *last);
+    let during = during.filter(|l| l.field("request") == id || concerns(l));
+    let skipped = before.len().saturating_sub(SHOWN_BELIEFS);
+    before[skipped..].iter().copied().chain(during).collect()
+}
+
+fn parse<'a>(file: &'a str, text: &'a str) -> impl Iterator<Item = Line> + 'a {
+    // Lines that are no JSON, as of other programs in one stream, are passed over.
+    let parsed = text.lines().filter_map(|l| serde_json::from_str(l).ok());
+    parsed.map(move |fields: Map<String, Value>| {
+        let time = fields.get("timestamp").and_then(Value::as_str);
+        Line { file: file.into(), time: time.unwrap_or_default().into(), fields }
+    })
+}
+
+impl Line {
+    fn field(&self, name: &str) -> &str {
+        self.fields.get(name).and_then(Value::as_str).unwrap_or_default()
+    }
+
+    fn text(&self) -> String {
+        let mut text = format!("{}  {}  {}", self.time, self.file, self.field("event"));
+        for (name, value) in &self.fields {
+            if !PLACED_FIELDS.contains(&name.as_str()) {
+                text += &format!("  {name}={value}");
+            }
+        }
+        text
+    }
+}
--- a/crates/larkspring-cli/src/main.rs
+++ b/crates/larkspring-cli/src/main.rs
@@ -5,6 +5,7 @@
 mod deployment;
 mod dev;
 mod experiment;
+mod explain;
 mod load;
 mod operate;
 mod platform;
@@ -40,6 +41,7 @@
         Command::Agent(args) => process::agent(&args),
         Command::PlatformEntry => platform::entry(),
         Command::PlatformAgent => platform::agent(),
+        Command::Explain(args) => explain::run(&args),
         Command::Check(args) => operate::check(&args),
         Command::Plan(args) => operate::plan(&args),
         Command::Confirm(args) => operate::confirm(&args),
--- /dev/null
+++ b/crates/larkspring-cli/tests/platform_explain.rs
@@ -0,0 +1,128 @@
+//! From the id of a failed request to its cause, by logs alone: the three paths of
+//! docs/OPERATIONS.md.
+
+mod common;
+
+use common::site::{Shape, Site};
+use common::{run, until};
+use larkspring_platform_standin::client::Call;
+use larkspring_platform_standin::settings::{config, HOST, ONCE, STREAM};
+use larkspring_platform_standin::worker::Act;
+
+struct Case {
+    name: &'static str,
+    id: &'static str,
+    status: u16,
+    /// What the history says, each in one of its lines.
+    says: &'static [&'static [&'static str]],
+}
+
+/// Prints the history of a request from all logs, once its last line is written.
+fn explain(site: &Site, id: &str, last: &str) -> String {
+    let files: Vec<_> = site
+        .entries
+        .iter()
+        .chain(&site.agents)
+        .map(|p| site.dir.path().join(format!("{}.0.log", p.name)))
+        .collect();
+    let mut args = vec!["explain", id];
+    args.extend(files.iter().map(|f| f.to_str().unwrap()));
+    let mut text = String::new();
+    until("the history is whole", || {
+        let out = run(&args);
+        text = String::from_utf8(out.stdout).unwrap();
+        text.contains(last)
+    });
+    text
+}
+
+fn check(site: &Site, c: &Case) {
+    let text = explain(site, c.id, c.says.last().unwrap()[0]);
+    for parts in c.says {
+        let found = text.lines().any(|line| parts.iter().all(|p| line.contains(p)));
+        assert!(found, "{}: {parts:?} in no line of\n{text}", c.name);
+    }
+}
+
+#[test]
+fn a_refused_request_leads_to_the_engine_that_left() {
+    let site = Site::start(Shape::default());
+    site.store.put(
+        "servers",
+        "llm-0",
+        site.engines[0].entry("llm", "hall-a", "draining"),
+    );
+    until("it is known", || {
+        site.entries[0].log().iter().any(|l| l["event"] == "endpoint leaving")
+    });
+    let c = Case {
+        name: "refused",
+        id: "id-refused",
+        status: 503,
+        says: &[
+            &["routing in force", "version=1"],
+            &["unserved", "reason=\"no endpoint\"", "status=503", "store_age_ms="],
+        ],
+    };
+    let call = Call::post(HOST, &format!("{STREAM}x"), c.id, "p").model("m0/a1");
+    assert_eq!(call.send(&site.front(0)).status, c.status);
+    check(&site, &c);
+}
+
+#[test]
+fn a_broken_request_leads_to_its_endpoint() {
+    let site = Site::start(Shape { engines: 0, ..Shape::default() });
+    let c = Case {
+        name: "broken",
+        id: "id-broken",
+        status: 502,
+        says: &[
+            &[
+                "attempt ended",
+                "endpoint=\"app-0\"",
+                "end=\"unclear\"",
+                "connection closed",
+            ],
+            &["unserved", "reason=\"no answer from the endpoint\"", "chosen_of=1"],
+        ],
+    };
+    site.apps[0].next([Act::Close]);
+    let call = Call::post(HOST, &format!("{ONCE}x"), c.id, "b");
+    assert_eq!(call.send(&site.front(0)).status, c.status);
+    check(&site, &c);
+}
+
+#[test]
+fn a_late_request_leads_to_where_its_time_went() {
+    let site = Site::start(Shape { engines: 0, ..Shape::default() });
+    site.store.put("config", "main", config(2, 300, 3));
+    until("it is in force", || site.entries[0].log().iter().any(|l| l["version"] == 2));
+    let c = Case {
+        name: "late",
+        id: "id-late",
+        status: 504,
+        says: &[
+            &["routing in force", "version=2"],
+            &["unserved", "reason=\"out of time at the endpoint\"", "endpoint=\"app-0\""],
+        ],
+    };
+    site.apps[0].next([Act::Hang]);
+    site.apps[0].hold_back(true);
+    let call = Call::post(HOST, &format!("{ONCE}x"), c.id, "b");
+    assert_eq!(call.send(&site.front(0)).status, c.status);
+    check(&site, &c);
+    site.apps[0].hold_back(false);
+}
+
+#[test]
+fn an_id_that_no_line_names_is_said_so() {
+    let site = Site::start(Shape { engines: 0, ..Shape::default() });
+    let log = site.dir.path().join("entry-0.0.log");
+    let out = run(&["explain", "no-such-id", log.to_str().unwrap()]);
+    assert!(!out.status.success());
+    let text = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(text.contains("no line names the request"), "{text}");
+    let out = run(&["explain", "x", "/no/such/file"]);
+    let text = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(text.contains("/no/such/file: "), "{text}");
+}
--- a/crates/larkspring-cli/tests/platform_path.rs
+++ b/crates/larkspring-cli/tests/platform_path.rs
@@ -267,6 +267,23 @@
     site.apps.push(next);
 }
 
+/// The entry of a worker outlives it for a while; once the next run at its address is
+/// listed too, requests go to that one only.
+#[test]
+fn of_two_runs_at_one_address_the_later_is_used() {
+    let site = Site::start(Shape { engines: 0, ..Shape::default() });
+    let call = |id: &str| Call::get(HOST, &path(SAFE), id).send(&site.front(0)).status;
+    assert_eq!(call("before"), 200);
+    site.apps[0].restart("app-next");
+    site.store.put("servers", "app-next", site.apps[0].entry("app", "hall-a", "ready"));
+    until("the next run is used", || call("probe") == 200);
+    let rejected = site.apps[0].rejected();
+    for n in 0..20 {
+        assert_eq!(call(&format!("next-{n}")), 200);
+    }
+    assert_eq!(site.apps[0].rejected(), rejected);
+}
+
 /// More adapters than places, from several clients at once: all are served, and no order
 /// ever breaks the engine.
 #[test]
--- a/crates/larkspring/src/direct/beliefs.rs
+++ b/crates/larkspring/src/direct/beliefs.rs
@@ -1,7 +1,7 @@
 //! What a process holds true of the fleet: routing, endpoints and versions.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use event_listener::{Event, EventListener};
@@ -32,6 +32,8 @@
     away_since: Option<Instant>,
     /// When it last came back.
     back_at: Option<Instant>,
+    /// When it last answered.
+    heard_at: Option<Instant>,
 }
 
 impl Default for Beliefs {
@@ -139,9 +141,15 @@
         }
     }
 
+    /// Time since the store last answered; `None` if it never did.
+    pub fn store_age(&self) -> Option<Duration> {
+        self.store.lock().heard_at.map(|at| at.elapsed())
+    }
+
     /// Records that the store answered.
     pub fn store_answered(&self, now: Instant) {
         let mut store = self.store.lock();
+        store.heard_at = Some(now);
         if store.away_since.take().is_some() {
             store.back_at = Some(now);
             logs::dependency("store", true, "");
--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -17,6 +17,7 @@
 use super::job::Job;
 use super::link::Hold;
 use super::peer::{Open, Peer};
+use super::view::Why;
 use crate::direct::conn::{Conn, SendBody, SendError};
 use crate::direct::edge::{Echo, Forward};
 use crate::direct::logs::{self, Line};
@@ -27,6 +28,8 @@
     pub open: Open,
     /// The adapter and version that it has to run on.
     pub target: Option<Target>,
+    /// What the choice was made on.
+    pub why: Why,
     /// Keeps the adapter loaded.
     pub _hold: Option<Hold>,
 }
--- a/crates/larkspring/src/direct/entry/job.rs
+++ b/crates/larkspring/src/direct/entry/job.rs
@@ -19,6 +19,7 @@
 use super::peer::Peer;
 use super::relay::Relay;
 use super::serve::Done;
+use super::view::Why;
 use super::Inner;
 use crate::direct::conn::SendBody;
 use crate::direct::edge::CallerRequest;
@@ -52,6 +53,8 @@
     pub resume_after: Option<String>,
     /// How long it waited for its adapter.
     pub waited: Duration,
+    /// What the last choice of an endpoint was made on.
+    pub why: Option<Why>,
 }
 
 /// The body of a request.
@@ -110,7 +113,7 @@
     };
     let needs_adapter = caller.model.is_some();
     let refuse = |reason: Reason, done| {
-        log_refused(&entry, &caller, reason, received);
+        log_refused(&entry, &caller, reason, received, None);
         entry.stats.request("", reason.name());
         let after = reason.come_back(needs_adapter);
         own(&entry, reason, &caller.id, after, Some(done))
@@ -152,6 +155,7 @@
         tried: Vec::new(),
         in_flight: Arc::default(),
         waited: Duration::ZERO,
+        why: None,
         entry,
         routing,
         route,
@@ -188,7 +192,7 @@
         if let (Some(_), Some(fingerprint)) = (after, self.fingerprint) {
             self.entry.expect_back(fingerprint);
         }
-        log_refused(&self.entry, &self.caller, reason, self.received);
+        log_refused(&self.entry, &self.caller, reason, self.received, self.why.as_ref());
         self.entry.stats.request(&self.route.name, reason.name());
         own(&self.entry, reason, &self.caller.id, after, Some(done))
     }
@@ -375,22 +379,35 @@
     }
 }
 
-fn log_refused(entry: &Inner, caller: &CallerRequest, reason: Reason, since: Instant) {
+fn log_refused(
+    entry: &Inner,
+    caller: &CallerRequest,
+    reason: Reason,
+    since: Instant,
+    why: Option<&Why>,
+) {
     if logs::allows(Line::Unserved) {
-        let routing = entry.beliefs.routing().map(|r| r.version);
         tracing::warn!(
             event = "unserved",
             request = caller.id,
             reason = reason.name(),
             status = reason.status().as_u16(),
             took_ms = since.elapsed().as_millis() as u64,
-            routing,
+            routing = entry.beliefs.routing().map(|r| r.version),
+            store_age_ms = entry.beliefs.store_age().map(|age| age.as_millis() as u64),
+            endpoint = why.map(|w| &*w.endpoint),
+            holding = why.map(|w| w.holding),
+            running = why.map(|w| w.running),
+            loads_ahead = why.map(|w| w.loads_ahead),
+            chosen_of = why.map(|w| w.of),
         );
     }
 }
 
 fn log_answered(job: &Job, endpoint: &Incarnation, status: u16) {
     if logs::allows(Line::Served) {
+        let why = job.why.as_ref();
+        let age = job.entry.beliefs.store_age();
         tracing::info!(
             event = "answered",
             request = job.caller.id,
@@ -401,6 +418,11 @@
             waited_ms = job.waited.as_millis() as u64,
             attempts = job.history.attempts + 1,
             routing = job.routing.version,
+            store_age_ms = age.map(|age| age.as_millis() as u64),
+            same_hall = why.map(|w| w.same_hall),
+            holding = why.map(|w| w.holding),
+            running = why.map(|w| w.running),
+            chosen_of = why.map(|w| w.of),
         );
     }
 }
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -16,6 +16,7 @@
 mod place;
 mod relay;
 mod serve;
+mod view;
 
 use std::collections::HashMap;
 use std::io;
--- a/crates/larkspring/src/direct/entry/place.rs
+++ b/crates/larkspring/src/direct/entry/place.rs
@@ -7,8 +7,7 @@
     batch_cost, copy_pays, for_adapter, for_any, ranked, Holding, Placement, View,
 };
 use larkspring_core::fleet::routes::Engine;
-use larkspring_core::ids::{AdapterId, Target, TargetHash, VersionId};
-use larkspring_proto::residency::Engagement;
+use larkspring_core::ids::{AdapterId, Incarnation, Target, VersionId};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::answer::Reason;
@@ -16,6 +15,7 @@
 use super::job::Job;
 use super::link::HoldEnd;
 use super::peer::Peer;
+use super::view::{holding_name, Why};
 use crate::direct::edge::ModelRequest;
 use crate::direct::logs::{self, Line};
 use crate::exec::within;
@@ -46,7 +46,12 @@
         loop {
             let news = self.entry.fleet.news();
             let placed = self.try_place().await;
-            let Err((Reason::NoEndpoint, _)) = placed else { return placed };
+            let Err((Reason::NoEndpoint, _)) = placed else {
+                if let Ok(placed) = &placed {
+                    self.why = Some(placed.why.clone());
+                }
+                return placed;
+            };
             let patience = self.patience();
             if patience.is_zero() || within(patience, news).await.is_none() {
                 return placed;
@@ -80,7 +85,7 @@
             Placement::Least => least_running(&views),
             Placement::Cost | Placement::Home => for_any(&views, time),
         };
-        self.placed(&peers, chosen)
+        self.placed(&peers, &views, chosen)
     }
 
     /// Places a request for the base model alone, which every engine holds.
@@ -104,7 +109,7 @@
         if let Some(at) = chosen {
             peers[at].reads(base, model);
         }
-        self.placed(&peers, chosen)
+        self.placed(&peers, &views, chosen)
     }
 
     async fn place_adapter(
@@ -122,12 +127,13 @@
             else {
                 break;
             };
-            let Choice { peer, target, agent } = choice;
+            let Choice { peer, target, agent, why } = choice;
+            self.why = Some(why.clone());
             let hash = target.hash();
             let open = peer.enter();
             if !agent {
                 peer.reads(hash, model);
-                return Ok(Placed { open, target: Some(target), _hold: None });
+                return Ok(Placed { open, target: Some(target), why, _hold: None });
             }
             let Some(link) = &peer.link else { break };
             let asked = Instant::now();
@@ -145,7 +151,12 @@
                     self.entry.stats.hold("granted");
                     self.entry.stats.adapter_wait(holding_name(was), took);
                     peer.reads(hash, model);
-                    return Ok(Placed { open, target: Some(target), _hold: Some(hold) });
+                    return Ok(Placed {
+                        open,
+                        target: Some(target),
+                        why,
+                        _hold: Some(hold),
+                    });
                 }
                 HoldEnd::Refused { reason, retry_after } => {
                     self.entry.stats.hold("refused");
@@ -161,6 +172,7 @@
                         return Ok(Placed {
                             open,
                             target: Some(target),
+                            why,
                             _hold: Some(hold),
                         });
                     }
@@ -181,7 +193,7 @@
         adapter: &AdapterId,
         engine: &Engine,
         rate: f64,
-        passed_over: &[larkspring_core::ids::Incarnation],
+        passed_over: &[Incarnation],
     ) -> Option<Choice> {
         let now = Instant::now();
         let versions = self.entry.beliefs.versions();
@@ -219,7 +231,8 @@
             self.copy_here(&peers, &views, &target);
         }
         let agent = views[at].can_load;
-        Some(Choice { peer: peers[at].clone(), target, agent })
+        let why = Why::new(&peers[at], &views, at);
+        Some(Choice { peer: peers[at].clone(), target, agent, why })
     }
 
     /// Chooses among the endpoints that hold the version before, while it is allowed.
@@ -245,7 +258,8 @@
             .map(|v| if holds(v) { *v } else { View { can_load: false, ..*v } })
             .collect();
         let at = for_adapter(&open)?;
-        Some(Choice { peer: peers[at].clone(), target, agent: views[at].can_load })
+        let why = Why::new(&peers[at], &views, at);
+        Some(Choice { peer: peers[at].clone(), target, agent: views[at].can_load, why })
     }
 
     /// Has an adapter loaded at its home, ahead of the requests that will need it.
@@ -291,61 +305,14 @@
     fn placed(
         &self,
         peers: &[Arc<Peer>],
+        views: &[View],
         at: Option<usize>,
     ) -> Result<Placed, NotPlaced> {
         let Some(at) = at else {
             return Err((Reason::NoEndpoint, None));
         };
-        Ok(Placed { open: peers[at].enter(), target: None, _hold: None })
-    }
-
-    fn plain_view(&self, now: Instant, peer: &Arc<Peer>) -> View {
-        let endpoint = peer.endpoint();
-        View {
-            same_hall: endpoint.hall == self.entry.cfg.process.hall,
-            holding: Holding::Resident,
-            running: peer.open(),
-            slots: endpoint.slots as u32,
-            free_places: 0,
-            loads_ahead: 0,
-            can_load: false,
-            filling: false,
-            prompt_tokens: 0,
-            quality: peer.quality(|q| q.cost(now)),
-            avoided: peer.quality(|q| q.avoided(now)),
-        }
-    }
-
-    fn engine_view(
-        &self,
-        now: Instant,
-        peer: &Arc<Peer>,
-        target: TargetHash,
-        model: &ModelRequest,
-        engine: &Engine,
-    ) -> View {
-        let mut view = self.plain_view(now, peer);
-        view.slots = engine.slots as u32;
-        view.prompt_tokens = peer.unread_tokens(target, model);
-        let Some(link) = &peer.link else { return view };
-        let known = link.view();
-        let endpoint = peer.endpoint();
-        view.running = view.running.max(known.running);
-        view.free_places = known.free_places;
-        view.loads_ahead = known.loads_ahead;
-        let engaged = known.live.then_some(known.engagement);
-        view.filling = engaged == Some(Engagement::Filling);
-        view.can_load = view.filling || engaged == Some(Engagement::Serving);
-        view.avoided |= engaged == Some(Engagement::Away);
-        let listed = || match endpoint.holds.iter().any(|t| t.hash() == target) {
-            true => Holding::Resident,
-            false => Holding::Absent,
-        };
-        view.holding = match link.holding(target) {
-            Some(holding) => holding,
-            None => listed(),
-        };
-        view
+        let why = Why::new(&peers[at], views, at);
+        Ok(Placed { open: peers[at].enter(), target: None, why, _hold: None })
     }
 
     fn log_hold(&self, peer: &Peer, reason: &str, took: Duration) {
@@ -367,6 +334,7 @@
     target: Target,
     /// Whether its agent is asked first.
     agent: bool,
+    why: Why,
 }
 
 fn choose_random(views: &[View]) -> Option<usize> {
@@ -377,11 +345,3 @@
 fn least_running(views: &[View]) -> Option<usize> {
     (0..views.len()).min_by_key(|at| (views[*at].avoided, views[*at].running))
 }
-
-fn holding_name(holding: Option<Holding>) -> &'static str {
-    match holding {
-        Some(Holding::Resident) => "resident",
-        Some(Holding::Loading) => "loading",
-        Some(Holding::Absent) | None => "absent",
-    }
-}
--- /dev/null
+++ b/crates/larkspring/src/direct/entry/view.rs
@@ -0,0 +1,107 @@
+//! What is known of an endpoint when a request is placed.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use larkspring_core::fleet::choose::{Holding, View};
+use larkspring_core::fleet::routes::Engine;
+use larkspring_core::ids::{Incarnation, TargetHash};
+use larkspring_proto::residency::Engagement;
+
+use super::job::Job;
+use super::peer::Peer;
+use crate::direct::edge::ModelRequest;
+
+impl Job {
+    /// What is known of an endpoint of a plain service.
+    pub(super) fn plain_view(&self, now: Instant, peer: &Arc<Peer>) -> View {
+        let endpoint = peer.endpoint();
+        View {
+            same_hall: endpoint.hall == self.entry.cfg.process.hall,
+            holding: Holding::Resident,
+            running: peer.open(),
+            slots: endpoint.slots as u32,
+            free_places: 0,
+            loads_ahead: 0,
+            can_load: false,
+            filling: false,
+            prompt_tokens: 0,
+            quality: peer.quality(|q| q.cost(now)),
+            avoided: peer.quality(|q| q.avoided(now)),
+        }
+    }
+
+    /// What is known of a model engine, for a request that needs `target`.
+    pub(super) fn engine_view(
+        &self,
+        now: Instant,
+        peer: &Arc<Peer>,
+        target: TargetHash,
+        model: &ModelRequest,
+        engine: &Engine,
+    ) -> View {
+        let mut view = self.plain_view(now, peer);
+        view.slots = engine.slots as u32;
+        view.prompt_tokens = peer.unread_tokens(target, model);
+        let Some(link) = &peer.link else { return view };
+        let known = link.view();
+        let endpoint = peer.endpoint();
+        view.running = view.running.max(known.running);
+        view.free_places = known.free_places;
+        view.loads_ahead = known.loads_ahead;
+        let engaged = known.live.then_some(known.engagement);
+        view.filling = engaged == Some(Engagement::Filling);
+        view.can_load = view.filling || engaged == Some(Engagement::Serving);
+        view.avoided |= engaged == Some(Engagement::Away);
+        let listed = || match endpoint.holds.iter().any(|t| t.hash() == target) {
+            true => Holding::Resident,
+            false => Holding::Absent,
+        };
+        view.holding = match link.holding(target) {
+            Some(holding) => holding,
+            None => listed(),
+        };
+        view
+    }
+}
+
+/// What a choice of an endpoint was made on, for logs.
+#[derive(Debug, Clone)]
+pub(super) struct Why {
+    /// The endpoint.
+    pub endpoint: Incarnation,
+    /// Whether it stands in the entry's hall.
+    pub same_hall: bool,
+    /// Whether it held the adapter, as far as known.
+    pub holding: &'static str,
+    /// Requests known to be there.
+    pub running: u32,
+    /// Loads known to be ahead there.
+    pub loads_ahead: u32,
+    /// Endpoints that could be chosen from.
+    pub of: usize,
+}
+
+impl Why {
+    /// Notes what the choice of `views[at]` was made on.
+    pub fn new(peer: &Peer, views: &[View], at: usize) -> Self {
+        let view = &views[at];
+        Self {
+            endpoint: peer.endpoint().id.clone(),
+            same_hall: view.same_hall,
+            holding: holding_name(Some(view.holding)),
+            running: view.running,
+            loads_ahead: view.loads_ahead,
+            of: views.len(),
+        }
+    }
+}
+
+/// Returns the word for a holding used in logs and metrics.
+pub(super) fn holding_name(holding: Option<Holding>) -> &'static str {
+    match holding {
+        Some(Holding::Resident) => "resident",
+        Some(Holding::Loading) => "loading",
+        Some(Holding::Absent) | None => "absent",
+    }
+}
--- a/crates/larkspring/src/telemetry.rs
+++ b/crates/larkspring/src/telemetry.rs
@@ -46,6 +46,7 @@
     let log = tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
+        .with_target(false)
         .with_max_level(level)
         .with_span_events(spans)
         .with_writer(writer);
