Read settings again on SIGHUP, or when the file changed; wait where a refusal comes too late

Change: both processes take SIGHUP over, read the file again and put it in force; a file that is refused changes nothing and is logged with its field; the file is also looked at every 5 s. Also: a request that lost its agent after its early refusal had become worthless was refused all the same (516 ms, found by its log lines); it now waits while it can be answered.

--- a/crates/larkspring-cli/src/platform.rs
+++ b/crates/larkspring-cli/src/platform.rs
@@ -5,13 +5,13 @@
 
 use larkspring::direct::agent::Agent;
 use larkspring::direct::entry::Entry;
-use larkspring::exec;
+use larkspring::exec::{self, within};
+use larkspring::stop::{Asked, Requests};
 use larkspring::telemetry::{start_log, LogTo};
 use larkspring_platform::protocol::Wire;
-use larkspring_platform::settings::Settings;
+use larkspring_platform::settings::{Settings, SettingsError};
 use larkspring_platform::store::Store;
 
-use crate::process::stop_requested;
 use crate::AnyError;
 
 /// Threads of a process: each has a fifth of a core.
@@ -19,6 +19,8 @@
 /// Time for a call to the platform's store, which answers in a few milliseconds; slow
 /// ones were seen to take a hundred times as long.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1000);
+/// How often the settings file is looked at, as it may change without a signal.
+const LOOK_EVERY: Duration = Duration::from_secs(5);
 
 /// Runs an entry until asked to stop.
 pub fn entry() -> Result<(), AnyError> {
@@ -27,8 +29,13 @@
     let _log = start_log(cfg.process.log_level, false, LogTo::Stdout);
     let store = Arc::new(Store::new(settings.store(), STORE_TIMEOUT));
     exec::run(THREADS, async {
+        let requests = Requests::new()?;
         let entry = Entry::start(cfg, Arc::new(Wire), store).await?;
-        stop_requested().await;
+        let reload = |settings: &Settings| {
+            entry.reload(settings.entry()?);
+            Ok(())
+        };
+        until_stopped(requests, settings, reload).await;
         entry.stop().await;
         Ok(())
     })
@@ -40,9 +47,52 @@
     let cfg = settings.agent()?;
     let _log = start_log(cfg.process.log_level, false, LogTo::Stdout);
     exec::run(THREADS, async {
+        let requests = Requests::new()?;
         let agent = Agent::start(cfg, Arc::new(Wire)).await?;
-        stop_requested().await;
+        // Nothing that an agent goes by can change while it runs.
+        let reload = |settings: &Settings| settings.agent().map(drop);
+        until_stopped(requests, settings, reload).await;
         agent.stop().await;
         Ok(())
     })
 }
+
+/// Waits for the signal to stop; puts changed settings in force meanwhile. Settings that
+/// are refused change nothing.
+async fn until_stopped(
+    mut requests: Requests,
+    mut known: Settings,
+    reload: impl Fn(&Settings) -> Result<(), SettingsError>,
+) {
+    loop {
+        let signalled = match within(LOOK_EVERY, requests.next()).await {
+            Some(Asked::Stop) => return,
+            Some(Asked::Reload) => true,
+            None => false,
+        };
+        let read = Settings::load();
+        if !signalled && read.as_ref().is_ok_and(|settings| settings.same(&known)) {
+            continue;
+        }
+        let outcome = read.and_then(|settings| {
+            reload(&settings)?;
+            Ok(settings)
+        });
+        match outcome {
+            Ok(settings) => {
+                let changed = !settings.same(&known);
+                tracing::info!(
+                    event = "reload",
+                    outcome = "in force",
+                    changed,
+                    signalled
+                );
+                known = settings;
+            }
+            Err(e) => {
+                let outcome = "refused, the earlier settings stay in force";
+                tracing::error!(event = "reload", outcome, cause = %e, signalled);
+            }
+        }
+    }
+}
--- a/crates/larkspring-cli/tests/common/site.rs
+++ b/crates/larkspring-cli/tests/common/site.rs
@@ -201,6 +201,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Asks the process to read its settings again.
+    pub fn ask_to_reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Pauses the process.
     pub fn freeze(&self) {
         self.signal(Signal::STOP);
--- a/crates/larkspring-cli/tests/platform_faults.rs
+++ b/crates/larkspring-cli/tests/platform_faults.rs
@@ -303,6 +303,39 @@
     assert_eq!(once("other").send(&site.front(1)).status, 200);
 }
 
+/// Settings that changed are put in force, bad ones change nothing, and no answer is cut.
+#[test]
+fn a_signal_to_reload_breaks_nothing() {
+    let site = Site::start(Shape::default());
+    let front = site.front(0);
+    let reloads = |n: usize, outcome: &str| {
+        let of = |l: &&serde_json::Value| {
+            l["event"] == "reload" && l["outcome"].as_str().unwrap().starts_with(outcome)
+        };
+        until("it is reloaded", || site.entries[0].log().iter().filter(of).count() == n);
+    };
+    site.engines[0].hold_back(true);
+    let call = Call::post(HOST, &format!("{STREAM}x"), "over", "p").model("m0/a1");
+    let mut open = connect(&front).unwrap();
+    open.send(&call.bytes()).unwrap();
+    until("the stream runs", || site.engines[0].runs("over") == 1);
+    let file = site.dir.path().join("entry-0.yaml");
+    let yaml = std::fs::read_to_string(&file).unwrap();
+    std::fs::write(&file, yaml.replace("retryExtra: 52", "retryExtra: 60")).unwrap();
+    site.entries[0].ask_to_reload();
+    site.agents[0].ask_to_reload();
+    reloads(1, "in force");
+    std::fs::write(&file, yaml.replace("retryExtra: 52", "retryExtra: many")).unwrap();
+    site.entries[0].ask_to_reload();
+    reloads(1, "refused");
+    std::fs::write(&file, yaml).unwrap();
+    site.engines[0].hold_back(false);
+    assert!(open.answer().unwrap().whole, "the stream went on");
+    assert_eq!(once("after").send(&front).status, 200);
+    let call = Call::post(HOST, &format!("{STREAM}x"), "new", "p").model("m0/new");
+    assert_eq!(call.send(&front).status, 200, "the agent goes on too");
+}
+
 fn exchange(conn: &mut Conn, id: &str) -> Message {
     conn.send(&once(id).bytes()).unwrap();
     conn.answer().unwrap()
--- a/crates/larkspring-core/src/retry.rs
+++ b/crates/larkspring-core/src/retry.rs
@@ -90,6 +90,11 @@
         Self { terms, slices: VecDeque::new() }
     }
 
+    /// Changes what the budget allows; what was counted stays.
+    pub fn set_terms(&mut self, terms: RepeatTerms) {
+        self.terms = terms;
+    }
+
     /// Counts a request.
     pub fn request(&mut self, now: Instant) {
         self.slice(now).requests += 1;
--- a/crates/larkspring/src/direct/entry/job.rs
+++ b/crates/larkspring/src/direct/entry/job.rs
@@ -197,14 +197,16 @@
         own(&self.entry, reason, &self.caller.id, after, Some(done))
     }
 
-    /// How long it may still wait for an endpoint before it is refused. One that was told
-    /// to come back waits as long as it can still be answered.
+    /// How long it may still wait for an endpoint before it is refused.
+    ///
+    /// A caller that is refused early has time to come back. One that came back, or that
+    /// waited for longer already, is served best by waiting as long as it can be answered.
     pub fn patience(&self) -> Duration {
-        if self.is_back {
-            return self.left().saturating_sub(KEPT_FOR_ANSWER);
-        }
         let early = self.route.objective.mul_f64(EARLY_PART);
-        early.saturating_sub(self.received.elapsed()).min(self.left())
+        match early.checked_sub(self.received.elapsed()) {
+            Some(left) if !self.is_back => left.min(self.left()),
+            _ => self.left().saturating_sub(KEPT_FOR_ANSWER),
+        }
     }
 
     /// Places and sends the request until it is answered or given up.
@@ -369,7 +371,7 @@
     fn add(&mut self, len: usize) -> bool {
         let all = self.entry.kept_bytes.fetch_add(len, Ordering::Relaxed) + len;
         self.len += len;
-        all <= self.entry.cfg.max_kept_bytes
+        all <= self.entry.cfg().max_kept_bytes
     }
 }
 
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -25,6 +25,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use arc_swap::{ArcSwap, Guard};
 use event_listener::Event;
 use futures_lite::future;
 use http::StatusCode;
@@ -66,7 +67,7 @@
 
 /// What all requests of an entry share.
 pub(super) struct Inner {
-    cfg: EntryCfg,
+    cfg: ArcSwap<EntryCfg>,
     protocol: Arc<dyn Protocol>,
     beliefs: Arc<Beliefs>,
     fleet: Arc<Fleet>,
@@ -127,7 +128,7 @@
         let addr = listener.local_addr().unwrap_or(cfg.listen);
         let (readiness, metrics) = (cfg.readiness, cfg.process.metrics);
         let inner = Arc::new(Inner {
-            cfg,
+            cfg: ArcSwap::from_pointee(cfg),
             protocol,
             beliefs: beliefs.clone(),
             fleet: fleet.clone(),
@@ -139,7 +140,7 @@
             stop: Stop::default(),
             kept_bytes: AtomicUsize::new(0),
         });
-        let drain = inner.cfg.process.drain;
+        let drain = inner.cfg().process.drain;
         let mut tasks = watch::follow(directory, beliefs, stats.clone(), drain);
         tasks.push(exec::spawn(fleet.clone().follow()));
         tasks.push(exec::spawn(fleet.sweep()));
@@ -156,20 +157,28 @@
         tracing::info!(
             event = "start",
             process = "entry",
-            vm = %inner.cfg.process.vm,
-            hall = %inner.cfg.process.hall,
+            vm = %inner.cfg().process.vm,
+            hall = %inner.cfg().process.hall,
             addr = %addr,
         );
         Ok(Self { addr, inner, tasks })
     }
 
+    /// Puts changed settings in force; addresses stay what they were at the start.
+    pub fn reload(&self, cfg: EntryCfg) {
+        for window in self.inner.repeats.lock().values_mut() {
+            window.set_terms(cfg.repeats);
+        }
+        self.inner.cfg.store(Arc::new(cfg));
+    }
+
     /// Stops: not ready at once, then no new connections, then the end of what runs.
     pub async fn stop(self) {
         let began = Instant::now();
         tracing::info!(event = "stop", process = "entry");
         let stop = &self.inner.stop;
         stop.enter(LEAVING);
-        let grace = self.inner.cfg.process.stop_grace;
+        let grace = self.inner.cfg().process.stop_grace;
         let end = began + grace.saturating_sub(END_EARLY);
         Timer::at((began + TAKE_REQUESTS).min(end)).await;
         stop.enter(CLOSING);
@@ -191,6 +200,11 @@
 }
 
 impl Inner {
+    /// The settings in force.
+    fn cfg(&self) -> Guard<Arc<EntryCfg>> {
+        self.cfg.load()
+    }
+
     /// Ready once the routing and an endpoint are known, until the signal to stop.
     fn readiness(&self) -> StatusCode {
         let knows = self.beliefs.routing().is_some() && !self.fleet.is_empty();
@@ -215,7 +229,8 @@
     /// Counts a request of a service for the shared budget of repeats.
     fn count_request(&self, service: &ServiceId) {
         let mut repeats = self.repeats.lock();
-        let fresh = || RepeatWindow::new(self.cfg.repeats);
+        let terms = self.cfg().repeats;
+        let fresh = || RepeatWindow::new(terms);
         repeats.entry(service.clone()).or_insert_with(fresh).request(Instant::now());
     }
 
--- a/crates/larkspring/src/direct/entry/place.rs
+++ b/crates/larkspring/src/direct/entry/place.rs
@@ -80,7 +80,7 @@
         let views: Vec<_> = peers.iter().map(|p| self.plain_view(now, p)).collect();
         let times = peers.iter().map(|p| p.quality(|q| q.time()));
         let time = times.max().filter(|t| !t.is_zero()).unwrap_or(FIRST_ANSWER);
-        let chosen = match self.entry.cfg.placement {
+        let chosen = match self.entry.cfg().placement {
             Placement::Random => choose_random(&views),
             Placement::Least => least_running(&views),
             Placement::Cost | Placement::Home => for_any(&views, time),
@@ -219,7 +219,7 @@
                 return Some(choice);
             }
         }
-        let at = match self.entry.cfg.placement {
+        let at = match self.entry.cfg().placement {
             Placement::Cost => for_adapter(&views)?,
             Placement::Home => views.iter().position(|v| v.can_load)?,
             Placement::Random => choose_random(&views)?,
--- a/crates/larkspring/src/direct/entry/serve.rs
+++ b/crates/larkspring/src/direct/entry/serve.rs
@@ -49,7 +49,7 @@
             None => return,
             Some(Ok((sock, _))) => {
                 let open = entry.stop.connections.load(Ordering::Acquire);
-                if open >= entry.cfg.max_connections {
+                if open >= entry.cfg().max_connections {
                     if logs::allows(Line::Caller) {
                         tracing::warn!(event = "connection refused", open);
                     }
--- a/crates/larkspring/src/direct/entry/view.rs
+++ b/crates/larkspring/src/direct/entry/view.rs
@@ -17,7 +17,7 @@
     pub(super) fn plain_view(&self, now: Instant, peer: &Arc<Peer>) -> View {
         let endpoint = peer.endpoint();
         View {
-            same_hall: endpoint.hall == self.entry.cfg.process.hall,
+            same_hall: endpoint.hall == self.entry.cfg().process.hall,
             holding: Holding::Resident,
             running: peer.open(),
             slots: endpoint.slots as u32,
