--- a/crates/larkspring/src/direct/conn.rs
+++ b/crates/larkspring/src/direct/conn.rs
@@ -26,7 +26,7 @@
 pub(crate) struct Conn {
     tx: SendRequest<SendBody>,
     /// The connection's work; `None` once it has ended.
-    io: Option<Pin<Box<Connection<FuturesIo<TcpStream>, SendBody>>>>,
+    io: Option<Work>,
     /// When its last answer ended.
     pub rested_since: Instant,
     /// How long the endpoint keeps it at rest, if it says so.
@@ -35,6 +35,8 @@
     pub used: bool,
 }
 
+type Work = Pin<Box<Connection<FuturesIo<TcpStream>, SendBody>>>;
+
 quick_error! {
     /// Why a request has no answer, with the peer.
     #[derive(Debug)]
--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -34,7 +34,7 @@
 
 /// Where the bytes come from.
 enum From {
-    Endpoint(OpenAnswer),
+    Endpoint(Box<OpenAnswer>),
     /// The stream broke, and another endpoint is asked to go on.
     Resuming(Resume),
     Over,
@@ -48,7 +48,7 @@
         let events = resumable.then(|| Events::after(job.resume_after.clone()));
         Self {
             id: job.caller.id.clone(),
-            from: From::Endpoint(open),
+            from: From::Endpoint(Box::new(open)),
             events,
             deadline: Timer::at(job.deadline),
             sent: 0,
@@ -168,7 +168,7 @@
             return Step::Broken("no other endpoint went on with it".into());
         };
         self.job = Some(job);
-        self.from = From::Endpoint(open);
+        self.from = From::Endpoint(Box::new(open));
         Step::Again
     }
 
