Name the run in every order for an adapter

Change: the report does not tell the run, so the agent asks the worker's health check once for each run (one charged probe) and names the run in each order for an adapter; until it is known none is given. A base model is still ordered without it, as a late one harms nothing.

--- a/crates/larkspring-cli/tests/platform_path.rs
+++ b/crates/larkspring-cli/tests/platform_path.rs
@@ -346,6 +346,8 @@
     let base =
         |o: &&serde_json::Value| o["adapter"].is_null() && o["operation"] == "load";
     assert_eq!(orders.iter().filter(base).count(), 1, "the base model is loaded once");
+    let last = orders.last().unwrap();
+    assert_eq!(last["meantFor"], "llm-again", "orders name the new run");
 }
 
 /// An order that got no answer is given again, so that the late one can't be taken too.
--- a/crates/larkspring-core/src/fleet/routes.rs
+++ b/crates/larkspring-core/src/fleet/routes.rs
@@ -88,6 +88,8 @@
 pub struct Service {
     /// Its name.
     pub name: ServiceId,
+    /// Path at which an endpoint tells whether it is well, and its run.
+    pub health_path: String,
     /// Connections that each endpoint takes from all callers together.
     pub max_connections: usize,
     /// What its endpoints run, if they are model engines.
--- a/crates/larkspring-proto/src/gen/larkspring.residency.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.residency.rs
@@ -63,6 +63,9 @@
     pub places: u64,
     #[prost(string, repeated, tag = "3")]
     pub bases: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Path at which the engine tells its run.
+    #[prost(string, tag = "4")]
+    pub health_path: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FromAgent {
--- a/crates/larkspring/src/direct/agent/driver.rs
+++ b/crates/larkspring/src/direct/agent/driver.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use futures_lite::future::poll_fn;
 use http::{Request, Response};
+use larkspring_core::ids::Incarnation;
 use smol::channel::{self, Receiver, Sender};
 
 use super::keeper::Event;
@@ -19,6 +20,8 @@
 pub(super) enum Command {
     /// Ask for the report.
     Report,
+    /// Ask for the run at a path.
+    Identify(String),
     /// Give an order.
     Order(Order),
 }
@@ -27,6 +30,7 @@
 #[derive(Debug)]
 pub(super) enum Driven {
     Report(Result<Report, String>),
+    Identified(Result<Incarnation, String>),
     Order(Order, Result<OrderEnd, String>),
 }
 
@@ -59,6 +63,7 @@
         while let Ok(command) = commands.recv().await {
             let driven = match command {
                 Command::Report => Driven::Report(self.report().await),
+                Command::Identify(path) => Driven::Identified(self.identify(&path).await),
                 Command::Order(order) => {
                     let end = self.order(&order).await;
                     Driven::Order(order, end)
@@ -75,6 +80,13 @@
         self.protocol.read_report(&res).map_err(|e| e.to_string())
     }
 
+    async fn identify(&mut self, path: &str) -> Result<Incarnation, String> {
+        let req = self.protocol.health(path).ok_or("the health path can't be read")?;
+        let res = self.call(req).await?;
+        let run = self.protocol.read_health(&res);
+        run.ok_or_else(|| format!("answered {} without its run", res.status()))
+    }
+
     async fn order(&mut self, order: &Order) -> Result<OrderEnd, String> {
         let res = self.call(self.protocol.order(order)).await?;
         Ok(self.protocol.read_order(&res))
--- a/crates/larkspring/src/direct/agent/keeper.rs
+++ b/crates/larkspring/src/direct/agent/keeper.rs
@@ -67,8 +67,13 @@
 #[derive(Default)]
 struct Engine {
     run: Option<Incarnation>,
-    /// Number of runs that this agent saw; names a run that does not name itself.
+    /// Number of runs that this agent saw; names a run until it names itself.
     runs: u64,
+    /// The name that the run gave itself. Orders for adapters carry it, so that one which
+    /// is carried out late never reaches another run.
+    named: Option<Incarnation>,
+    /// When the run is asked for its name again, if it gave none.
+    ask_name_at: Option<Instant>,
     report: Report,
     /// Reports in a row that did not come.
     failures: u32,
@@ -103,6 +108,9 @@
 const SOON_FOR: Duration = Duration::from_millis(60);
 /// The same while an adapter comes from the weight store (250 ms and more).
 const REPORT_LOADING: Duration = Duration::from_millis(25);
+/// Pause before an engine that did not tell its run is asked again: its health check waits
+/// for a place in the batch and is charged.
+const ASK_NAME_AGAIN: Duration = Duration::from_millis(300);
 /// Reports in a row without an answer after which the engine counts as failed.
 const MAX_FAILURES: u32 = 2;
 /// How often entries are told the state, changed or not.
@@ -181,9 +189,10 @@
             true => self.told.at + TELL_PAUSE,
             false => self.told.at + TELL_EVERY,
         };
+        let ask = self.engine.ask_name_at.filter(|_| !self.todo.is_empty());
         match self.driving {
             true => tell,
-            false => tell.min(self.report_at),
+            false => tell.min(self.report_at).min(ask.unwrap_or(tell)),
         }
     }
 
@@ -200,6 +209,7 @@
                 match driven {
                     Driven::Report(Ok(report)) => self.reported(now, report),
                     Driven::Report(Err(cause)) => self.no_report(now, &cause),
+                    Driven::Identified(named) => self.identified(now, named),
                     Driven::Order(order, end) => self.ordered(now, order, end),
                 }
             }
@@ -314,12 +324,19 @@
         if self.driving {
             return;
         }
+        let engine = &self.engine;
         let command = match self.todo.front() {
             _ if self.report_at <= now => Command::Report,
+            Some(Change::Load(_) | Change::Unload(_)) if engine.named.is_none() => {
+                if engine.ask_name_at.is_some_and(|at| at > now) {
+                    return;
+                }
+                Command::Identify(self.declared.health_path.clone())
+            }
             Some(change) => Command::Order(Order {
                 change: change.clone(),
-                orders_taken: self.engine.report.orders_taken,
-                incarnation: self.engine.report.incarnation.clone(),
+                orders_taken: engine.report.orders_taken,
+                incarnation: engine.named.clone(),
                 holder: self.holder.clone(),
             }),
             None => return,
@@ -391,6 +408,19 @@
         self.report_at = now + REPORT_EVERY;
     }
 
+    fn identified(&mut self, now: Instant, named: Result<Incarnation, String>) {
+        match named {
+            Ok(named) => self.engine.named = Some(named),
+            Err(cause) => {
+                if logs::allows(Line::Order) {
+                    let path = &self.declared.health_path;
+                    tracing::warn!(event = "engine not identified", cause, path);
+                }
+                self.engine.ask_name_at = Some(now + ASK_NAME_AGAIN);
+            }
+        }
+    }
+
     fn ordered(&mut self, now: Instant, order: Order, end: Result<OrderEnd, String>) {
         self.log_order(&order, &end);
         match end {
@@ -407,7 +437,12 @@
                 self.engine.load_ordered = Some(now);
                 self.report_at = self.report_at.min(now + REPORT_SOON);
             }
-            Ok(OrderEnd::Stale | OrderEnd::Moved) | Err(_) => {
+            Ok(OrderEnd::Moved) => {
+                self.engine.named = None;
+                self.todo.push_front(order.change);
+                self.report_at = now;
+            }
+            Ok(OrderEnd::Stale) | Err(_) => {
                 // The report tells whether it was taken; else it is given again, with the
                 // number of orders that rules out the earlier one.
                 self.todo.push_front(order.change);
@@ -427,19 +462,18 @@
     /// Names the run that a report comes from; a run that took fewer orders is a new one.
     fn run_of(&mut self, report: &Report) -> Incarnation {
         let known = &self.engine.report;
-        let same_name = report.incarnation == known.incarnation;
         let counts_on = report.orders_taken >= known.orders_taken;
         let keeps_base = known.bases.is_empty() || !report.bases.is_empty();
         if let Some(run) = &self.engine.run {
-            if same_name && counts_on && keeps_base {
+            if counts_on && keeps_base {
                 return run.clone();
             }
             tracing::warn!(event = "engine restarted", run = %run);
             self.todo.clear();
         }
         self.engine.runs += 1;
-        let named = report.incarnation.clone();
-        let run = named.unwrap_or_else(|| format!("run {}", self.engine.runs).into());
+        self.engine.named = None;
+        let run: Incarnation = format!("run {}", self.engine.runs).into();
         self.engine.run = Some(run.clone());
         run
     }
--- a/crates/larkspring/src/direct/edge.rs
+++ b/crates/larkspring/src/direct/edge.rs
@@ -112,6 +112,12 @@
     /// Reads the engine's report.
     fn read_report(&self, res: &Response<Bytes>) -> Result<Report, BadAnswer>;
 
+    /// Builds a request for the engine's health, which tells its run.
+    fn health(&self, path: &str) -> Option<Request<Bytes>>;
+
+    /// Reads the engine's run from the answer.
+    fn read_health(&self, res: &Response<Bytes>) -> Option<Incarnation>;
+
     /// Builds an order.
     fn order(&self, order: &Order) -> Request<Bytes>;
 
@@ -218,8 +224,6 @@
 /// The state of an engine, by its own report.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Report {
-    /// Its run, if the report says so.
-    pub incarnation: Option<Incarnation>,
     /// Orders that it has taken in this run.
     pub orders_taken: u64,
     /// Whether it is working on an order for a base model.
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -33,6 +33,7 @@
     granted: AtomicU32,
     /// Notified when the agent can be asked again, or its engine serves again.
     news: Arc<Event>,
+    since: Instant,
 }
 
 /// What the agent last said.
@@ -98,6 +99,9 @@
 
 /// An agent speaks every 400 ms; after two that did not come it counts as silent.
 const SILENCE: Duration = Duration::from_millis(900);
+/// An agent that lives is heard well within this time of the first attempt; just after a
+/// start of all processes it takes 100 ms.
+const FIRST_WORD: Duration = Duration::from_millis(700);
 /// After this time of silence the connection is opened anew.
 const GIVE_UP: Duration = Duration::from_millis(2500);
 /// Time for a connection to come up.
@@ -118,6 +122,7 @@
             next_id: AtomicU64::new(1),
             granted: AtomicU32::new(0),
             news,
+            since: Instant::now(),
         })
     }
 
@@ -235,6 +240,12 @@
         })
     }
 
+    /// Whether the agent was not heard yet but may well be: what the platform lists of the
+    /// engine is then no reason to do without it.
+    pub fn is_coming(&self) -> bool {
+        self.known.lock().heard.is_none() && self.since.elapsed() < FIRST_WORD
+    }
+
     /// Records that the engine turned out not to hold an adapter.
     pub fn lacks(&self, target: TargetHash) {
         self.known.lock().resident.remove(&target);
@@ -391,13 +402,15 @@
 /// Says what the engines of a service may hold.
 pub(super) fn engine_of(routing: Option<&Routing>, service: &ServiceId) -> wire::Engine {
     let Some(routing) = routing else { return wire::Engine::default() };
-    let engine = routing.service(service).and_then(|s| s.engine.as_ref());
+    let service = routing.service(service);
+    let engine = service.and_then(|s| s.engine.as_ref());
     let models = engine.map_or(&[][..], |e| &e.models[..]);
     let places = engine.and_then(|e| models.iter().map(|m| e.places(m)).min());
     wire::Engine {
         routing_version: routing.version,
         places: places.unwrap_or_default() as u64,
         bases: models.iter().map(|m| m.name.to_string()).collect(),
+        health_path: service.map(|s| s.health_path.clone()).unwrap_or_default(),
     }
 }
 
--- a/crates/larkspring/src/direct/entry/place.rs
+++ b/crates/larkspring/src/direct/entry/place.rs
@@ -95,16 +95,16 @@
         engine: &Engine,
     ) -> Result<Placed, NotPlaced> {
         let base = xxh3_64(model.base.as_bytes());
-        let peers = self.open_peers();
         let now = Instant::now();
-        let views = peers.iter().map(|p| {
+        let view = |p: &Arc<Peer>| {
             let mut view = self.engine_view(now, p, base, model, engine);
-            view.holding = Holding::Resident;
-            view.avoided |= view.filling;
             view.quality += Duration::from_secs_f64(batch_cost(&view) / 1000.0);
             view
-        });
-        let views: Vec<_> = views.collect();
+        };
+        let seen = self.open_peers().into_iter().map(|p| (view(&p), p));
+        // One that is still being given its base model would refuse the request.
+        let (views, peers): (Vec<_>, Vec<_>) =
+            seen.filter(|(view, _)| !view.filling).unzip();
         let chosen = for_any(&views, Duration::ZERO);
         if let Some(at) = chosen {
             peers[at].reads(base, model);
--- a/crates/larkspring/src/direct/entry/view.rs
+++ b/crates/larkspring/src/direct/entry/view.rs
@@ -59,6 +59,7 @@
         };
         view.holding = match link.holding(target) {
             Some(holding) => holding,
+            None if link.is_coming() => Holding::Absent,
             None => listed(),
         };
         view
