Split the agent's keeper, the wait for an adapter and the slots' refusals into parts of one job

No behaviour changes but one word: a grant that did not come in time is told apart from an agent that fell silent, in the log and in the count of holds.

--- a/crates/larkspring-core/src/slots.rs
+++ b/crates/larkspring-core/src/slots.rs
@@ -5,6 +5,7 @@
 
 mod fresh;
 mod limits;
+mod refuse;
 mod residency;
 
 use std::cmp::Ordering;
@@ -12,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 pub use self::limits::{Eviction, Limits, LoadOrder};
+use self::refuse::{leaving, unreachable};
 use self::residency::{Heat, Phase, Residency};
 use crate::ids::{AttemptId, Incarnation, Target, TargetHash};
 use crate::outcome::{Refusal, Step};
@@ -486,16 +488,3 @@
 fn average(old: Duration, sample: Duration) -> Duration {
     old.mul_f64(1.0 - SAMPLE_WEIGHT) + sample.mul_f64(SAMPLE_WEIGHT)
 }
-
-/// When to come back to an engine that could not be reached.
-const UNREACHABLE_RETRY: Duration = Duration::from_secs(1);
-
-fn unreachable() -> Refusal {
-    let refusal = Refusal::not_run(Step::Queue, "the engine can't be reached");
-    refusal.elsewhere().retry_after(UNREACHABLE_RETRY)
-}
-
-fn leaving() -> Refusal {
-    let refusal = Refusal::not_run(Step::Queue, "the endpoint is leaving");
-    refusal.elsewhere().retry_after(Duration::ZERO)
-}
--- a/crates/larkspring/src/direct/agent/mod.rs
+++ b/crates/larkspring/src/direct/agent/mod.rs
@@ -2,11 +2,15 @@
 //!
 //! 1. [`serve`]: entries follow the agent, each on one connection.
 //! 2. [`keeper`]: decides with `core::slots` what is loaded; one task owns the state.
-//! 3. [`driver`]: asks the engine for its report and gives it orders, one at a time.
+//! 3. [`orders`]: what the engine reports, and the orders that follow.
+//! 4. [`tell`]: what the entries are told of it.
+//! 5. [`driver`]: asks the engine for its report and gives it orders, one at a time.
 
 mod driver;
 mod keeper;
+mod orders;
 mod serve;
+mod tell;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- /dev/null
+++ b/crates/larkspring/src/direct/agent/tell.rs
@@ -0,0 +1,100 @@
+//! What entries are told of the engine.
+
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use larkspring_core::ids::{Target, TargetHash};
+use larkspring_proto::residency::from_agent::Kind as Say;
+use larkspring_proto::residency::{self as wire, Engagement};
+
+use super::keeper::{Keeper, MAX_FAILURES};
+
+/// What the entries were told last.
+pub(super) struct Told {
+    pub(super) news: News,
+    pub(super) at: Instant,
+    /// Whether there is news that was not told yet.
+    pub(super) due: bool,
+}
+
+/// The part of the state that entries are told at once; the rest changes with every
+/// request and goes along.
+#[derive(Default, PartialEq, Eq)]
+pub(super) struct News {
+    pub(super) engagement: i32,
+    pub(super) resident: HashSet<TargetHash>,
+    pub(super) loading: HashSet<TargetHash>,
+    pub(super) entries: usize,
+}
+
+/// How often entries are told the state, changed or not.
+pub(super) const TELL_EVERY: Duration = Duration::from_millis(400);
+/// Least time between two tellings: each goes to every entry, and bytes between halls are
+/// charged.
+pub(super) const TELL_PAUSE: Duration = Duration::from_millis(40);
+
+impl Keeper {
+    /// Tells the entries the state, if it changed or now and then.
+    pub(super) fn tell(&mut self, now: Instant) {
+        let news = self.news();
+        let since = now.saturating_duration_since(self.told.at);
+        self.told.due = self.told.news != news;
+        let pause = if self.told.due { TELL_PAUSE } else { TELL_EVERY };
+        if since < pause {
+            return;
+        }
+        let changes = self.state(&news, &self.told.news);
+        let whole = wire::State { whole: true, ..self.state(&news, &News::default()) };
+        let mut halls: HashMap<String, u32> = HashMap::new();
+        for entry in self.entries.values() {
+            *halls.entry(entry.hall.clone()).or_default() += 1;
+        }
+        let numbers: Vec<_> = self.entries.keys().copied().collect();
+        for number in numbers {
+            let Some(entry) = self.entries.get_mut(&number) else { continue };
+            let is_new = std::mem::take(&mut entry.is_new);
+            let state = if is_new { whole.clone() } else { changes.clone() };
+            let entries_in_hall = halls[&entry.hall];
+            self.say(number, Say::State(wire::State { entries_in_hall, ..state }));
+        }
+        self.told = Told { news, at: now, due: false };
+    }
+
+    fn news(&self) -> News {
+        let (resident, loading) = self.slots.held();
+        News {
+            engagement: self.engagement().into(),
+            resident: resident.into_iter().map(Target::hash).collect(),
+            loading: loading.into_iter().map(Target::hash).collect(),
+            entries: self.entries.len(),
+        }
+    }
+
+    fn engagement(&self) -> Engagement {
+        match (self.engine.failures < MAX_FAILURES, &self.engine.run) {
+            (false, _) | (_, None) => Engagement::Away,
+            _ if self.engine.report.bases.is_empty() => Engagement::Filling,
+            _ => Engagement::Serving,
+        }
+    }
+
+    /// The state as it differs from what was told.
+    fn state(&self, news: &News, told: &News) -> wire::State {
+        let held = |of: &News, hash: &TargetHash| {
+            of.resident.contains(hash) || of.loading.contains(hash)
+        };
+        let before = told.resident.iter().chain(&told.loading);
+        wire::State {
+            engagement: news.engagement,
+            held: self.slots.running() as u32,
+            free_places: self.slots.free_places() as u32,
+            loads_ahead: self.slots.loads_ahead() as u32,
+            entries: news.entries as u32,
+            entries_in_hall: 0,
+            whole: false,
+            resident: news.resident.difference(&told.resident).copied().collect(),
+            loading: news.loading.difference(&told.loading).copied().collect(),
+            gone: before.filter(|hash| !held(news, hash)).copied().collect(),
+        }
+    }
+}
--- a/crates/larkspring/src/direct/entry/place.rs
+++ b/crates/larkspring/src/direct/entry/place.rs
@@ -127,58 +127,14 @@
             else {
                 break;
             };
-            let Choice { peer, target, agent, why } = choice;
-            self.why = Some(why.clone());
-            let hash = target.hash();
-            let open = peer.enter();
-            if !agent {
-                peer.reads(hash, model);
-                return Ok(Placed { open, target: Some(target), why, _hold: None });
-            }
-            let Some(link) = &peer.link else { break };
-            let asked = Instant::now();
-            let limit = self.left().saturating_sub(LEAST_LEFT);
-            let was = link.holding(hash);
-            let mut hold =
-                link.hold(target.clone(), self.route.priority, limit, &self.caller.id);
-            let resident = was == Some(Holding::Resident);
-            let patience = if resident { limit.min(GRANT) } else { limit };
-            let end = within(patience, hold.granted()).await.unwrap_or(HoldEnd::Lost);
-            let took = asked.elapsed();
-            self.waited += took;
-            match end {
-                HoldEnd::Granted => {
-                    self.entry.stats.hold("granted");
-                    self.entry.stats.adapter_wait(holding_name(was), took);
-                    peer.reads(hash, model);
-                    return Ok(Placed {
-                        open,
-                        target: Some(target),
-                        why,
-                        _hold: Some(hold),
-                    });
-                }
-                HoldEnd::Refused { reason, retry_after } => {
-                    self.entry.stats.hold("refused");
-                    self.log_hold(&peer, &reason, took);
-                    last = (Reason::NoAdapterInTime, Some(retry_after));
-                }
-                HoldEnd::Lost => {
-                    self.entry.stats.hold("lost");
-                    self.log_hold(&peer, "the agent is silent", took);
-                    if resident {
-                        // The engine itself refuses what it does not hold any more.
-                        peer.reads(hash, model);
-                        return Ok(Placed {
-                            open,
-                            target: Some(target),
-                            why,
-                            _hold: Some(hold),
-                        });
-                    }
-                }
+            self.why = Some(choice.why.clone());
+            let id = choice.peer.endpoint().id.clone();
+            match self.hold(choice, model).await {
+                Ok(placed) => return Ok(placed),
+                Err(Some(refused)) => last = refused,
+                Err(None) => {}
             }
-            passed_over.push(peer.endpoint().id.clone());
+            passed_over.push(id);
             if self.left() < LEAST_LEFT {
                 break;
             }
@@ -186,6 +142,58 @@
         Err(last)
     }
 
+    /// Has the chosen endpoint's agent hold the adapter; an agent that refuses says when to
+    /// come back.
+    async fn hold(
+        &mut self,
+        choice: Choice,
+        model: &ModelRequest,
+    ) -> Result<Placed, Option<NotPlaced>> {
+        let Choice { peer, target, agent, why } = choice;
+        let hash = target.hash();
+        let open = peer.enter();
+        let placed =
+            |hold| Placed { open, target: Some(target.clone()), why, _hold: hold };
+        let link = peer.link.as_ref().filter(|_| agent);
+        let Some(link) = link else {
+            peer.reads(hash, model);
+            return Ok(placed(None));
+        };
+        let asked = Instant::now();
+        let limit = self.left().saturating_sub(LEAST_LEFT);
+        let was = link.holding(hash);
+        let resident = was == Some(Holding::Resident);
+        let patience = if resident { limit.min(GRANT) } else { limit };
+        let mut hold =
+            link.hold(target.clone(), self.route.priority, limit, &self.caller.id);
+        let end = within(patience, hold.granted()).await;
+        let took = asked.elapsed();
+        self.waited += took;
+        let (counted, reason) = match end {
+            Some(HoldEnd::Granted) => {
+                self.entry.stats.hold("granted");
+                self.entry.stats.adapter_wait(holding_name(was), took);
+                peer.reads(hash, model);
+                return Ok(placed(Some(hold)));
+            }
+            Some(HoldEnd::Refused { reason, retry_after }) => {
+                self.entry.stats.hold("refused");
+                self.log_hold(&peer, &reason, took);
+                return Err(Some((Reason::NoAdapterInTime, Some(retry_after))));
+            }
+            Some(HoldEnd::Lost) => ("lost", "the agent is silent"),
+            None => ("late", "the agent did not grant it in time"),
+        };
+        self.entry.stats.hold(counted);
+        self.log_hold(&peer, reason, took);
+        if !resident {
+            return Err(None);
+        }
+        // The engine itself refuses what it does not hold any more.
+        peer.reads(hash, model);
+        Ok(placed(Some(hold)))
+    }
+
     /// Chooses an endpoint and a version of the adapter for it.
     fn choose(
         &self,
