Hand an endpoint's own failure on where a repeat brings nothing better

Cause: found by reading. A request that may be repeated got 502 from us when its first run failed at the endpoint and the second was rejected, unclear or not placed: the endpoint's own answer was thrown away. Change: it is kept until something better comes. Before: the new test got 502 for the worker's 500. After: the 500 with its signature.

--- a/crates/larkspring-cli/tests/platform_faults.rs
+++ b/crates/larkspring-cli/tests/platform_faults.rs
@@ -195,6 +195,19 @@
     assert_eq!((got.status, runs), (502, 1), "{got:?}");
 }
 
+/// An endpoint's own failure reaches the caller where a repeat brings nothing better.
+#[test]
+fn an_endpoints_failure_is_not_replaced_by_ours() {
+    let site = plain(2);
+    site.apps[1].shares_acts_with(&site.apps[0]);
+    for (n, second) in [Act::Reject, Act::Close, Act::Fail(500)].into_iter().enumerate() {
+        site.apps[0].next([Act::Fail(500), second.clone()]);
+        let got = safe(&format!("own-{n}")).send(&site.front(0));
+        assert_eq!(got.status, 500, "{second:?}: {got:?}");
+        assert!(got.header("server-seal").is_some(), "{second:?}");
+    }
+}
+
 fn id_of(line: &str) -> Option<usize> {
     line.strip_prefix("id: ")?.parse().ok()
 }
--- a/crates/larkspring/src/direct/entry/job.rs
+++ b/crates/larkspring/src/direct/entry/job.rs
@@ -214,29 +214,31 @@
         }
     }
 
-    /// Places and sends the request until it is answered or given up.
+    /// Places and sends the request until it is answered or given up. An endpoint's own
+    /// failure is the answer where nothing better follows.
     pub async fn attempts(&mut self) -> Result<Answered, (Reason, Option<Duration>)> {
+        let mut own_failure = None;
         loop {
-            let placed = self.place().await?;
+            let placed = match self.place().await {
+                Ok(placed) => placed,
+                Err(e) => return own_failure.ok_or(e),
+            };
             let peer = placed.open.peer.clone();
-            let (end, own_failure) = match self.attempt(placed).await {
+            let end = match self.attempt(placed).await {
                 Ended::Answered(answered) => return Ok(answered),
-                Ended::Failed(answered) => (AttemptEnd::Failed, Some(answered)),
-                Ended::Without(end) => (end, None),
-            };
-            let step = self.after(end, &peer);
-            match (step, own_failure) {
-                (Next::Elsewhere | Next::Same, _) => {}
-                (Next::Deliver, Some(answered)) => return Ok(answered),
-                (Next::Deliver | Next::Fail, _) => return Err((Reason::Unclear, None)),
-                (Next::Refuse, _) => {
-                    let reason = match end {
-                        AttemptEnd::Unsent => Reason::Unsent,
-                        _ => Reason::Rejected,
-                    };
-                    return Err((reason, None));
+                Ended::Failed(answered) => {
+                    own_failure = Some(answered);
+                    AttemptEnd::Failed
                 }
-            }
+                Ended::Without(end) => end,
+            };
+            let reason = match self.after(end, &peer) {
+                Next::Elsewhere | Next::Same => continue,
+                Next::Deliver | Next::Fail => Reason::Unclear,
+                Next::Refuse if end == AttemptEnd::Unsent => Reason::Unsent,
+                Next::Refuse => Reason::Rejected,
+            };
+            return own_failure.ok_or((reason, None));
         }
     }
 
