End the wait for an adapter when its endpoint begins to leave

Ruled out: the pause between watches. Change: the wait ends once the endpoint takes nothing new, and the request is placed again.

--- a/crates/larkspring-cli/tests/platform_faults.rs
+++ b/crates/larkspring-cli/tests/platform_faults.rs
@@ -12,7 +12,7 @@
 use larkspring_platform_standin::http::{Conn, Message};
 use larkspring_platform_standin::settings::{config, HOST, ONCE, RESUME, SAFE, STREAM};
 use larkspring_platform_standin::store::Mode;
-use larkspring_platform_standin::worker::Act;
+use larkspring_platform_standin::worker::{Act, Worker};
 
 /// No engines, one or two plain workers.
 fn plain(apps: usize) -> Site {
@@ -208,6 +208,29 @@
     }
 }
 
+/// A request that waits for its adapter at an endpoint which begins to leave goes elsewhere.
+#[test]
+fn a_wait_for_an_adapter_ends_when_the_endpoint_leaves() {
+    let site = Site::start(Shape { engines: 2, ..Shape::default() });
+    // Neither gives its agent an answer, so whichever is chosen is waited for.
+    site.engines.iter().for_each(|engine| engine.silent_orders(true));
+    let front = site.front(0);
+    let waiting = thread::spawn(move || {
+        let call = Call::post(HOST, &format!("{STREAM}x"), "moves", "p").model("m0/new");
+        call.send(&front)
+    });
+    until("it is ordered somewhere", || {
+        site.engines.iter().any(|e| e.orders().iter().any(|o| o["adapter"] == "new"))
+    });
+    let asked = |e: &Worker| e.orders().iter().any(|o| o["adapter"] == "new");
+    let at = site.engines.iter().position(asked).unwrap();
+    let leaving = site.engines[at].entry("llm", "hall-a", "draining");
+    site.store.put("servers", &format!("llm-{at}"), leaving);
+    site.engines[1 - at].silent_orders(false);
+    assert_eq!(waiting.join().unwrap().status, 200);
+    assert_eq!(site.engines[at].runs("moves"), 0);
+}
+
 fn id_of(line: &str) -> Option<usize> {
     line.strip_prefix("id: ")?.parse().ok()
 }
--- a/crates/larkspring/src/direct/entry/fleet.rs
+++ b/crates/larkspring/src/direct/entry/fleet.rs
@@ -87,6 +87,17 @@
         self.news.listen()
     }
 
+    /// Returns once an endpoint takes no new requests.
+    pub async fn leaves(&self, peer: &Peer) {
+        loop {
+            let news = self.news.listen();
+            if !peer.is_open() {
+                return;
+            }
+            news.await;
+        }
+    }
+
     /// Whether any endpoint is known.
     pub fn is_empty(&self) -> bool {
         self.peers.load().by_id.is_empty()
--- a/crates/larkspring/src/direct/entry/place.rs
+++ b/crates/larkspring/src/direct/entry/place.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures_lite::future;
 use larkspring_core::fleet::choose::{
     batch_cost, copy_pays, for_adapter, for_any, ranked, Holding, Placement, View,
 };
@@ -166,9 +167,19 @@
         let patience = if resident { limit.min(GRANT) } else { limit };
         let mut hold =
             link.hold(target.clone(), self.route.priority, limit, &self.caller.id);
-        let end = within(patience, hold.granted()).await;
+        let fleet = self.entry.fleet.clone();
+        let leaves = async {
+            fleet.leaves(&peer).await;
+            HoldEnd::Lost
+        };
+        let end = within(patience, future::or(leaves, hold.granted())).await;
         let took = asked.elapsed();
         self.waited += took;
+        if !peer.is_open() {
+            // It began to leave while its adapter was waited for.
+            self.log_hold(&peer, "the endpoint leaves", took);
+            return Err(None);
+        }
         let (counted, reason) = match end {
             Some(HoldEnd::Granted) => {
                 self.entry.stats.hold("granted");
