--- a/crates/larkspring-cli/tests/common/site.rs
+++ b/crates/larkspring-cli/tests/common/site.rs
@@ -5,6 +5,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+pub use larkspring_platform::settings::VARIABLE as SETTINGS;
 use larkspring_platform_standin::client::{ask, Call};
 use larkspring_platform_standin::settings::{
     config, Node, FRONT_PORT, HOST, INNER_PORT, READY_PORT,
@@ -23,8 +24,6 @@
 pub const PLACES: usize = 3;
 /// Port of the engine beside an agent.
 const ENGINE_PORT: u16 = 7200;
-/// Variable that holds the path of a settings file.
-pub const SETTINGS: &str = concat!("LARKSPRING", "_NODE_FILE");
 
 /// A running deployment; everything ends with it.
 pub struct Site {
