--- a/crates/larkspring-cli/tests/config.rs
+++ b/crates/larkspring-cli/tests/config.rs
@@ -4,11 +4,20 @@
 mod common;
 
 use std::thread;
+use std::time::Duration;
 
 use common::client::{complete, completion, expected, get, post, send, streamed};
 use common::{run, until, Cluster, Plan, KEY};
+use futures_lite::stream::{self, StreamExt};
+use larkspring::exec;
+use larkspring::rpc::channel::Pool;
+use larkspring_proto::agent::agent_client::AgentClient;
+use larkspring_proto::agent::dispatch_down::Kind;
+use larkspring_proto::agent::{dispatch_up, DispatchUp, ModelTarget, Start};
 use serde_json::json;
 
+const CONNECT: Duration = Duration::from_secs(10);
+
 fn revision(addr: &str) -> u64 {
     get(addr, "/health")["revision"].as_u64().unwrap()
 }
@@ -229,6 +238,49 @@
     assert_eq!(answer.text(), expected("a3@v1", "in-outage", 2), "{answer:?}");
 }
 
+#[test]
+fn agent_waits_for_the_state_that_an_entry_decided_by() {
+    let cluster = Cluster::start(Plan::default());
+    let log = cluster.dir.path().join("engine-0.log");
+    let declared = revision(cluster.entry());
+    let start = Start {
+        attempt: "attempt-1".into(),
+        revision: declared + 1,
+        deadline_ms: 60_000,
+        credit: 1000,
+        model: Some(ModelTarget {
+            adapter: "late".into(),
+            version: "v1".into(),
+            path: "/v1/completions".into(),
+        }),
+        body: json!({ "model": "late@v1", "prompt": "p", "max_tokens": 1 })
+            .to_string()
+            .into(),
+        content_type: "application/json".into(),
+        ..Start::default()
+    };
+    let agent = cluster.agents[0].addr.clone();
+    let asked = thread::spawn(move || exec::run(1, first_word(&agent, start)));
+    until("the request waits or is answered", || {
+        let text = std::fs::read_to_string(&log).unwrap();
+        text.contains("waits for the declared state") || asked.is_finished()
+    });
+    cluster.declare(&cluster.declaration("").replace("name: a19", "name: late"));
+    let word = asked.join().unwrap();
+    assert!(matches!(word, Some(Kind::Begin(_))), "{word:?}");
+}
+
+/// Sends a request to an agent as an entry does and returns the first word of the answer.
+async fn first_word(agent: &str, start: Start) -> Option<Kind> {
+    let channel = Pool::new(1, CONNECT).get(agent).await.unwrap();
+    let origin = channel.origin();
+    let mut client = AgentClient::with_origin(channel, origin);
+    let up = DispatchUp { kind: Some(dispatch_up::Kind::Start(start)) };
+    let messages = stream::once(up).chain(stream::pending());
+    let mut down = client.dispatch(messages).await.unwrap().into_inner();
+    down.message().await.unwrap()?.kind
+}
+
 #[test]
 fn loads_stay_within_the_stores_budget() {
     let cluster = Cluster::start(Plan {
--- a/crates/larkspring/src/agent/job.rs
+++ b/crates/larkspring/src/agent/job.rs
@@ -35,6 +35,9 @@
 /// Tries to get the rest of an answer whose connection broke.
 const MAX_RESUMES: u32 = 2;
 const RESUME_WAIT: Duration = Duration::from_millis(50);
+/// How long a request waits for the declared state that its entry decided by: the time
+/// within which a change is to be in force everywhere.
+const CATCH_UP: Duration = Duration::from_secs(4);
 
 /// Serves one call of an entry to its end.
 pub async fn run(endpoint: Arc<Endpoint>, mut up: Streaming<DispatchUp>, down: Down) {
@@ -128,7 +131,7 @@
     }
 
     async fn serve(&self, deadline: Instant) -> Result<(), Stop> {
-        let target = self.target()?;
+        let target = self.target(deadline).await?;
         let since = Instant::now();
         let waiting = Waiting {
             target: target.clone(),
@@ -152,8 +155,8 @@
         self.tell(dispatch_down::Kind::End(end)).await
     }
 
-    /// Returns the exact adapter, if it is declared here too.
-    fn target(&self) -> Result<Target, Refusal> {
+    /// Returns the exact adapter, once it is declared here too.
+    async fn target(&self, deadline: Instant) -> Result<Target, Refusal> {
         if let Some(service) = &self.start.service {
             return Ok(Target::new(&service.service, SERVICE_VERSION));
         }
@@ -161,6 +164,7 @@
             return Err(Refusal::not_run(Step::Resolve, "the request names no target"));
         };
         let target = Target::new(&model.adapter, &model.version);
+        self.catch_up(deadline).await;
         match self.endpoint.in_force.state().weights(&target) {
             Some(_) => Ok(target),
             None => {
@@ -171,6 +175,19 @@
         }
     }
 
+    /// Waits for the declared state that the entry decided by, which may reach the entry
+    /// first.
+    async fn catch_up(&self, deadline: Instant) {
+        let (in_force, wanted) = (&self.endpoint.in_force, self.start.revision);
+        let known = in_force.state().revision;
+        if known >= wanted {
+            return;
+        }
+        tracing::info!(known, wanted, "the request waits for the declared state");
+        let left = deadline.saturating_duration_since(Instant::now());
+        within(left.min(CATCH_UP), in_force.reached(wanted)).await;
+    }
+
     /// Sends the request and checks that the right engine begins to answer.
     async fn send(
         &self,
