Place by copies on VMs and by prompts being read; no orders in a row to a silent engine

The placement did not know of copies. Second cause: the answers to the longest tenth of prompts are the worst served; their first byte came 678 ms after the send at the median where an empty engine takes about 590, as other prompts were read beside them. The cost had no term for that. Third, found on the way: an order that met a closed port was followed by a report that failed and the order again, 174 times within a second. Ruled out: lost copies (the reloads at the same engine cost about 100 fetches in 1,561); a wait for places (waits are 0 to 1 ms at the median). Change: entries remember the last 64 adapters that each engine gave up; a fetch costs its price, less for a long prompt; a prompt costs what others are read beside it, and what this entry's other prompts are being read. Orders wait for a report that comes. answered lines name prompt and unread tokens; reports are counted.

--- a/crates/larkspring-core/src/fleet/choose.rs
+++ b/crates/larkspring-core/src/fleet/choose.rs
@@ -31,6 +31,8 @@
     pub filling: bool,
     /// Tokens of the prompt that would have to be read.
     pub prompt_tokens: u32,
+    /// Tokens of other prompts that it is reading for this entry.
+    pub reading: u32,
     /// What its recent failures cost.
     pub quality: Duration,
     /// Whether no connection to it came up a moment ago.
@@ -44,7 +46,9 @@
     Resident,
     /// On its way.
     Loading,
-    /// Neither.
+    /// Held lately, so that a copy in the memory of its VM is loaded.
+    Copied,
+    /// None of these: it has to come from the weight store.
     Absent,
 }
 
@@ -66,8 +70,16 @@
 /// thirtieth of what its answer is worth (the deployments' price lists).
 const CROSSING_MS: f64 = 25.0;
 /// Time for an adapter from the weight store when few are fetched (measured: 250 to
-/// 270 ms), and the part of its price that a caller's wait would have to outweigh.
+/// 270 ms).
 const LOAD_MS: f64 = 260.0;
+/// Price of that fetch: a little less than half of what a short answer is worth, so it
+/// pays to wait this much longer where the adapter need not be fetched.
+const FETCH_MS: f64 = 150.0;
+/// Tokens of a short prompt, against whose answer [`FETCH_MS`] is weighed.
+const SHORT_PROMPT: f64 = 700.0;
+/// Time for an adapter from the memory of the engine's VM (measured: 27 to 35 ms), and as
+/// much again for the adapter that loses its place.
+const COPIED_MS: f64 = 60.0;
 /// Time until an engine holds its base model, half of it on average; small against what a
 /// few adapters more at another endpoint would take, so that homes are waited for.
 const FILLING_MS: f64 = 150.0;
@@ -81,6 +93,8 @@
 const RANK_MS: f64 = 40.0;
 /// Each request in the batch slows the others by about this much in all.
 const RUNNING_MS: f64 = 1.5;
+/// Time to read the prompt of a typical other request (about 600 tokens).
+const OTHER_READ_MS: f64 = 15.0;
 /// A typical answer of a model engine; a full batch frees places at this pace.
 const ANSWER_MS: f64 = 450.0;
 /// Time to read a token of a prompt (the engines read about 39 in a millisecond).
@@ -114,21 +128,33 @@
     let load = match v.holding {
         Holding::Resident => 0.0,
         Holding::Loading => LOADING_MS,
-        Holding::Absent => {
-            let ahead = LOAD_AHEAD_MS * f64::from(v.loads_ahead);
-            let place = if v.free_places == 0 { NO_PLACE_MS } else { 0.0 };
-            let filling = if v.filling { FILLING_MS } else { 0.0 };
-            LOAD_MS + ahead + place + home + filling
-        }
+        Holding::Copied => COPIED_MS + turn_cost(v),
+        Holding::Absent => LOAD_MS + fetch_cost(v) + home + turn_cost(v),
     };
     common_cost(v) + load + batch_cost(v)
 }
 
+/// Price of a fetch, which weighs less against the answer to a longer prompt.
+fn fetch_cost(v: &View) -> f64 {
+    FETCH_MS * (SHORT_PROMPT / f64::from(v.prompt_tokens.max(1))).min(1.0)
+}
+
+/// Wait until a load would begin.
+fn turn_cost(v: &View) -> f64 {
+    let ahead = LOAD_AHEAD_MS * f64::from(v.loads_ahead);
+    let place = if v.free_places == 0 { NO_PLACE_MS } else { 0.0 };
+    let filling = if v.filling { FILLING_MS } else { 0.0 };
+    ahead + place + filling
+}
+
 /// Cost of a batch with one more request.
 pub fn batch_cost(v: &View) -> f64 {
     let over = (v.running + 1).saturating_sub(v.slots);
     let queue = f64::from(over) * ANSWER_MS / f64::from(v.slots.max(1));
-    queue + RUNNING_MS * f64::from(v.running)
+    // Those that end while the prompt is read are followed by others, which are read too.
+    let follow = f64::from(v.prompt_tokens) * TOKEN_MS / ANSWER_MS;
+    let reading = f64::from(v.reading) * TOKEN_MS;
+    reading + queue + f64::from(v.running) * (RUNNING_MS + follow * OTHER_READ_MS)
 }
 
 fn common_cost(v: &View) -> f64 {
--- a/crates/larkspring-core/src/fleet/mod.rs
+++ b/crates/larkspring-core/src/fleet/mod.rs
@@ -3,13 +3,15 @@
 //! 1. [`routes`]: which declared route a request takes, and to which service.
 //! 2. [`members`]: which endpoints a service has now.
 //! 3. [`demand`]: how often each adapter is asked for here.
-//! 4. [`choose`]: which endpoint is sent the request.
-//! 5. [`quality`]: what an endpoint's answers say about it.
-//! 6. [`attempt`]: what follows from the way an attempt ended.
-//! 7. [`versions`]: which version of an adapter a request gets.
+//! 4. [`copies`]: which adapters an engine held lately.
+//! 5. [`choose`]: which endpoint is sent the request.
+//! 6. [`quality`]: what an endpoint's answers say about it.
+//! 7. [`attempt`]: what follows from the way an attempt ended.
+//! 8. [`versions`]: which version of an adapter a request gets.
 
 pub mod attempt;
 pub mod choose;
+pub mod copies;
 pub mod demand;
 pub mod members;
 pub mod quality;
--- a/crates/larkspring-core/tests/fleet_choose.rs
+++ b/crates/larkspring-core/tests/fleet_choose.rs
@@ -5,6 +5,7 @@
 use larkspring_core::fleet::choose::{
     copy_pays, for_adapter, for_any, ranked, Holding, View,
 };
+use larkspring_core::fleet::copies::Copies;
 use larkspring_core::fleet::demand::Demand;
 use larkspring_core::fleet::quality::Quality;
 use larkspring_core::ids::Incarnation;
@@ -19,10 +20,12 @@
     can_load: true,
     filling: false,
     prompt_tokens: 100,
+    reading: 0,
     quality: Duration::ZERO,
     avoided: false,
 };
 const FAR: View = View { same_hall: false, ..VIEW };
+const COPIED: View = View { holding: Holding::Copied, ..VIEW };
 const ABSENT: View = View { holding: Holding::Absent, ..VIEW };
 
 struct Case {
@@ -92,6 +95,52 @@
             views: vec![View { avoided: true, ..VIEW }, ABSENT],
             chosen: Some(1),
         },
+        Case {
+            name: "a copy on the VM before a fetch at the home",
+            views: vec![ABSENT, COPIED],
+            chosen: Some(1),
+        },
+        Case {
+            name: "a holder before a copy on the VM",
+            views: vec![COPIED, FAR],
+            chosen: Some(1),
+        },
+        Case {
+            name: "a copy on the VM before a holder that is busy",
+            views: vec![View { running: 40, ..VIEW }, COPIED],
+            chosen: Some(1),
+        },
+        Case {
+            name: "a busy holder before a fetch, for a short prompt",
+            views: vec![View { running: 7, reading: 14_000, ..VIEW }, ABSENT],
+            chosen: Some(0),
+        },
+        Case {
+            name: "a fetch before a busy holder, for a long prompt",
+            views: vec![
+                View { running: 7, reading: 14_000, prompt_tokens: 9000, ..VIEW },
+                View { prompt_tokens: 9000, ..ABSENT },
+            ],
+            chosen: Some(1),
+        },
+        Case {
+            name: "not behind a long prompt",
+            views: vec![View { reading: 9000, ..VIEW }, FAR],
+            chosen: Some(1),
+        },
+        Case {
+            name: "a long prompt goes where little runs",
+            views: vec![
+                View { running: 6, prompt_tokens: 9000, ..VIEW },
+                View { running: 1, prompt_tokens: 9000, ..FAR },
+            ],
+            chosen: Some(1),
+        },
+        Case {
+            name: "a short prompt stays near",
+            views: vec![View { running: 6, ..VIEW }, View { running: 1, ..FAR }],
+            chosen: Some(0),
+        },
         Case {
             name: "the one that has read the prompt",
             views: vec![
@@ -155,6 +204,22 @@
     assert!((20..100).contains(&moved), "{moved} of 1000 moved");
 }
 
+#[test]
+fn the_latest_copies_are_remembered() {
+    let mut copies = Copies::default();
+    for target in 0..100 {
+        copies.leave(target);
+    }
+    copies.leave(40);
+    let known = |copies: &Copies| (0..100).filter(|t| copies.contains(*t)).count();
+    assert_eq!(known(&copies), 64, "an adapter that left twice is remembered once");
+    assert!(copies.contains(40) && copies.contains(99) && !copies.contains(35));
+    copies.leave(200);
+    assert!(copies.contains(200) && !copies.contains(36), "the oldest makes room");
+    copies.clear();
+    assert_eq!(known(&copies), 0);
+}
+
 #[test]
 fn failures_cost_and_are_forgotten() {
     let start = Instant::now();
--- a/crates/larkspring/src/direct/agent/orders.rs
+++ b/crates/larkspring/src/direct/agent/orders.rs
@@ -49,6 +49,8 @@
         let engine = &self.engine;
         let command = match self.todo.front() {
             _ if self.report_at <= now => Command::Report,
+            // An engine that does not even report is not given orders in a row.
+            _ if engine.failures > 0 => return,
             Some(Change::Load(_) | Change::Unload(_)) if engine.named.is_none() => {
                 if engine.ask_name_at.is_some_and(|at| at > now) {
                     return;
@@ -71,6 +73,7 @@
     }
 
     pub(super) fn reported(&mut self, now: Instant, report: Report) {
+        self.stats.report(true);
         let run = self.run_of(&report);
         if self.engine.failures >= MAX_FAILURES {
             logs::dependency("engine", true, "");
@@ -122,6 +125,7 @@
     }
 
     pub(super) fn no_report(&mut self, now: Instant, cause: &str) {
+        self.stats.report(false);
         self.engine.failures += 1;
         if self.engine.failures == MAX_FAILURES {
             logs::dependency("engine", false, cause);
--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -112,6 +112,8 @@
         placed: &Placed,
         peer: &Arc<Peer>,
     ) -> Result<(Response<Incoming>, Conn), SendError> {
+        placed.open.has_read();
+        placed.open.reads(placed.why.unread_tokens);
         let endpoint = peer.endpoint();
         let Some(body) = self.send_body() else {
             let cause = "the body was sent and is not kept".into();
@@ -174,6 +176,7 @@
         placed: Placed,
         peer: &Arc<Peer>,
     ) -> Ended {
+        placed.open.has_read();
         let (head, body) = res.into_parts();
         let said = self.entry.protocol.answer(&head.headers, &self.caller.id);
         let endpoint = peer.endpoint();
--- a/crates/larkspring/src/direct/entry/job.rs
+++ b/crates/larkspring/src/direct/entry/job.rs
@@ -431,6 +431,9 @@
             same_hall = why.map(|w| w.same_hall),
             holding = why.map(|w| w.holding),
             running = why.map(|w| w.running),
+            loads_ahead = why.map(|w| w.loads_ahead),
+            prompt_tokens = job.caller.model.as_ref().map(|m| m.prompt_tokens),
+            unread_tokens = why.map(|w| w.unread_tokens),
             chosen_of = why.map(|w| w.of),
         );
     }
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -7,6 +7,7 @@
 
 use event_listener::Event;
 use larkspring_core::fleet::choose::Holding;
+use larkspring_core::fleet::copies::Copies;
 use larkspring_core::fleet::routes::Routing;
 use larkspring_core::ids::{HallId, ServiceId, Target, TargetHash, VmId};
 use larkspring_proto::residency::from_agent::Kind as FromAgentKind;
@@ -45,6 +46,7 @@
     state: wire::State,
     resident: HashSet<TargetHash>,
     loading: HashSet<TargetHash>,
+    copies: Copies,
     /// Granted holds of this entry when the agent said so.
     mine_then: u32,
 }
@@ -235,6 +237,8 @@
             Holding::Resident
         } else if known.loading.contains(&target) {
             Holding::Loading
+        } else if known.copies.contains(target) {
+            Holding::Copied
         } else {
             Holding::Absent
         })
@@ -363,12 +367,18 @@
 impl Known {
     /// Takes in what changed.
     fn apply(&mut self, state: &wire::State) {
+        if state.engagement() == Engagement::Filling {
+            // The copies went with the run that made them.
+            self.copies.clear();
+        }
         if state.whole {
             self.resident.clear();
             self.loading.clear();
         }
         for hash in state.loading.iter().chain(&state.gone) {
-            self.resident.remove(hash);
+            if self.resident.remove(hash) {
+                self.copies.leave(*hash);
+            }
         }
         for hash in state.resident.iter().chain(&state.gone) {
             self.loading.remove(hash);
--- a/crates/larkspring/src/direct/entry/peer.rs
+++ b/crates/larkspring/src/direct/entry/peer.rs
@@ -23,6 +23,8 @@
     pub link: Option<Arc<Link>>,
     rested: Mutex<Vec<Conn>>,
     open: AtomicU32,
+    /// Prompt tokens that it is reading for this entry.
+    reading: AtomicU32,
     /// Until when it counts as gone, as another run answered at its address.
     gone_until: Mutex<Option<Instant>>,
     quality: Mutex<Quality>,
@@ -34,6 +36,8 @@
 /// Counts a request at an endpoint until dropped.
 pub(super) struct Open {
     pub peer: Arc<Peer>,
+    /// Prompt tokens of the request that count as being read.
+    reading: AtomicU32,
 }
 
 /// Parts of prompts that the endpoint has read for this entry, the latest last.
@@ -66,6 +70,7 @@
             link,
             rested: Mutex::default(),
             open: AtomicU32::new(0),
+            reading: AtomicU32::new(0),
             gone_until: Mutex::default(),
             quality: Mutex::new(Quality::new(Instant::now())),
             read: Mutex::default(),
@@ -102,7 +107,12 @@
     /// Counts a request in.
     pub fn enter(self: &Arc<Self>) -> Open {
         self.open.fetch_add(1, Ordering::Relaxed);
-        Open { peer: self.clone() }
+        Open { peer: self.clone(), reading: AtomicU32::new(0) }
+    }
+
+    /// Prompt tokens that it is reading for this entry.
+    pub fn reading(&self) -> u32 {
+        self.reading.load(Ordering::Relaxed)
     }
 
     /// Reads or changes what its answers say about it.
@@ -181,8 +191,23 @@
     }
 }
 
+impl Open {
+    /// Counts the tokens of the prompt in, until the answer begins.
+    pub fn reads(&self, tokens: u32) {
+        self.reading.fetch_add(tokens, Ordering::Relaxed);
+        self.peer.reading.fetch_add(tokens, Ordering::Relaxed);
+    }
+
+    /// Records that the prompt is read.
+    pub fn has_read(&self) {
+        let tokens = self.reading.swap(0, Ordering::Relaxed);
+        self.peer.reading.fetch_sub(tokens, Ordering::Relaxed);
+    }
+}
+
 impl Drop for Open {
     fn drop(&mut self) {
+        self.has_read();
         self.peer.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/larkspring/src/direct/entry/place.rs
+++ b/crates/larkspring/src/direct/entry/place.rs
@@ -245,7 +245,8 @@
             Placement::Least => least_running(&views)?,
         };
         let (_, in_hall) = self.entry.fleet.entries();
-        let here = views.iter().any(|v| v.same_hall && v.holding != Holding::Absent);
+        let held = |v: &View| matches!(v.holding, Holding::Resident | Holding::Loading);
+        let here = views.iter().any(|v| v.same_hall && held(v));
         if resident && !here && copy_pays(rate * f64::from(in_hall)) {
             self.copy_here(&peers, &views, &target);
         }
@@ -293,7 +294,8 @@
         let fit = |v: &View| {
             v.same_hall && v.can_load && v.free_places > 0 && v.loads_ahead == 0
         };
-        let at = views.iter().position(fit);
+        let copied = |v: &View| v.holding == Holding::Copied && fit(v);
+        let at = views.iter().position(copied).or_else(|| views.iter().position(fit));
         self.copy(at.map(|at| &peers[at]), target);
     }
 
--- a/crates/larkspring/src/direct/entry/view.rs
+++ b/crates/larkspring/src/direct/entry/view.rs
@@ -26,6 +26,7 @@
             can_load: false,
             filling: false,
             prompt_tokens: 0,
+            reading: peer.reading(),
             quality: peer.quality(|q| q.cost(now)),
             avoided: peer.quality(|q| q.avoided(now)),
         }
@@ -79,6 +80,8 @@
     pub running: u32,
     /// Loads known to be ahead there.
     pub loads_ahead: u32,
+    /// Tokens of the prompt that it had probably not read before.
+    pub unread_tokens: u32,
     /// Endpoints that could be chosen from.
     pub of: usize,
 }
@@ -93,6 +96,7 @@
             holding: holding_name(Some(view.holding)),
             running: view.running,
             loads_ahead: view.loads_ahead,
+            unread_tokens: view.prompt_tokens,
             of: views.len(),
         }
     }
@@ -103,6 +107,7 @@
     match holding {
         Some(Holding::Resident) => "resident",
         Some(Holding::Loading) => "loading",
+        Some(Holding::Copied) => "copied",
         Some(Holding::Absent) | None => "absent",
     }
 }
--- a/crates/larkspring/src/direct/stats.rs
+++ b/crates/larkspring/src/direct/stats.rs
@@ -20,6 +20,7 @@
     connections: IntCounterVec,
     holds: IntCounterVec,
     orders: IntCounterVec,
+    reports: IntCounterVec,
     store_calls: IntCounterVec,
     left_out: IntGaugeVec,
     state: IntGaugeVec,
@@ -87,6 +88,11 @@
                 "Orders to the engine by kind and answer.",
                 &["order", "answer"],
             ),
+            reports: counter(
+                "larkspring_reports_total",
+                "Reports asked of the engine by whether they came.",
+                &["outcome"],
+            ),
             store_calls: counter(
                 "larkspring_store_calls_total",
                 "Calls to the platform's store by kind and outcome.",
@@ -141,10 +147,14 @@
         self.orders.with_label_values(&[order, answer]).inc();
     }
 
+    /// Counts a report that was asked of the engine.
+    pub fn report(&self, came: bool) {
+        self.reports.with_label_values(&[outcome(came)]).inc();
+    }
+
     /// Counts a call to the store.
     pub fn store_call(&self, kind: &str, ok: bool) {
-        let outcome = if ok { "ok" } else { "failed" };
-        self.store_calls.with_label_values(&[kind, outcome]).inc();
+        self.store_calls.with_label_values(&[kind, outcome(ok)]).inc();
     }
 
     /// Sets a figure of the present state.
@@ -167,6 +177,13 @@
     }
 }
 
+fn outcome(ok: bool) -> &'static str {
+    match ok {
+        true => "ok",
+        false => "failed",
+    }
+}
+
 /// Registers a figure. Names and labels are constants, so a fault shows at the first start.
 fn register<T>(registry: &Registry, made: prometheus::Result<T>) -> T
 where
