Agents tell what is still to be read; pass over engines without their base model

Cause, prompts: an entry knew only its own prompts at an engine. With 25 or 28 entries that is a twenty-fifth of them, so long prompts met on one engine. Change: a hold names the unread tokens of its request; the agent keeps an estimate of what is left (the engines read 38.7 tokens in a millisecond) and tells it, at once where 4,000 tokens came in. A 421 led back to the same endpoint though no adapter was named, and an engine whose agent was not heard yet was taken to be filled.

--- a/crates/larkspring-cli/src/args.rs
+++ b/crates/larkspring-cli/src/args.rs
@@ -5,6 +5,7 @@
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
+use larkspring_core::fleet::choose::Placement;
 
 /// A serving layer for very many LoRA adapters.
 ///
@@ -25,9 +26,9 @@
     /// Run the process beside one endpoint.
     Agent(ProcessArgs),
     /// Run, on the users' platform, the process that callers reach.
-    PlatformEntry,
+    PlatformEntry(PlatformEntryArgs),
     /// Run, on the users' platform, the process beside one model engine.
-    PlatformAgent,
+    PlatformAgent(PlatformArgs),
     /// Print what log lines tell of one request, in order, with the beliefs behind it.
     Explain(ExplainArgs),
     /// Check settings and declarations without changing anything.
@@ -67,6 +68,49 @@
     pub settings: PathBuf,
 }
 
+/// Arguments of a process on the users' platform, whose settings come from there.
+#[derive(Debug, Args)]
+pub struct PlatformArgs {
+    /// Least important log lines that are written.
+    #[arg(long, value_name = "LEVEL", default_value = "info")]
+    pub log_level: tracing::Level,
+}
+
+/// Arguments of an entry on the users' platform.
+#[derive(Debug, Args)]
+pub struct PlatformEntryArgs {
+    /// What every process takes.
+    #[command(flatten)]
+    pub process: PlatformArgs,
+    /// How requests are placed; all but the first are baselines for measurements.
+    #[arg(long, value_enum, default_value_t = PlacementArg::Cost)]
+    pub placement: PlacementArg,
+}
+
+/// A way to place requests.
+#[derive(Debug, Clone, Copy, ValueEnum)]
+pub enum PlacementArg {
+    /// By the least cost.
+    Cost,
+    /// Any endpoint.
+    Random,
+    /// The endpoint with the fewest requests.
+    Least,
+    /// The home of the adapter, whatever its load.
+    Home,
+}
+
+impl From<PlacementArg> for Placement {
+    fn from(arg: PlacementArg) -> Self {
+        match arg {
+            PlacementArg::Cost => Self::Cost,
+            PlacementArg::Random => Self::Random,
+            PlacementArg::Least => Self::Least,
+            PlacementArg::Home => Self::Home,
+        }
+    }
+}
+
 /// Arguments of `explain`.
 #[derive(Debug, Args)]
 pub struct ExplainArgs {
--- a/crates/larkspring-cli/src/main.rs
+++ b/crates/larkspring-cli/src/main.rs
@@ -39,8 +39,8 @@
     match cli.command {
         Command::Entry(args) => process::entry(&args),
         Command::Agent(args) => process::agent(&args),
-        Command::PlatformEntry => platform::entry(),
-        Command::PlatformAgent => platform::agent(),
+        Command::PlatformEntry(args) => platform::entry(&args),
+        Command::PlatformAgent(args) => platform::agent(&args),
         Command::Explain(args) => explain::run(&args),
         Command::Check(args) => operate::check(&args),
         Command::Plan(args) => operate::plan(&args),
--- a/crates/larkspring-cli/src/platform.rs
+++ b/crates/larkspring-cli/src/platform.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use larkspring::direct::agent::Agent;
+use larkspring::direct::cfg::EntryCfg;
 use larkspring::direct::entry::Entry;
 use larkspring::exec::{self, within};
 use larkspring::stop::{Asked, Requests};
@@ -12,6 +13,7 @@
 use larkspring_platform::settings::{Settings, SettingsError};
 use larkspring_platform::store::Store;
 
+use crate::args::{PlatformArgs, PlatformEntryArgs};
 use crate::AnyError;
 
 /// Threads of a process: each has a fifth of a core.
@@ -23,16 +25,21 @@
 const LOOK_EVERY: Duration = Duration::from_secs(5);
 
 /// Runs an entry until asked to stop.
-pub fn entry() -> Result<(), AnyError> {
+pub fn entry(args: &PlatformEntryArgs) -> Result<(), AnyError> {
     let settings = Settings::load()?;
-    let cfg = settings.entry()?;
-    let _log = start_log(cfg.process.log_level, false, LogTo::Stdout);
+    let placement = args.placement.into();
+    let cfg_of = |settings: &Settings| {
+        let cfg = settings.entry()?;
+        Ok::<_, SettingsError>(EntryCfg { placement, ..cfg })
+    };
+    let cfg = cfg_of(&settings)?;
+    let _log = start_log(args.process.log_level, false, LogTo::Stdout);
     let store = Arc::new(Store::new(settings.store(), STORE_TIMEOUT));
     exec::run(THREADS, async {
         let requests = Requests::new()?;
         let entry = Entry::start(cfg, Arc::new(Wire), store).await?;
         let reload = |settings: &Settings| {
-            entry.reload(settings.entry()?);
+            entry.reload(cfg_of(settings)?);
             Ok(())
         };
         until_stopped(requests, settings, reload).await;
@@ -42,10 +49,10 @@
 }
 
 /// Runs an agent until asked to stop.
-pub fn agent() -> Result<(), AnyError> {
+pub fn agent(args: &PlatformArgs) -> Result<(), AnyError> {
     let settings = Settings::load()?;
     let cfg = settings.agent()?;
-    let _log = start_log(cfg.process.log_level, false, LogTo::Stdout);
+    let _log = start_log(args.log_level, false, LogTo::Stdout);
     exec::run(THREADS, async {
         let requests = Requests::new()?;
         let agent = Agent::start(cfg, Arc::new(Wire)).await?;
--- a/crates/larkspring-cli/tests/common/mod.rs
+++ b/crates/larkspring-cli/tests/common/mod.rs
@@ -369,6 +369,11 @@
         line.split_whitespace().nth(1).unwrap().parse().unwrap()
     }
 
+    /// Processor time that the process has used.
+    pub fn cpu_time(&self) -> Duration {
+        cpu_time(self.child.id())
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.child.id() as i32).unwrap();
         kill_process(pid, signal).unwrap();
@@ -401,6 +406,15 @@
 
 const OWN_PORT: u16 = 7000;
 
+/// Processor time that a process has used, in steps of 10 ms as the kernel tells it.
+pub fn cpu_time(pid: u32) -> Duration {
+    const TICK: Duration = Duration::from_millis(10);
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap();
+    let fields: Vec<_> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
+    let ticks = |at: usize| fields[at].parse::<u32>().unwrap();
+    TICK * (ticks(11) + ticks(12))
+}
+
 /// Runs a command of the program to its end.
 pub fn run(args: &[&str]) -> std::process::Output {
     Command::new(env!("CARGO_BIN_EXE_larkspring")).args(args).output().unwrap()
--- a/crates/larkspring-cli/tests/common/site.rs
+++ b/crates/larkspring-cli/tests/common/site.rs
@@ -47,18 +47,27 @@
     pub engines: usize,
     pub grace_s: u32,
     pub timeout_ms: u64,
+    /// Least important log lines that are written.
+    pub log_level: &'static str,
 }
 
 impl Default for Shape {
     fn default() -> Self {
-        Self { entries: 1, apps: 1, engines: 1, grace_s: 8, timeout_ms: TIMEOUT_MS }
+        Self {
+            entries: 1,
+            apps: 1,
+            engines: 1,
+            grace_s: 8,
+            timeout_ms: TIMEOUT_MS,
+            log_level: "info",
+        }
     }
 }
 
 /// One process on an IP number of its own.
 pub struct Process {
     child: Child,
-    role: &'static str,
+    args: [&'static str; 3],
     /// Name of its settings file and log, without the ending.
     pub name: String,
     pub ip: String,
@@ -184,8 +193,9 @@
         };
         let dir = self.dir.path().to_owned();
         std::fs::write(dir.join(format!("{name}.yaml")), node.yaml()).unwrap();
-        let child = spawn(role, &dir, name, 0);
-        Process { child, role, name: name.into(), ip, dir, lives: 1 }
+        let args = [role, "--log-level", self.shape.log_level];
+        let child = spawn(&args, &dir, name, 0);
+        Process { child, args, name: name.into(), ip, dir, lives: 1 }
     }
 }
 
@@ -193,7 +203,7 @@
     /// Kills the process and starts it again at its old address.
     pub fn restart(&mut self) {
         self.kill();
-        self.child = spawn(self.role, &self.dir, &self.name, self.lives);
+        self.child = spawn(&self.args, &self.dir, &self.name, self.lives);
         self.lives += 1;
     }
 
@@ -213,6 +223,11 @@
         self.signal(Signal::HUP);
     }
 
+    /// Processor time that the process has used.
+    pub fn cpu_time(&self) -> Duration {
+        super::cpu_time(self.child.id())
+    }
+
     /// Pauses the process.
     pub fn freeze(&self) {
         self.signal(Signal::STOP);
@@ -265,10 +280,10 @@
     }
 }
 
-fn spawn(role: &str, dir: &std::path::Path, name: &str, life: usize) -> Child {
+fn spawn(args: &[&str], dir: &std::path::Path, name: &str, life: usize) -> Child {
     let log = File::create(dir.join(format!("{name}.{life}.log"))).unwrap();
     Command::new(env!("CARGO_BIN_EXE_larkspring"))
-        .arg(role)
+        .args(args)
         .env(SETTINGS, dir.join(format!("{name}.yaml")))
         .stdout(log)
         .stderr(Stdio::null())
--- a/crates/larkspring-core/src/fleet/choose.rs
+++ b/crates/larkspring-core/src/fleet/choose.rs
@@ -8,6 +8,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::reading::TOKENS_PER_MS;
 use crate::ids::{Incarnation, TargetHash};
 
 /// What an entry knows of one endpoint when it places a request.
@@ -31,7 +32,7 @@
     pub filling: bool,
     /// Tokens of the prompt that would have to be read.
     pub prompt_tokens: u32,
-    /// Tokens of other prompts that it is reading for this entry.
+    /// Tokens of other prompts that it has still to read, as far as known.
     pub reading: u32,
     /// What its recent failures cost.
     pub quality: Duration,
@@ -97,8 +98,8 @@
 const OTHER_READ_MS: f64 = 15.0;
 /// A typical answer of a model engine; a full batch frees places at this pace.
 const ANSWER_MS: f64 = 450.0;
-/// Time to read a token of a prompt (the engines read about 39 in a millisecond).
-const TOKEN_MS: f64 = 1.0 / 39.0;
+/// Time to read a token of a prompt.
+const TOKEN_MS: f64 = 1.0 / TOKENS_PER_MS;
 /// Cost of an endpoint that no connection came up to: only taken if all are like it.
 const AVOIDED_MS: f64 = 10_000.0;
 /// Ranks that are told apart; far ones are alike.
--- a/crates/larkspring-core/src/fleet/mod.rs
+++ b/crates/larkspring-core/src/fleet/mod.rs
@@ -4,10 +4,11 @@
 //! 2. [`members`]: which endpoints a service has now.
 //! 3. [`demand`]: how often each adapter is asked for here.
 //! 4. [`copies`]: which adapters an engine held lately.
-//! 5. [`choose`]: which endpoint is sent the request.
-//! 6. [`quality`]: what an endpoint's answers say about it.
-//! 7. [`attempt`]: what follows from the way an attempt ended.
-//! 8. [`versions`]: which version of an adapter a request gets.
+//! 5. [`reading`]: how much of the prompts at an engine is still to be read.
+//! 6. [`choose`]: which endpoint is sent the request.
+//! 7. [`quality`]: what an endpoint's answers say about it.
+//! 8. [`attempt`]: what follows from the way an attempt ended.
+//! 9. [`versions`]: which version of an adapter a request gets.
 
 pub mod attempt;
 pub mod choose;
@@ -15,5 +16,6 @@
 pub mod demand;
 pub mod members;
 pub mod quality;
+pub mod reading;
 pub mod routes;
 pub mod versions;
--- /dev/null
+++ b/crates/larkspring-core/tests/fleet_reading.rs
@@ -0,0 +1,48 @@
+//! What is still to be read at an engine.
+
+use std::time::{Duration, Instant};
+
+use larkspring_core::fleet::reading::Unread;
+
+struct Case {
+    name: &'static str,
+    /// Prompts, each with the milliseconds since the start at which it is sent.
+    sent: &'static [(u64, u32)],
+    /// When it is asked, and what is left then, to within a token.
+    at: u64,
+    left: u32,
+}
+
+#[test]
+fn prompts_are_read_at_the_engines_pace() {
+    let cases = [
+        Case { name: "nothing", sent: &[], at: 5, left: 0 },
+        Case { name: "just sent", sent: &[(0, 3870)], at: 0, left: 3870 },
+        Case { name: "half read", sent: &[(0, 3870)], at: 50, left: 1935 },
+        Case { name: "read", sent: &[(0, 3870)], at: 101, left: 0 },
+        Case {
+            name: "one behind the other",
+            sent: &[(0, 3870), (50, 387)],
+            at: 60,
+            left: 1935,
+        },
+        Case {
+            name: "idle time is not saved up",
+            sent: &[(0, 387), (500, 387)],
+            at: 500,
+            left: 387,
+        },
+    ];
+    let start = Instant::now();
+    let after = |ms| start + Duration::from_millis(ms);
+    for c in cases {
+        let mut unread = Unread::new(start, 0);
+        for (at, tokens) in c.sent {
+            unread.add(after(*at), *tokens);
+        }
+        let left = unread.at(after(c.at));
+        assert!(left.abs_diff(c.left) <= 1, "{}: {left}", c.name);
+    }
+    let told = Unread::new(after(100), 3870);
+    assert_eq!(told.at(start), 3870, "a clock that a task read earlier changes nothing");
+}
--- a/crates/larkspring-proto/src/gen/larkspring.residency.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.residency.rs
@@ -48,6 +48,9 @@
     /// Request that it is for, for logs; empty for a copy made ahead of requests.
     #[prost(string, tag = "7")]
     pub request: ::prost::alloc::string::String,
+    /// Tokens of its prompt that the engine has probably not read before.
+    #[prost(uint32, tag = "8")]
+    pub unread_tokens: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Release {
@@ -130,6 +133,9 @@
     pub loading: ::prost::alloc::vec::Vec<u64>,
     #[prost(fixed64, repeated, tag = "10")]
     pub gone: ::prost::alloc::vec::Vec<u64>,
+    /// Prompt tokens of the held requests that are probably not read yet.
+    #[prost(uint32, tag = "11")]
+    pub unread_tokens: u32,
 }
 /// What an engine can be asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
--- a/crates/larkspring/src/direct/agent/keeper.rs
+++ b/crates/larkspring/src/direct/agent/keeper.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::future;
+use larkspring_core::fleet::reading::Unread;
 use larkspring_core::ids::{AttemptId, Target};
 use larkspring_core::outcome::Refusal;
 use larkspring_core::slots::{Action, Eviction, Limits, LoadOrder, Slots, Waiting};
@@ -43,6 +44,8 @@
     pub(super) entries: HashMap<EntryNumber, Follower>,
     holds: HashMap<(EntryNumber, u64), AttemptId>,
     asked_by: HashMap<AttemptId, (EntryNumber, u64)>,
+    /// Unread prompt tokens of the requests that wait.
+    prompts: HashMap<AttemptId, u32>,
     next_attempt: AttemptId,
     /// What the engine may hold, by the highest version of the routing that was told.
     pub(super) declared: wire::Engine,
@@ -53,6 +56,8 @@
     pub(super) driving: bool,
     pub(super) report_at: Instant,
     pub(super) told: Told,
+    /// Prompt tokens of the granted requests that are still to be read.
+    pub(super) unread: Unread,
     /// Requests that ran before this agent's life, with adapters not reported yet.
     pub(super) in_use: Vec<(AttemptId, Target)>,
 }
@@ -104,7 +109,14 @@
             todo: VecDeque::new(),
             driving: false,
             report_at: now,
-            told: Told { news: News::default(), at: now, due: false },
+            told: Told {
+                news: News::default(),
+                at: now,
+                due: false,
+                unread: Unread::new(now, 0),
+            },
+            unread: Unread::new(now, 0),
+            prompts: HashMap::new(),
             in_use: Vec::new(),
         }
     }
@@ -203,6 +215,7 @@
             since: now,
             deadline: now + Duration::from_millis(hold.wait_ms),
         };
+        self.prompts.insert(id, hold.unread_tokens);
         if let Err(refusal) = self.slots.admit(now, id, req) {
             self.refuse(id, &refusal, &hold.request);
         }
@@ -211,6 +224,7 @@
     fn release(&mut self, now: Instant, key: (EntryNumber, u64)) {
         let Some(id) = self.holds.remove(&key) else { return };
         self.asked_by.remove(&id);
+        self.prompts.remove(&id);
         self.in_use.retain(|(waiting, _)| *waiting != id);
         if !self.slots.abandon(id) {
             self.slots.ended(now, id);
@@ -233,7 +247,7 @@
     fn schedule(&mut self, now: Instant) {
         for action in self.slots.schedule(now) {
             match action {
-                Action::Start(id) => self.grant(id),
+                Action::Start(id) => self.grant(now, id),
                 Action::Refuse(id, refusal) => self.refuse(id, &refusal, ""),
                 Action::Load(target) => self.todo.push_back(Change::Load(target)),
                 Action::Unload(target) => self.todo.push_front(Change::Unload(target)),
@@ -241,12 +255,15 @@
         }
     }
 
-    fn grant(&mut self, id: AttemptId) {
+    fn grant(&mut self, now: Instant, id: AttemptId) {
+        let tokens = self.prompts.remove(&id).unwrap_or_default();
+        self.unread.add(now, tokens);
         let Some((number, hold)) = self.asked_by.get(&id).copied() else { return };
         self.say(number, Say::Granted(wire::Granted { id: hold }));
     }
 
     fn refuse(&mut self, id: AttemptId, refusal: &Refusal, request: &str) {
+        self.prompts.remove(&id);
         let Some(key) = self.asked_by.remove(&id) else { return };
         self.holds.remove(&key);
         let retry_after = refusal.retry_after.unwrap_or_default();
--- a/crates/larkspring/src/direct/agent/tell.rs
+++ b/crates/larkspring/src/direct/agent/tell.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
+use larkspring_core::fleet::reading::Unread;
 use larkspring_core::ids::{Target, TargetHash};
 use larkspring_proto::residency::from_agent::Kind as Say;
 use larkspring_proto::residency::{self as wire, Engagement};
@@ -15,6 +16,8 @@
     pub(super) at: Instant,
     /// Whether there is news that was not told yet.
     pub(super) due: bool,
+    /// What they believe is still to be read.
+    pub(super) unread: Unread,
 }
 
 /// The part of the state that entries are told at once; the rest changes with every
@@ -32,19 +35,24 @@
 /// Least time between two tellings: each goes to every entry, and bytes between halls are
 /// charged.
 pub(super) const TELL_PAUSE: Duration = Duration::from_millis(40);
+/// Unread prompt tokens that entries do not know of and are told at once: they take a
+/// tenth of a second to read, and the entries would send other prompts behind them.
+const LONG_PROMPT: u32 = 4000;
 
 impl Keeper {
     /// Tells the entries the state, if it changed or now and then.
     pub(super) fn tell(&mut self, now: Instant) {
         let news = self.news();
         let since = now.saturating_duration_since(self.told.at);
-        self.told.due = self.told.news != news;
+        let more = self.unread.at(now).saturating_sub(self.told.unread.at(now));
+        self.told.due = self.told.news != news || more >= LONG_PROMPT;
         let pause = if self.told.due { TELL_PAUSE } else { TELL_EVERY };
         if since < pause {
             return;
         }
-        let changes = self.state(&news, &self.told.news);
-        let whole = wire::State { whole: true, ..self.state(&news, &News::default()) };
+        let changes = self.state(now, &news, &self.told.news);
+        let all = self.state(now, &news, &News::default());
+        let whole = wire::State { whole: true, ..all };
         let mut halls: HashMap<String, u32> = HashMap::new();
         for entry in self.entries.values() {
             *halls.entry(entry.hall.clone()).or_default() += 1;
@@ -57,7 +65,7 @@
             let entries_in_hall = halls[&entry.hall];
             self.say(number, Say::State(wire::State { entries_in_hall, ..state }));
         }
-        self.told = Told { news, at: now, due: false };
+        self.told = Told { news, at: now, due: false, unread: self.unread };
     }
 
     fn news(&self) -> News {
@@ -79,7 +87,7 @@
     }
 
     /// The state as it differs from what was told.
-    fn state(&self, news: &News, told: &News) -> wire::State {
+    fn state(&self, now: Instant, news: &News, told: &News) -> wire::State {
         let held = |of: &News, hash: &TargetHash| {
             of.resident.contains(hash) || of.loading.contains(hash)
         };
@@ -94,6 +102,7 @@
             whole: false,
             resident: news.resident.difference(&told.resident).copied().collect(),
             loading: news.loading.difference(&told.loading).copied().collect(),
+            unread_tokens: self.unread.at(now),
             gone: before.filter(|hash| !held(news, hash)).copied().collect(),
         }
     }
--- a/crates/larkspring/src/direct/cfg.rs
+++ b/crates/larkspring/src/direct/cfg.rs
@@ -26,8 +26,6 @@
     pub stop_grace: Duration,
     /// Time within which a leaving endpoint has to be passed over.
     pub drain: Duration,
-    /// Lowest level of the log lines.
-    pub log_level: tracing::Level,
 }
 
 /// Settings of an entry.
--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -192,8 +192,13 @@
             if end == AttemptEnd::Moved {
                 peer.is_gone();
             }
-            if let (Some(link), Some(target)) = (&peer.link, &placed.target) {
-                link.lacks(target.hash());
+            match (&peer.link, &placed.target) {
+                (Some(link), Some(target)) => link.lacks(target.hash()),
+                // Without its base model it can't run anything for a while.
+                _ if end == AttemptEnd::Lacking => {
+                    peer.quality(|q| q.no_connection(Instant::now()));
+                }
+                _ => {}
             }
             log_attempt(self, peer, end, "misdirected");
             self.spent(conn, body, peer).await;
--- a/crates/larkspring/src/direct/entry/job.rs
+++ b/crates/larkspring/src/direct/entry/job.rs
@@ -253,7 +253,9 @@
         }
         match end {
             // The same endpoint is asked again, once it holds the adapter.
-            AttemptEnd::Lacking => self.tried.retain(|tried| *tried != id),
+            AttemptEnd::Lacking if self.names_adapter() => {
+                self.tried.retain(|tried| *tried != id)
+            }
             _ if !self.tried.contains(&id) => self.tried.push(id),
             _ => {}
         }
@@ -266,6 +268,11 @@
         step
     }
 
+    /// Whether it has to run on an adapter, and not on the base model alone.
+    fn names_adapter(&self) -> bool {
+        self.caller.model.as_ref().is_some_and(|model| model.adapter.is_some())
+    }
+
     /// Time until the request is given up.
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -8,6 +8,7 @@
 use event_listener::Event;
 use larkspring_core::fleet::choose::Holding;
 use larkspring_core::fleet::copies::Copies;
+use larkspring_core::fleet::reading::Unread;
 use larkspring_core::fleet::routes::Routing;
 use larkspring_core::ids::{HallId, ServiceId, Target, TargetHash, VmId};
 use larkspring_proto::residency::from_agent::Kind as FromAgentKind;
@@ -47,6 +48,7 @@
     resident: HashSet<TargetHash>,
     loading: HashSet<TargetHash>,
     copies: Copies,
+    unread: Option<Unread>,
     /// Granted holds of this entry when the agent said so.
     mine_then: u32,
 }
@@ -70,6 +72,19 @@
     Lost,
 }
 
+/// What an adapter is needed for.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Need<'a> {
+    /// 0 is the most urgent.
+    pub priority: u32,
+    /// How long it is waited for.
+    pub wait: Duration,
+    /// The request; empty for a copy made ahead of requests.
+    pub request: &'a str,
+    /// Tokens of its prompt that are to be read.
+    pub unread_tokens: u32,
+}
+
 /// Keeps an adapter loaded until dropped.
 #[derive(Debug)]
 pub(super) struct Hold {
@@ -90,6 +105,8 @@
     pub running: u32,
     pub free_places: u32,
     pub loads_ahead: u32,
+    /// Prompt tokens that are still to be read, of all entries.
+    pub unread_tokens: u32,
 }
 
 /// Who this entry is.
@@ -137,9 +154,8 @@
         let pool = Pool::new(1, CONNECT);
         loop {
             let end = self.connection(&pool, &who, &engine).await;
-            let was_live = self.lost();
-            if was_live {
-                logs::dependency(&format!("agent {}", self.addr), false, &end);
+            if self.lost() {
+                self.log_lost(&end);
             }
             Timer::after(RECONNECT).await;
         }
@@ -182,31 +198,27 @@
                 Some(Ok(None)) => return "the agent ended the connection".into(),
                 Some(Err(e)) => return status_text(&e),
                 None if self.silent_for() > GIVE_UP => return "silent".into(),
-                None => drop(self.silent()),
+                None if self.silent() => self.log_lost("silent"),
+                None => {}
             }
         }
     }
 
     /// Asks for an adapter to be loaded and kept.
-    pub fn hold(
-        self: &Arc<Self>,
-        target: Target,
-        priority: u32,
-        wait: Duration,
-        request: &str,
-    ) -> Hold {
+    pub fn hold(self: &Arc<Self>, target: Target, need: Need<'_>) -> Hold {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let (waiter, end) = channel::bounded(1);
         let asked = Kind::Hold(wire::Hold {
             id,
             adapter: target.adapter.to_string(),
             version: target.version.to_string(),
-            priority,
-            wait_ms: wait.as_millis() as u64,
+            priority: need.priority,
+            wait_ms: need.wait.as_millis() as u64,
             in_use: false,
-            request: request.into(),
+            request: need.request.into(),
+            unread_tokens: need.unread_tokens,
         });
-        let held = Held { target, priority, waiter: Some(waiter) };
+        let held = Held { target, priority: need.priority, waiter: Some(waiter) };
         self.holds.lock().insert(id, held);
         if !self.say(asked) {
             // The waiter goes with it, so the hold ends as lost.
@@ -226,6 +238,7 @@
             running: held.max(mine),
             free_places: known.state.free_places,
             loads_ahead: known.state.loads_ahead + known.loading.len() as u32,
+            unread_tokens: known.unread.map_or(0, |u| u.at(Instant::now())),
         }
     }
 
@@ -275,6 +288,7 @@
                     self.news.notify(usize::MAX);
                 }
                 known.apply(&state);
+                known.unread = Some(Unread::new(now, state.unread_tokens));
                 known.mine_then = self.granted.load(Ordering::Relaxed);
                 known.state = state;
             }
@@ -336,6 +350,10 @@
         self.silent()
     }
 
+    fn log_lost(&self, cause: &str) {
+        logs::dependency(&format!("agent {}", self.addr), false, cause);
+    }
+
     fn silent_for(&self) -> Duration {
         self.known.lock().heard.map_or(GIVE_UP, |heard| heard.elapsed())
     }
@@ -351,9 +369,8 @@
                     adapter: held.target.adapter.to_string(),
                     version: held.target.version.to_string(),
                     priority: held.priority,
-                    wait_ms: 0,
                     in_use: true,
-                    request: String::new(),
+                    ..wire::Hold::default()
                 }),
             );
         }
--- a/crates/larkspring/src/direct/entry/place.rs
+++ b/crates/larkspring/src/direct/entry/place.rs
@@ -14,7 +14,7 @@
 use super::answer::Reason;
 use super::attempt::Placed;
 use super::job::Job;
-use super::link::HoldEnd;
+use super::link::{HoldEnd, Need};
 use super::peer::Peer;
 use super::view::{holding_name, Why};
 use crate::direct::edge::ModelRequest;
@@ -103,9 +103,11 @@
             view
         };
         let seen = self.open_peers().into_iter().map(|p| (view(&p), p));
-        // One that is still being given its base model would refuse the request.
+        // One that is still being given its base model would refuse the request, and of
+        // one whose agent is not heard yet it is not known.
+        let is_coming = |p: &Peer| p.link.as_ref().is_some_and(|link| link.is_coming());
         let (views, peers): (Vec<_>, Vec<_>) =
-            seen.filter(|(view, _)| !view.filling).unzip();
+            seen.filter(|(view, p)| !view.filling && !is_coming(p)).unzip();
         let chosen = for_any(&views, Duration::ZERO);
         if let Some(at) = chosen {
             peers[at].reads(base, model);
@@ -152,6 +154,7 @@
     ) -> Result<Placed, Option<NotPlaced>> {
         let Choice { peer, target, agent, why } = choice;
         let hash = target.hash();
+        let unread_tokens = why.unread_tokens;
         let open = peer.enter();
         let placed =
             |hold| Placed { open, target: Some(target.clone()), why, _hold: hold };
@@ -165,8 +168,13 @@
         let was = link.holding(hash);
         let resident = was == Some(Holding::Resident);
         let patience = if resident { limit.min(GRANT) } else { limit };
-        let mut hold =
-            link.hold(target.clone(), self.route.priority, limit, &self.caller.id);
+        let need = Need {
+            priority: self.route.priority,
+            wait: limit,
+            request: &self.caller.id,
+            unread_tokens,
+        };
+        let mut hold = link.hold(target.clone(), need);
         let fleet = self.entry.fleet.clone();
         let leaves = async {
             fleet.leaves(&peer).await;
@@ -304,7 +312,13 @@
         let Some(link) = link.filter(|_| self.entry.may_copy(target.hash())) else {
             return;
         };
-        let mut hold = link.hold(target.clone(), COPY_PRIORITY, COPY_WAIT, "");
+        let need = Need {
+            priority: COPY_PRIORITY,
+            wait: COPY_WAIT,
+            request: "",
+            unread_tokens: 0,
+        };
+        let mut hold = link.hold(target.clone(), need);
         let stats = self.entry.stats.clone();
         crate::exec::spawn(async move {
             let end = within(COPY_WAIT, hold.granted()).await;
--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -5,18 +5,21 @@
 
 use std::future::Future;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{ready, Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper::body::{Body, SizeHint};
 use larkspring_core::fleet::attempt::{AttemptEnd, Next};
+use larkspring_core::fleet::routes::Route;
 use smol::Timer;
 
 use super::answer::RelayError;
 use super::attempt::OpenAnswer;
 use super::events::Events;
 use super::job::Job;
+use super::Inner;
 use crate::direct::conn::cause_of;
 use crate::direct::logs::{self, Line};
 
@@ -30,6 +33,15 @@
     events: Option<Events>,
     deadline: Timer,
     sent: u64,
+    pauses: Pauses,
+}
+
+/// The longest time without anything for the caller; counted when the answer is over.
+struct Pauses {
+    entry: Arc<Inner>,
+    route: Arc<Route>,
+    last: Instant,
+    longest: Duration,
 }
 
 /// Where the bytes come from.
@@ -52,6 +64,7 @@
             events,
             deadline: Timer::at(job.deadline),
             sent: 0,
+            pauses: Pauses::new(&job),
             // The body of a request that can't go on elsewhere is not needed any more.
             job: resumable.then(|| Box::new(job)),
         }
@@ -94,6 +107,7 @@
                 Step::Data(data) if data.is_empty() => {}
                 Step::Data(data) => {
                     self.sent += data.len() as u64;
+                    self.pauses.note();
                     return Poll::Ready(Some(Ok(data)));
                 }
                 Step::Again => {}
@@ -180,6 +194,25 @@
     }
 }
 
+impl Pauses {
+    fn new(job: &Job) -> Self {
+        let (entry, route) = (job.entry.clone(), job.route.clone());
+        Self { entry, route, last: Instant::now(), longest: Duration::ZERO }
+    }
+
+    fn note(&mut self) {
+        let now = Instant::now();
+        self.longest = self.longest.max(now.saturating_duration_since(self.last));
+        self.last = now;
+    }
+}
+
+impl Drop for Pauses {
+    fn drop(&mut self) {
+        self.entry.stats.pause(&self.route.name, self.longest);
+    }
+}
+
 enum Step {
     Data(Bytes),
     Again,
--- a/crates/larkspring/src/direct/entry/view.rs
+++ b/crates/larkspring/src/direct/entry/view.rs
@@ -50,6 +50,7 @@
         view.running = view.running.max(known.running);
         view.free_places = known.free_places;
         view.loads_ahead = known.loads_ahead;
+        view.reading = view.reading.max(known.unread_tokens);
         let engaged = known.live.then_some(known.engagement);
         view.filling = engaged == Some(Engagement::Filling);
         view.can_load = view.filling || engaged == Some(Engagement::Serving);
--- a/crates/larkspring/src/direct/stats.rs
+++ b/crates/larkspring/src/direct/stats.rs
@@ -15,6 +15,7 @@
     registry: Registry,
     requests: IntCounterVec,
     first_byte: HistogramVec,
+    pause: HistogramVec,
     wait: HistogramVec,
     attempts: IntCounterVec,
     connections: IntCounterVec,
@@ -63,6 +64,11 @@
                 "Time from a request's head to the head of its answer.",
                 &["route"],
             ),
+            pause: times(
+                "larkspring_pause_seconds",
+                "Longest pause between parts of an answer.",
+                &["route"],
+            ),
             wait: times(
                 "larkspring_adapter_wait_seconds",
                 "Time that requests waited for an adapter to be ready.",
@@ -122,6 +128,11 @@
         self.first_byte.with_label_values(&[route]).observe(took.as_secs_f64());
     }
 
+    /// Records the longest pause within an answer.
+    pub fn pause(&self, route: &str, longest: Duration) {
+        self.pause.with_label_values(&[route]).observe(longest.as_secs_f64());
+    }
+
     /// Records the time that a request waited for its adapter.
     pub fn adapter_wait(&self, source: &str, took: Duration) {
         self.wait.with_label_values(&[source]).observe(took.as_secs_f64());
