Wait for an endpoint as long as it can be answered where a request may have run

Cause: while no endpoint can take a request it waits for a quarter of the objective, so that a caller refused early can come back. A request whose first attempt may have run can't be refused as not run, so that wait ended it for nothing; the second engine's agent was not heard within those 150 ms on the busy machine. Change: such a request waits as long as it can be answered, as one that came back does.

--- a/crates/larkspring/src/direct/entry/job.rs
+++ b/crates/larkspring/src/direct/entry/job.rs
@@ -204,12 +204,14 @@
 
     /// How long it may still wait for an endpoint before it is refused.
     ///
-    /// A caller that is refused early has time to come back. One that came back, or that
-    /// waited for longer already, is served best by waiting as long as it can be answered.
+    /// A caller that is refused early has time to come back. One that came back, that
+    /// waited for longer already, or whose request may have run and so can't be refused,
+    /// is served best by waiting as long as it can be answered.
     pub fn patience(&self) -> Duration {
         let early = self.route.objective.mul_f64(EARLY_PART);
+        let can_come_back = !self.is_back && !self.history.may_have_run;
         match early.checked_sub(self.received.elapsed()) {
-            Some(left) if !self.is_back => left.min(self.left()),
+            Some(left) if can_come_back => left.min(self.left()),
             _ => self.left().saturating_sub(KEPT_FOR_ANSWER),
         }
     }
