Take a request back that may not begin on its version any more

The allowance counts from the sending, the rule from the beginning, and nothing bounded the wait between. Ruled out: the entry's news of the version, which was 40 ms old. Change: a repeatable request whose answer has not begun is taken back once its version may not begin any more (4 s after the naming) and is sent on the newest one; one that must not run twice can't be taken back, so it is never sent on the version before. One case stays open: a request that must not run twice, sent on the newest version just before a newer one is named, that then waits over 4 s at its engine.

--- a/crates/larkspring-core/src/fleet/versions.rs
+++ b/crates/larkspring-core/src/fleet/versions.rs
@@ -24,6 +24,10 @@
 /// How long requests may still get the version before, if the newer one is not loaded
 /// anywhere: half of the five seconds that the platform's operators allow.
 const REPLACE_WITHIN: Duration = Duration::from_millis(2500);
+/// How long a request that was sent on the version before may wait at its engine until it
+/// begins. A second of the five that the operators allow is kept for the time in which the
+/// newer version was learned of and for the way of the cancellation.
+const BEGIN_WITHIN: Duration = Duration::from_millis(4000);
 
 impl Versions {
     /// Records a named version; one that is not newer changes nothing.
@@ -54,6 +58,17 @@
         (age < REPLACE_WITHIN).then(|| before.clone())
     }
 
+    /// Returns until when a request may begin on `version`; `None` if it is the newest.
+    pub fn begin_by(&self, adapter: &AdapterId, version: &VersionId) -> Option<Instant> {
+        let named = self.named.get(adapter)?;
+        let (before, since) = named.before.as_ref()?;
+        match version {
+            v if *v == named.version => None,
+            v if v == before => Some(*since + BEGIN_WITHIN),
+            _ => Some(*since),
+        }
+    }
+
     /// Returns all named versions.
     pub fn all(&self) -> impl Iterator<Item = (&AdapterId, u64)> {
         self.named.iter().map(|(adapter, named)| (adapter, named.number))
--- a/crates/larkspring-core/tests/fleet_versions.rs
+++ b/crates/larkspring-core/tests/fleet_versions.rs
@@ -66,3 +66,33 @@
         assert_eq!(allowed.as_deref(), c.allowed, "{}", c.name);
     }
 }
+
+#[test]
+fn a_request_begins_on_an_older_version_for_a_while_only() {
+    struct Case {
+        name: &'static str,
+        version: &'static str,
+        /// Milliseconds after version 9 was named, which followed version 7.
+        begin_by: Option<u64>,
+    }
+    let cases = [
+        Case { name: "the newest", version: "9", begin_by: None },
+        Case { name: "the one before", version: "7", begin_by: Some(4000) },
+        Case { name: "an older one", version: "1", begin_by: Some(0) },
+    ];
+    let now = Instant::now();
+    let mut versions = Versions::default();
+    let adapter = "m/a".into();
+    assert_eq!(versions.begin_by(&adapter, &"1".into()), None, "none was named");
+    versions.name(now, &adapter, 7);
+    versions.name(now, &adapter, 9);
+    for c in cases {
+        let begin_by = c.begin_by.map(|ms| now + Duration::from_millis(ms));
+        assert_eq!(
+            versions.begin_by(&adapter, &c.version.into()),
+            begin_by,
+            "{}",
+            c.name
+        );
+    }
+}
--- a/crates/larkspring/src/direct/beliefs.rs
+++ b/crates/larkspring/src/direct/beliefs.rs
@@ -8,7 +8,9 @@
 use larkspring_core::fleet::members::{Endpoint, Members, LAPSE_GRACE};
 use larkspring_core::fleet::routes::Routing;
 use larkspring_core::fleet::versions::Versions;
+use larkspring_core::ids::Target;
 use parking_lot::Mutex;
+use smol::Timer;
 
 use super::edge::{Item, Kind, Listed};
 use super::logs::{self, Line};
@@ -61,6 +63,19 @@
         self.versions.load_full()
     }
 
+    /// Returns once no request may begin on this version of an adapter any more.
+    pub async fn outdated(&self, target: &Target) {
+        loop {
+            let changed = self.changed();
+            let begin_by = self.versions().begin_by(&target.adapter, &target.version);
+            if let Some(at) = begin_by {
+                Timer::at(at).await;
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// All endpoints that are not known to be gone.
     pub fn endpoints(&self) -> Vec<Arc<Endpoint>> {
         self.members.lock().endpoints().cloned().collect()
--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures_lite::future::poll_fn;
+use futures_lite::future::{self, poll_fn};
 use http::response::Parts;
 use http::{Request, Response, StatusCode};
 use hyper::body::{Body, Incoming};
@@ -122,7 +122,16 @@
         let version = placed.target.as_ref().map(|t| &*t.version);
         let req = self.request(&endpoint.id, version, body);
         self.in_flight.store(true, Ordering::Release);
-        let res = conn.send(endpoint.addr, req).await;
+        let outdated = async {
+            match placed.target.as_ref().filter(|_| self.route.class.may_run_again()) {
+                Some(target) => self.entry.beliefs.outdated(target).await,
+                // What must not run twice can't be taken back.
+                None => future::pending().await,
+            }
+            let cause = "it may not begin on this version any more".into();
+            Err(SendError::Broken(endpoint.addr.to_string(), cause))
+        };
+        let res = future::or(conn.send(endpoint.addr, req), outdated).await;
         if matches!(res, Err(SendError::Unsent(..))) {
             self.in_flight.store(false, Ordering::Release);
         } else if !self.tried.contains(&endpoint.id) {
--- a/crates/larkspring/src/direct/entry/place.rs
+++ b/crates/larkspring/src/direct/entry/place.rs
@@ -238,7 +238,10 @@
             peers.iter().map(|p| self.engine_view(now, p, hash, model, engine)).collect();
         let resident = views.iter().any(|v| v.holding == Holding::Resident);
         if !resident {
-            let old = versions.still_allowed(now, adapter);
+            // A request that must not run twice could not be taken back if it were still
+            // waiting when the version before may not be used any more.
+            let repeatable = self.route.class.may_run_again();
+            let old = versions.still_allowed(now, adapter).filter(|_| repeatable);
             if let Some(choice) =
                 old.and_then(|v| self.choose_old(&peers, adapter, v, model, engine))
             {
