Load adapters in the order of what the answers are worth, paced by the store

Agents loaded first what had waited longest, so that all became late together. After a loss of power some entries knew three of eleven engines for 0.7 s: a connection to a VM that was still dark was given half a second and then a pause. Change: an agent loads first what makes the most answers worth the most; what is late in any case lets pass what can still be in time; a longer prompt is worth more. It keeps as many fetches under way as the store takes without slowing down, learned from its own fetches, and may keep less than one. Entries try an agent again after 60 ms, with 150 ms for the connection. Each mechanism can be switched off (--without). Tests first: slots_loading, which fails to compile without the window and the order.

--- a/crates/larkspring-cli/src/args.rs
+++ b/crates/larkspring-cli/src/args.rs
@@ -6,6 +6,7 @@
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
 use larkspring_core::fleet::choose::Placement;
+use larkspring_core::fleet::mechanisms::{Mechanism, Without};
 
 /// A serving layer for very many LoRA adapters.
 ///
@@ -74,6 +75,9 @@
     /// Least important log lines that are written.
     #[arg(long, value_name = "LEVEL", default_value = "info")]
     pub log_level: tracing::Level,
+    /// Mechanisms that are switched off, to measure what they are worth.
+    #[arg(long, value_enum, value_name = "LIST", value_delimiter = ',')]
+    pub without: Vec<MechanismArg>,
 }
 
 /// Arguments of an entry on the users' platform.
@@ -111,6 +115,55 @@
     }
 }
 
+/// A mechanism of the decisions.
+#[derive(Debug, Clone, Copy, ValueEnum)]
+pub enum MechanismArg {
+    /// One home an adapter.
+    HomeRank,
+    /// Knowing what engines held lately.
+    Copies,
+    /// Adapters loaded ahead of requests.
+    CopyAhead,
+    /// Unread prompts told by agents.
+    UnreadTold,
+    /// Fewer requests to endpoints that failed of late.
+    Quality,
+    /// Waiting a while for an endpoint.
+    Patience,
+    /// Loads in the order of what the answers are worth.
+    WorthOrder,
+    /// Answers to longer prompts worth more.
+    WorthBySize,
+    /// Fetches that wait while the weight store is full.
+    PacedFetches,
+    /// Adapters in use kept from new requests.
+    Retiring,
+}
+
+impl From<MechanismArg> for Mechanism {
+    fn from(arg: MechanismArg) -> Self {
+        match arg {
+            MechanismArg::HomeRank => Self::HomeRank,
+            MechanismArg::Copies => Self::Copies,
+            MechanismArg::CopyAhead => Self::CopyAhead,
+            MechanismArg::UnreadTold => Self::UnreadTold,
+            MechanismArg::Quality => Self::Quality,
+            MechanismArg::Patience => Self::Patience,
+            MechanismArg::WorthOrder => Self::WorthOrder,
+            MechanismArg::WorthBySize => Self::WorthBySize,
+            MechanismArg::PacedFetches => Self::PacedFetches,
+            MechanismArg::Retiring => Self::Retiring,
+        }
+    }
+}
+
+impl PlatformArgs {
+    /// The mechanisms that are switched off.
+    pub fn without(&self) -> Without {
+        self.without.iter().map(|arg| Mechanism::from(*arg)).collect()
+    }
+}
+
 /// Arguments of `explain`.
 #[derive(Debug, Args)]
 pub struct ExplainArgs {
--- a/crates/larkspring-cli/src/platform.rs
+++ b/crates/larkspring-cli/src/platform.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use larkspring::direct::agent::Agent;
-use larkspring::direct::cfg::EntryCfg;
+use larkspring::direct::cfg::{AgentCfg, EntryCfg};
 use larkspring::direct::entry::Entry;
 use larkspring::exec::{self, within};
 use larkspring::stop::{Asked, Requests};
@@ -28,9 +28,10 @@
 pub fn entry(args: &PlatformEntryArgs) -> Result<(), AnyError> {
     let settings = Settings::load()?;
     let placement = args.placement.into();
+    let without = args.process.without();
     let cfg_of = |settings: &Settings| {
         let cfg = settings.entry()?;
-        Ok::<_, SettingsError>(EntryCfg { placement, ..cfg })
+        Ok::<_, SettingsError>(EntryCfg { placement, without, ..cfg })
     };
     let cfg = cfg_of(&settings)?;
     let _log = start_log(args.process.log_level, false, LogTo::Stdout);
@@ -51,7 +52,7 @@
 /// Runs an agent until asked to stop.
 pub fn agent(args: &PlatformArgs) -> Result<(), AnyError> {
     let settings = Settings::load()?;
-    let cfg = settings.agent()?;
+    let cfg = AgentCfg { without: args.without(), ..settings.agent()? };
     let _log = start_log(args.log_level, false, LogTo::Stdout);
     exec::run(THREADS, async {
         let requests = Requests::new()?;
--- a/crates/larkspring-core/src/fleet/choose.rs
+++ b/crates/larkspring-core/src/fleet/choose.rs
@@ -8,6 +8,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::mechanisms::{Mechanism, Without};
 use super::reading::TOKENS_PER_MS;
 use crate::ids::{Incarnation, TargetHash};
 
@@ -107,9 +108,10 @@
 
 /// Chooses among `views` for a request that needs an adapter, in the order of
 /// [`ranked`]; `None` if none can serve it.
-pub fn for_adapter(views: &[View]) -> Option<usize> {
+pub fn for_adapter(views: &[View], without: Without) -> Option<usize> {
     let fit = |v: &View| v.holding == Holding::Resident || v.can_load;
-    let cost = |rank: usize, v: &View| adapter_cost(rank, v);
+    let ranks = without.uses(Mechanism::HomeRank);
+    let cost = |rank: usize, v: &View| adapter_cost(if ranks { rank } else { 0 }, v);
     least(views, fit, cost)
 }
 
--- a/crates/larkspring-core/src/fleet/mod.rs
+++ b/crates/larkspring-core/src/fleet/mod.rs
@@ -9,13 +9,18 @@
 //! 7. [`quality`]: what an endpoint's answers say about it.
 //! 8. [`attempt`]: what follows from the way an attempt ended.
 //! 9. [`versions`]: which version of an adapter a request gets.
+//! 10. [`worth`]: what an answer is worth, against other answers.
+//!
+//! [`mechanisms`] lists what can be switched off in a measurement.
 
 pub mod attempt;
 pub mod choose;
 pub mod copies;
 pub mod demand;
+pub mod mechanisms;
 pub mod members;
 pub mod quality;
 pub mod reading;
 pub mod routes;
 pub mod versions;
+pub mod worth;
--- a/crates/larkspring-core/src/fleet/reading.rs
+++ b/crates/larkspring-core/src/fleet/reading.rs
@@ -12,6 +12,15 @@
 /// Tokens that an engine reads in a millisecond (stated for both deployments: 38.7).
 pub const TOKENS_PER_MS: f64 = 38.7;
 
+/// Tokens that an engine reads in a millisecond while it also makes tokens of answers: the
+/// stated rate less one step of 5 ms for each 1,024 tokens.
+const TOKENS_PER_MS_SHARED: f64 = 32.0;
+
+/// Returns how long an engine that also answers others takes to read `tokens`.
+pub fn reading_time(tokens: u32) -> Duration {
+    Duration::from_secs_f64(f64::from(tokens) / TOKENS_PER_MS_SHARED / 1000.0)
+}
+
 impl Unread {
     /// Creates an estimate that holds at `now`.
     pub fn new(now: Instant, tokens: u32) -> Self {
--- a/crates/larkspring-core/src/slots.rs
+++ b/crates/larkspring-core/src/slots.rs
@@ -5,8 +5,10 @@
 
 mod fresh;
 mod limits;
+mod order;
 mod refuse;
 mod residency;
+mod window;
 
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
@@ -15,6 +17,8 @@
 pub use self::limits::{Eviction, Limits, LoadOrder};
 use self::refuse::{leaving, unreachable};
 use self::residency::{Heat, Phase, Residency};
+use self::window::FetchWindow;
+use crate::fleet::copies::Copies;
 use crate::ids::{AttemptId, Incarnation, Target, TargetHash};
 use crate::outcome::{Refusal, Step};
 
@@ -31,6 +35,9 @@
     unloaded: HashMap<Target, Instant>,
     /// Uses of adapters that are not held, so that one which returns is known.
     past: HashMap<Target, Heat>,
+    /// Adapters of which the engine's VM has copies, so that they are not fetched.
+    copies: Copies,
+    window: FetchWindow,
     load_time: Duration,
     service_time: Duration,
     draining: bool,
@@ -74,6 +81,10 @@
     pub since: Instant,
     /// When its caller gives up.
     pub deadline: Instant,
+    /// Until when its adapter has to be ready for the answer to begin in time.
+    pub due: Instant,
+    /// What an answer in time is worth, against other requests.
+    pub worth: f64,
 }
 
 #[derive(Debug)]
@@ -104,6 +115,8 @@
     /// Creates the state of an engine with nothing known to be loaded.
     pub fn new(limits: Limits) -> Self {
         Self {
+            copies: Copies::default(),
+            window: FetchWindow::new(limits.max_loading),
             limits,
             incarnation: None,
             adapters: HashMap::new(),
@@ -180,8 +193,11 @@
         if ok {
             adapter.phase = Phase::Resident;
             adapter.last_used = now;
-            self.load_time =
-                average(self.load_time, now.saturating_duration_since(since));
+            let spent = now.saturating_duration_since(since);
+            self.load_time = average(self.load_time, spent);
+            if !self.copies.contains(target.hash()) {
+                self.window.ended(now, spent);
+            }
             self.failures.remove(target);
             return;
         }
@@ -222,6 +238,7 @@
         if let Some(adapter) = self.adapters.remove(target) {
             self.remember(now, target, adapter.heat);
         }
+        self.copies.leave(target.hash());
         self.unloaded.insert(target.clone(), now);
     }
 
@@ -396,7 +413,7 @@
         }
         let order = match self.limits.order {
             LoadOrder::Urgency => self.by_urgency(),
-            LoadOrder::Demand => self.by_demand(now),
+            LoadOrder::Worth => self.by_worth(now),
         };
         for id in order {
             let loading = self.adapters.values().filter(|a| a.is_loading()).count();
@@ -407,6 +424,9 @@
             if self.adapters.contains_key(&req.target) {
                 continue;
             }
+            if !self.may_fetch(now, &req.target) {
+                continue;
+            }
             if self.other_version(&req.target, actions) {
                 continue;
             }
@@ -424,6 +444,18 @@
         }
     }
 
+    /// Whether the weight store takes a fetch of `target` now; a copy needs none.
+    fn may_fetch(&mut self, now: Instant, target: &Target) -> bool {
+        if !self.limits.paced || self.copies.contains(target.hash()) {
+            return true;
+        }
+        let copies = &self.copies;
+        let fetched =
+            |(t, a): &(&Target, &Residency)| a.is_loading() && !copies.contains(t.hash());
+        let fetching = self.adapters.iter().filter(fetched).count();
+        self.window.is_open(now, fetching)
+    }
+
     /// Keeps the uses of an adapter that leaves; forgets the least used ones.
     fn remember(&mut self, now: Instant, target: &Target, heat: Heat) {
         if self.past.len() >= MAX_PAST {
--- a/crates/larkspring-core/src/slots/fresh.rs
+++ b/crates/larkspring-core/src/slots/fresh.rs
@@ -1,18 +1,12 @@
 //! Engines that are asked from their own VM: their reports are fresh, and they hold one
 //! version of an adapter at a time.
 
-use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use super::residency::{Phase, Residency};
 use super::{Action, Running, Slots};
 use crate::ids::{AttemptId, Incarnation, Target};
 
-/// Each time that a request has waited for this long, it counts as one more.
-const AGE_STEP: Duration = Duration::from_millis(300);
-/// By how much each step of priority lowers a request's weight.
-const PRIORITY_STEP: f64 = 0.25;
-
 impl Slots {
     /// Records a report that is not older than the last order's answer.
     ///
@@ -26,10 +20,7 @@
         pending: &[Target],
         is_ordered: impl Fn(&Target) -> bool,
     ) -> Vec<Target> {
-        if self.incarnation.as_ref() != Some(run) {
-            self.adapters.clear();
-            self.incarnation = Some(run.clone());
-        }
+        self.is_run(run);
         self.reachable = true;
         self.loads_paused = false;
         self.settled_at.get_or_insert(now);
@@ -49,6 +40,7 @@
         for target in &gone {
             if let Some(adapter) = self.adapters.remove(target) {
                 self.remember(now, target, adapter.heat);
+                self.copies.leave(target.hash());
             }
         }
         for target in &failed {
@@ -80,12 +72,18 @@
 
     /// Records that the engine holds no base model yet: requests wait, nothing is loaded.
     pub fn engine_fills(&mut self, run: &Incarnation) {
+        self.is_run(run);
+        self.reachable = true;
+        self.loads_paused = true;
+    }
+
+    /// Forgets what an earlier run held.
+    fn is_run(&mut self, run: &Incarnation) {
         if self.incarnation.as_ref() != Some(run) {
             self.adapters.clear();
+            self.copies.clear();
             self.incarnation = Some(run.clone());
         }
-        self.reachable = true;
-        self.loads_paused = true;
     }
 
     /// Sets how many adapters the engine may hold.
@@ -114,22 +112,6 @@
         (ready.map(|(t, _)| t).collect(), coming.map(|(t, _)| t).collect())
     }
 
-    /// Returns one waiting request for each adapter, the most wanted adapter first.
-    pub(super) fn by_demand(&self, now: Instant) -> Vec<AttemptId> {
-        let mut wanted: HashMap<&Target, (f64, AttemptId)> = HashMap::new();
-        for (id, req) in &self.waiting {
-            let waited = now.saturating_duration_since(req.since);
-            let age = 1.0 + waited.as_secs_f64() / AGE_STEP.as_secs_f64();
-            let weight = age / (1.0 + f64::from(req.priority) * PRIORITY_STEP);
-            let (sum, first) = wanted.entry(&req.target).or_insert((0.0, *id));
-            *sum += weight;
-            *first = (*first).min(*id);
-        }
-        let mut order: Vec<_> = wanted.into_values().collect();
-        order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        order.into_iter().map(|(_, id)| id).collect()
-    }
-
     /// Whether another version of the same adapter is in the way of `target`; it is
     /// unloaded, or kept from new requests until it can be.
     pub(super) fn other_version(
--- a/crates/larkspring-core/src/slots/limits.rs
+++ b/crates/larkspring-core/src/slots/limits.rs
@@ -13,6 +13,9 @@
     pub max_waiting: usize,
     /// Loads under way at a time.
     pub max_loading: usize,
+    /// Whether fetches wait while the weight store is full. Not where a budget for loads is
+    /// agreed on among all agents.
+    pub paced: bool,
     /// Wait after which a request may stop new use of a busy adapter to get its slot.
     pub patience: Duration,
     /// Time after the agent's start before it unloads, as the engine's reports lag.
@@ -28,9 +31,8 @@
 pub enum LoadOrder {
     /// The one of the most urgent request.
     Urgency,
-    /// The one that the most requests wait for, of which older and more urgent ones count
-    /// more.
-    Demand,
+    /// The one that makes the most answers worth the most.
+    Worth,
 }
 
 /// Which of the adapters that nobody uses is unloaded first.
--- a/crates/larkspring-core/tests/fleet_choose.rs
+++ b/crates/larkspring-core/tests/fleet_choose.rs
@@ -7,6 +7,7 @@
 };
 use larkspring_core::fleet::copies::Copies;
 use larkspring_core::fleet::demand::Demand;
+use larkspring_core::fleet::mechanisms::{Mechanism, Without};
 use larkspring_core::fleet::quality::Quality;
 use larkspring_core::ids::Incarnation;
 
@@ -151,7 +152,7 @@
         },
     ];
     for c in cases {
-        assert_eq!(for_adapter(&c.views), c.chosen, "{}", c.name);
+        assert_eq!(for_adapter(&c.views, Without::default()), c.chosen, "{}", c.name);
     }
 }
 
@@ -256,3 +257,29 @@
     assert_eq!(demand.rate(end, &"m/other".into()), 0.0);
     assert!(copy_pays(2.0) && !copy_pays(1.0));
 }
+
+#[test]
+fn mechanisms_are_switched_off_one_by_one() {
+    let off = Without::from_iter([Mechanism::HomeRank, Mechanism::Retiring]);
+    let cases = [
+        (Mechanism::HomeRank, false),
+        (Mechanism::Copies, true),
+        (Mechanism::PacedFetches, true),
+        (Mechanism::Retiring, false),
+    ];
+    for (mechanism, uses) in cases {
+        assert_eq!(off.uses(mechanism), uses, "{mechanism:?}");
+        assert!(Without::default().uses(mechanism), "{mechanism:?}");
+    }
+}
+
+#[test]
+fn without_homes_a_near_endpoint_goes_before_the_home() {
+    let far_home = View { same_hall: false, ..ABSENT };
+    let near = View { loads_ahead: 0, ..ABSENT };
+    // Two ranks away is further than another hall.
+    let views = [far_home, far_home, near];
+    let off = Without::from_iter([Mechanism::HomeRank]);
+    assert_eq!(for_adapter(&views, Without::default()), Some(0));
+    assert_eq!(for_adapter(&views, off), Some(2));
+}
--- a/crates/larkspring-core/tests/slots.rs
+++ b/crates/larkspring-core/tests/slots.rs
@@ -31,6 +31,7 @@
             max_running: 2,
             max_waiting: 4,
             max_loading: 1,
+            paced: false,
             patience: PATIENCE,
             settle: SETTLE,
             eviction: Eviction::Heat,
@@ -66,7 +67,14 @@
 
     fn request(&self, name: &str, priority: u32, limit: Duration) -> Waiting {
         let deadline = self.now + limit;
-        Waiting { target: target(name), priority, since: self.now, deadline }
+        Waiting {
+            target: target(name),
+            priority,
+            since: self.now,
+            deadline,
+            due: deadline,
+            worth: 1.0,
+        }
     }
 
     fn does(&mut self) -> Vec<Action> {
--- a/crates/larkspring-core/tests/slots_fresh.rs
+++ b/crates/larkspring-core/tests/slots_fresh.rs
@@ -12,10 +12,11 @@
         max_running: usize::MAX,
         max_waiting: 100,
         max_loading: 4,
+        paced: true,
         patience: Duration::from_millis(100),
         settle: Duration::ZERO,
         eviction: Eviction::Heat,
-        order: LoadOrder::Demand,
+        order: LoadOrder::Worth,
     })
 }
 
@@ -25,6 +26,8 @@
         priority: 1,
         since: now,
         deadline: now + Duration::from_secs(60),
+        due: now + Duration::from_secs(1),
+        worth: 1.0,
     }
 }
 
--- /dev/null
+++ b/crates/larkspring-core/tests/slots_loading.rs
@@ -0,0 +1,211 @@
+//! In which order an engine's adapters are loaded, and how many are fetched at a time.
+
+use std::time::{Duration, Instant};
+
+use larkspring_core::ids::{AttemptId, Incarnation, Target};
+use larkspring_core::slots::{Action, Eviction, Limits, LoadOrder, Slots, Waiting};
+
+const MAX_LOADING: usize = 4;
+
+/// A request that waits for an adapter.
+struct Asked {
+    adapter: &'static str,
+    /// Milliseconds until its answer is late.
+    due: u64,
+    worth: f64,
+}
+
+fn asked(adapter: &'static str, due: u64, worth: f64) -> Asked {
+    Asked { adapter, due, worth }
+}
+
+fn slots(places: usize, max_loading: usize, order: LoadOrder, paced: bool) -> Slots {
+    Slots::new(Limits {
+        slots: places,
+        max_running: usize::MAX,
+        max_waiting: 1000,
+        max_loading,
+        paced,
+        patience: Duration::from_secs(1),
+        settle: Duration::ZERO,
+        eviction: Eviction::Heat,
+        order,
+    })
+}
+
+fn run() -> Incarnation {
+    "run".into()
+}
+
+fn target(adapter: &str) -> Target {
+    Target::new(&format!("m/{adapter}"), "1")
+}
+
+fn waiting(now: Instant, asked: &Asked) -> Waiting {
+    Waiting {
+        target: target(asked.adapter),
+        priority: 1,
+        since: now,
+        deadline: now + Duration::from_secs(60),
+        due: now + Duration::from_millis(asked.due),
+        worth: asked.worth,
+    }
+}
+
+fn loads(actions: &[Action]) -> Vec<Target> {
+    let load = |action: &Action| match action {
+        Action::Load(target) => Some(target.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(load).collect()
+}
+
+#[test]
+fn the_load_worth_most_comes_first() {
+    struct Case {
+        name: &'static str,
+        asked: Vec<Asked>,
+        first: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "what can be in time before what is late",
+            asked: vec![asked("late", 0, 1.0), asked("timely", 600, 1.0)],
+            first: "timely",
+        },
+        Case {
+            name: "what is late in any case counts as late",
+            asked: vec![asked("late", 50, 1.0), asked("timely", 600, 1.0)],
+            first: "timely",
+        },
+        Case {
+            name: "a long prompt before a short one",
+            asked: vec![asked("short", 600, 1.2), asked("long", 600, 3.7)],
+            first: "long",
+        },
+        Case {
+            name: "many late answers before a timely one",
+            asked: vec![
+                asked("one", 600, 1.0),
+                asked("many", 0, 1.0),
+                asked("many", 0, 1.0),
+                asked("many", 0, 1.0),
+                asked("many", 0, 1.0),
+            ],
+            first: "many",
+        },
+        Case {
+            name: "of equals the one that is due first",
+            asked: vec![asked("later", 900, 1.0), asked("sooner", 600, 1.0)],
+            first: "sooner",
+        },
+        Case {
+            name: "of late ones the one that is late for longest",
+            asked: vec![asked("later", 20, 1.0), asked("sooner", 10, 1.0)],
+            first: "sooner",
+        },
+    ];
+    for c in cases {
+        let now = Instant::now();
+        let mut slots = slots(4, 1, LoadOrder::Worth, false);
+        slots.engine_is_now(now, &run(), &[], &[], |_| true);
+        for (id, asked) in c.asked.iter().enumerate() {
+            let id = id as AttemptId;
+            slots.admit(now, id, waiting(now, asked)).expect("admitted");
+        }
+        assert_eq!(loads(&slots.schedule(now)), [target(c.first)], "{}", c.name);
+    }
+}
+
+/// An engine that fetches adapters for ever; each fetch takes as long as the store says.
+struct Engine {
+    slots: Slots,
+    now: Instant,
+    /// Fetches that are under way, and their ends.
+    fetching: Vec<(Target, Instant)>,
+    next: usize,
+}
+
+const STEP: Duration = Duration::from_millis(10);
+
+impl Engine {
+    fn new(now: Instant) -> Self {
+        let mut slots = slots(1000, MAX_LOADING, LoadOrder::Worth, true);
+        slots.engine_is_now(now, &run(), &[], &[], |_| true);
+        Self { slots, now, fetching: Vec::new(), next: 0 }
+    }
+
+    /// Lets time pass in which fetches take `spent`; returns how many were under way on
+    /// average.
+    fn pass(&mut self, time: Duration, spent: Duration) -> f64 {
+        let (mut sum, mut steps) = (0, 0);
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            self.ask();
+            let now = self.now;
+            for (target, _) in self.fetching.extract_if(.., |(_, end)| *end <= now) {
+                self.slots.loaded(now, &target, true);
+            }
+            let loads = loads(&self.slots.schedule(now));
+            self.fetching.extend(loads.into_iter().map(|target| (target, now + spent)));
+            sum += self.fetching.len();
+            steps += 1;
+        }
+        f64::from(sum as u32) / f64::from(steps)
+    }
+
+    /// Keeps some requests waiting, each for another adapter.
+    fn ask(&mut self) {
+        while self.slots.waiting() < 2 * MAX_LOADING {
+            let now = self.now;
+            let req = Waiting {
+                target: target(&self.next.to_string()),
+                ..waiting(now, &asked("", 600, 1.0))
+            };
+            self.slots.admit(now, self.next as AttemptId, req).expect("admitted");
+            self.next += 1;
+        }
+    }
+}
+
+#[test]
+fn fetches_at_a_time_follow_what_the_store_gives() {
+    let quick = Duration::from_millis(250);
+    let second = Duration::from_secs(1);
+    let mut engine = Engine::new(Instant::now());
+    engine.ask();
+    let first = loads(&engine.slots.schedule(engine.now));
+    assert_eq!(first.len(), 1, "nothing is known of the store");
+    engine.fetching.push((first[0].clone(), engine.now + quick));
+    engine.pass(5 * second, quick);
+    let open = engine.pass(2 * second, quick);
+    assert!(open > 3.5, "a store that is not full is used: {open}");
+    engine.pass(5 * second, 4 * quick);
+    let full = engine.pass(4 * second, 4 * quick);
+    assert!(full < 0.7, "fetches wait here while the store is full: {full}");
+    engine.pass(3 * second, quick);
+    let again = engine.pass(2 * second, quick);
+    assert!(again > 3.5, "the store has room again: {again}");
+}
+
+#[test]
+fn copies_do_not_wait_for_the_store() {
+    let quick = Duration::from_millis(250);
+    let mut engine = Engine::new(Instant::now());
+    let copied = target("copied");
+    let held = [copied.clone()];
+    engine.slots.engine_is_now(engine.now, &run(), &held, &[], |_| true);
+    // The store is full, and the engine's only fetch is under way.
+    engine.pass(Duration::from_secs(2), quick);
+    engine.pass(Duration::from_secs(4), 8 * quick);
+    let now = engine.now;
+    let fetching: Vec<_> = engine.fetching.iter().map(|(t, _)| t.clone()).collect();
+    let resident: Vec<_> =
+        engine.slots.held().0.into_iter().filter(|t| **t != copied).cloned().collect();
+    // The engine lost the adapter's place meanwhile, but not the copy on its VM.
+    engine.slots.engine_is_now(now, &run(), &resident, &fetching, |_| true);
+    let req = waiting(now, &asked("copied", 600, 100.0));
+    engine.slots.admit(now, AttemptId::MAX, req).expect("admitted");
+    assert_eq!(loads(&engine.slots.schedule(now)), [copied]);
+}
--- a/crates/larkspring-core/tests/slots_random.rs
+++ b/crates/larkspring-core/tests/slots_random.rs
@@ -77,6 +77,7 @@
             max_running: MAX_RUNNING,
             max_waiting: 20,
             max_loading: 2,
+            paced: false,
             patience: Duration::from_secs(2),
             settle: Duration::from_secs(3),
             eviction: Eviction::Heat,
@@ -151,8 +152,14 @@
     fn ask(&mut self, adapter: u8, priority: u32) {
         self.next += 1;
         let deadline = self.now + Duration::from_secs(3600);
-        let req =
-            Waiting { target: target(adapter), priority, since: self.now, deadline };
+        let req = Waiting {
+            target: target(adapter),
+            priority,
+            since: self.now,
+            deadline,
+            due: deadline,
+            worth: 1.0,
+        };
         if self.slots.admit(self.now, self.next, req).is_ok() {
             self.waiting.insert(self.next, adapter);
         }
--- a/crates/larkspring/src/agent/job.rs
+++ b/crates/larkspring/src/agent/job.rs
@@ -138,6 +138,8 @@
             priority: self.start.priority,
             since,
             deadline,
+            due: deadline,
+            worth: 1.0,
         };
         let mut place = self.endpoint.enter(waiting)?;
         let late = || late(Step::Queue, Refusal::not_run);
--- a/crates/larkspring/src/agent/mod.rs
+++ b/crates/larkspring/src/agent/mod.rs
@@ -133,6 +133,7 @@
         max_running: cfg.max_running,
         max_waiting: cfg.max_waiting,
         max_loading: MAX_LOADING,
+        paced: false,
         patience: PATIENCE,
         settle: SETTLE,
         eviction: cfg.eviction,
--- a/crates/larkspring/src/direct/agent/keeper.rs
+++ b/crates/larkspring/src/direct/agent/keeper.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::future;
+use larkspring_core::fleet::mechanisms::Mechanism;
 use larkspring_core::fleet::reading::Unread;
 use larkspring_core::ids::{AttemptId, Target};
 use larkspring_core::outcome::Refusal;
@@ -85,15 +86,20 @@
     /// Creates the keeper of an engine that nothing is known of.
     pub fn new(cfg: &AgentCfg, commands: Sender<Command>, stats: Arc<Stats>) -> Self {
         let now = Instant::now();
+        let uses = |mechanism| cfg.without.uses(mechanism);
         let limits = Limits {
             slots: 0,
             max_running: usize::MAX,
             max_waiting: MAX_WAITING,
             max_loading: MAX_LOADING,
-            patience: PATIENCE,
+            paced: uses(Mechanism::PacedFetches),
+            patience: if uses(Mechanism::Retiring) { PATIENCE } else { Duration::MAX },
             settle: Duration::ZERO,
             eviction: Eviction::Heat,
-            order: LoadOrder::Demand,
+            order: match uses(Mechanism::WorthOrder) {
+                true => LoadOrder::Worth,
+                false => LoadOrder::Urgency,
+            },
         };
         Self {
             holder: cfg.process.vm.to_string(),
@@ -214,6 +220,8 @@
             priority: hold.priority,
             since: now,
             deadline: now + Duration::from_millis(hold.wait_ms),
+            due: now + Duration::from_millis(hold.in_time_ms),
+            worth: hold.worth,
         };
         self.prompts.insert(id, hold.unread_tokens);
         if let Err(refusal) = self.slots.admit(now, id, req) {
--- a/crates/larkspring/src/direct/cfg.rs
+++ b/crates/larkspring/src/direct/cfg.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use larkspring_core::fleet::choose::Placement;
+use larkspring_core::fleet::mechanisms::Without;
 use larkspring_core::ids::{HallId, VmId};
 use larkspring_core::retry::RepeatTerms;
 
@@ -45,6 +46,8 @@
     pub repeats: RepeatTerms,
     /// How requests are placed.
     pub placement: Placement,
+    /// What is switched off, in a measurement.
+    pub without: Without,
 }
 
 /// Settings of an agent.
@@ -56,6 +59,8 @@
     pub listen: SocketAddr,
     /// Address of the engine.
     pub engine: SocketAddr,
+    /// What is switched off, in a measurement.
+    pub without: Without,
 }
 
 /// Port at which metrics are served.
--- a/crates/larkspring/src/direct/entry/job.rs
+++ b/crates/larkspring/src/direct/entry/job.rs
@@ -10,6 +10,7 @@
 use http::{HeaderMap, Method, Request, Response, Uri};
 use hyper::body::{Body, Incoming};
 use larkspring_core::fleet::attempt::{next, AttemptEnd, History, Next};
+use larkspring_core::fleet::mechanisms::Mechanism;
 use larkspring_core::fleet::routes::{Route, RouteClass, Routing, Service};
 use larkspring_core::ids::Incarnation;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -208,6 +209,9 @@
     /// waited for longer already, or whose request may have run and so can't be refused,
     /// is served best by waiting as long as it can be answered.
     pub fn patience(&self) -> Duration {
+        if !self.entry.cfg().without.uses(Mechanism::Patience) {
+            return Duration::ZERO;
+        }
         let early = self.route.objective.mul_f64(EARLY_PART);
         let can_come_back = !self.is_back && !self.history.may_have_run;
         match early.checked_sub(self.received.elapsed()) {
@@ -443,6 +447,8 @@
             loads_ahead = why.map(|w| w.loads_ahead),
             prompt_tokens = job.caller.model.as_ref().map(|m| m.prompt_tokens),
             unread_tokens = why.map(|w| w.unread_tokens),
+            reading_tokens = why.map(|w| w.reading_tokens),
+            free_places = why.map(|w| w.free_places),
             chosen_of = why.map(|w| w.of),
         );
     }
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -6,11 +6,13 @@
 use std::time::{Duration, Instant};
 
 use event_listener::Event;
+use fastrand::Rng;
 use larkspring_core::fleet::choose::Holding;
 use larkspring_core::fleet::copies::Copies;
 use larkspring_core::fleet::reading::Unread;
 use larkspring_core::fleet::routes::Routing;
 use larkspring_core::ids::{HallId, ServiceId, Target, TargetHash, VmId};
+use larkspring_core::retry::backoff;
 use larkspring_proto::residency::from_agent::Kind as FromAgentKind;
 use larkspring_proto::residency::from_entry::Kind;
 use larkspring_proto::residency::residency_client::ResidencyClient;
@@ -83,6 +85,10 @@
     pub request: &'a str,
     /// Tokens of its prompt that are to be read.
     pub unread_tokens: u32,
+    /// What its answer in time is worth, by [`worth`](larkspring_core::fleet::worth).
+    pub worth: f64,
+    /// How long the adapter may take until the answer begins late.
+    pub in_time: Duration,
 }
 
 /// Keeps an adapter loaded until dropped.
@@ -123,10 +129,14 @@
 const FIRST_WORD: Duration = Duration::from_millis(700);
 /// After this time of silence the connection is opened anew.
 const GIVE_UP: Duration = Duration::from_millis(2500);
-/// Time for a connection to come up.
-const CONNECT: Duration = Duration::from_millis(500);
-/// Pause before the connection is opened again.
-const RECONNECT: Duration = Duration::from_millis(250);
+/// Time for a connection to come up, and for the agent's first answer: some tens of ways
+/// between halls. A VM without power answers nothing, and the system's own repeat of an
+/// unanswered connect comes after a second, so after a loss of power of all whoever tried
+/// too early knew the late half of the engines 0.7 s after the early ones.
+const CONNECT: Duration = Duration::from_millis(150);
+/// First and longest pause before the connection is opened again.
+const RECONNECT_FIRST: Duration = Duration::from_millis(60);
+const RECONNECT_MOST: Duration = Duration::from_millis(250);
 /// Messages that may wait for the connection; an agent that does not take them is lost.
 const MAX_UNTAKEN: usize = 4096;
 
@@ -152,12 +162,19 @@
         engine: impl Fn() -> wire::Engine + Sync,
     ) {
         let pool = Pool::new(1, CONNECT);
+        let mut rng = Rng::new();
+        let mut failures = 0;
         loop {
             let end = self.connection(&pool, &who, &engine).await;
-            if self.lost() {
-                self.log_lost(&end);
-            }
-            Timer::after(RECONNECT).await;
+            failures = match self.lost() {
+                true => {
+                    self.log_lost(&end);
+                    0
+                }
+                false => failures + 1,
+            };
+            let pause = backoff(RECONNECT_FIRST, RECONNECT_MOST, failures, &mut rng);
+            Timer::after(pause).await;
         }
     }
 
@@ -217,6 +234,8 @@
             in_use: false,
             request: need.request.into(),
             unread_tokens: need.unread_tokens,
+            worth: need.worth,
+            in_time_ms: need.in_time.as_millis() as u64,
         });
         let held = Held { target, priority: need.priority, waiter: Some(waiter) };
         self.holds.lock().insert(id, held);
--- a/crates/larkspring/src/direct/entry/place.rs
+++ b/crates/larkspring/src/direct/entry/place.rs
@@ -7,7 +7,10 @@
 use larkspring_core::fleet::choose::{
     batch_cost, copy_pays, for_adapter, for_any, ranked, Holding, Placement, View,
 };
+use larkspring_core::fleet::mechanisms::Mechanism;
+use larkspring_core::fleet::reading::reading_time;
 use larkspring_core::fleet::routes::Engine;
+use larkspring_core::fleet::worth;
 use larkspring_core::ids::{AdapterId, Incarnation, Target, VersionId};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -155,6 +158,7 @@
         let Choice { peer, target, agent, why } = choice;
         let hash = target.hash();
         let unread_tokens = why.unread_tokens;
+        let in_time = self.in_time(&why);
         let open = peer.enter();
         let placed =
             |hold| Placed { open, target: Some(target.clone()), why, _hold: hold };
@@ -173,6 +177,8 @@
             wait: limit,
             request: &self.caller.id,
             unread_tokens,
+            worth: self.worth(model),
+            in_time,
         };
         let mut hold = link.hold(target.clone(), need);
         let fleet = self.entry.fleet.clone();
@@ -213,6 +219,20 @@
         Ok(placed(Some(hold)))
     }
 
+    /// What an answer in time is worth, against other requests.
+    fn worth(&self, model: &ModelRequest) -> f64 {
+        match self.entry.cfg().without.uses(Mechanism::WorthBySize) {
+            true => worth::of_prompt(model.prompt_tokens),
+            false => worth::of_prompt(0),
+        }
+    }
+
+    /// How long the adapter may take at an engine until the answer begins late.
+    fn in_time(&self, why: &Why) -> Duration {
+        let left = self.route.objective.saturating_sub(self.received.elapsed());
+        left.saturating_sub(reading_time(why.reading_tokens + why.unread_tokens))
+    }
+
     /// Chooses an endpoint and a version of the adapter for it.
     fn choose(
         &self,
@@ -249,8 +269,9 @@
                 return Some(choice);
             }
         }
+        let without = self.entry.cfg().without;
         let at = match self.entry.cfg().placement {
-            Placement::Cost => for_adapter(&views)?,
+            Placement::Cost => for_adapter(&views, without)?,
             Placement::Home => views.iter().position(|v| v.can_load)?,
             Placement::Random => choose_random(&views)?,
             Placement::Least => least_running(&views)?,
@@ -288,14 +309,14 @@
             .iter()
             .map(|v| if holds(v) { *v } else { View { can_load: false, ..*v } })
             .collect();
-        let at = for_adapter(&open)?;
+        let at = for_adapter(&open, self.entry.cfg().without)?;
         let why = Why::new(&peers[at], &views, at);
         Some(Choice { peer: peers[at].clone(), target, agent: views[at].can_load, why })
     }
 
     /// Has an adapter loaded at its home, ahead of the requests that will need it.
     fn copy_ahead(&self, peers: &[Arc<Peer>], views: &[View], target: &Target) {
-        let at = for_adapter(views);
+        let at = for_adapter(views, self.entry.cfg().without);
         self.copy(at.map(|at| &peers[at]), target);
     }
 
@@ -311,6 +332,9 @@
     }
 
     fn copy(&self, peer: Option<&Arc<Peer>>, target: &Target) {
+        if !self.entry.cfg().without.uses(Mechanism::CopyAhead) {
+            return;
+        }
         let link = peer.and_then(|p| p.link.clone());
         let Some(link) = link.filter(|_| self.entry.may_copy(target.hash())) else {
             return;
@@ -320,6 +344,8 @@
             wait: COPY_WAIT,
             request: "",
             unread_tokens: 0,
+            worth: worth::OF_COPY,
+            in_time: COPY_WAIT,
         };
         let mut hold = link.hold(target.clone(), need);
         let stats = self.entry.stats.clone();
--- a/crates/larkspring/src/direct/entry/view.rs
+++ b/crates/larkspring/src/direct/entry/view.rs
@@ -1,9 +1,10 @@
 //! What is known of an endpoint when a request is placed.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use larkspring_core::fleet::choose::{Holding, View};
+use larkspring_core::fleet::mechanisms::Mechanism;
 use larkspring_core::fleet::routes::Engine;
 use larkspring_core::ids::{Incarnation, TargetHash};
 use larkspring_proto::residency::Engagement;
@@ -16,6 +17,8 @@
     /// What is known of an endpoint of a plain service.
     pub(super) fn plain_view(&self, now: Instant, peer: &Arc<Peer>) -> View {
         let endpoint = peer.endpoint();
+        let without = self.entry.cfg().without;
+        let quality = peer.quality(|q| q.cost(now));
         View {
             same_hall: endpoint.hall == self.entry.cfg().process.hall,
             holding: Holding::Resident,
@@ -27,7 +30,11 @@
             filling: false,
             prompt_tokens: 0,
             reading: peer.reading(),
-            quality: peer.quality(|q| q.cost(now)),
+            quality: if without.uses(Mechanism::Quality) {
+                quality
+            } else {
+                Duration::ZERO
+            },
             avoided: peer.quality(|q| q.avoided(now)),
         }
     }
@@ -50,7 +57,10 @@
         view.running = view.running.max(known.running);
         view.free_places = known.free_places;
         view.loads_ahead = known.loads_ahead;
-        view.reading = view.reading.max(known.unread_tokens);
+        let without = self.entry.cfg().without;
+        if without.uses(Mechanism::UnreadTold) {
+            view.reading = view.reading.max(known.unread_tokens);
+        }
         let engaged = known.live.then_some(known.engagement);
         view.filling = engaged == Some(Engagement::Filling);
         view.can_load = view.filling || engaged == Some(Engagement::Serving);
@@ -60,6 +70,7 @@
             false => Holding::Absent,
         };
         view.holding = match link.holding(target) {
+            Some(Holding::Copied) if !without.uses(Mechanism::Copies) => Holding::Absent,
             Some(holding) => holding,
             None if link.is_coming() => Holding::Absent,
             None => listed(),
@@ -83,6 +94,10 @@
     pub loads_ahead: u32,
     /// Tokens of the prompt that it had probably not read before.
     pub unread_tokens: u32,
+    /// Tokens of other prompts that were known to be unread there.
+    pub reading_tokens: u32,
+    /// Adapters that it could take in without waiting, as far as known.
+    pub free_places: u32,
     /// Endpoints that could be chosen from.
     pub of: usize,
 }
@@ -98,6 +113,8 @@
             running: view.running,
             loads_ahead: view.loads_ahead,
             unread_tokens: view.prompt_tokens,
+            reading_tokens: view.reading,
+            free_places: view.free_places,
             of: views.len(),
         }
     }
