--- a/crates/larkspring-cli/src/args.rs
+++ b/crates/larkspring-cli/src/args.rs
@@ -32,6 +32,8 @@
     PlatformAgent(PlatformArgs),
     /// Print what log lines tell of one request, in order, with the beliefs behind it.
     Explain(ExplainArgs),
+    /// Print where the time of all requests went, from log lines.
+    Summary(SummaryArgs),
     /// Check settings and declarations without changing anything.
     Check(CheckArgs),
     /// Ask an entry what a folder of declarations would change.
@@ -176,6 +178,13 @@
     pub logs: Vec<PathBuf>,
 }
 
+/// Arguments of `summary`.
+#[derive(Debug, Args)]
+pub struct SummaryArgs {
+    /// Log files of processes; standard input if none is named.
+    pub logs: Vec<PathBuf>,
+}
+
 /// Arguments of `check`.
 #[derive(Debug, Args)]
 pub struct CheckArgs {
--- a/crates/larkspring-cli/src/explain.rs
+++ b/crates/larkspring-cli/src/explain.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::io::Read;
+use std::path::PathBuf;
 
 use serde_json::{Map, Value};
 
@@ -19,18 +20,7 @@
 
 /// Prints the lines about a request in order, after the beliefs that held then.
 pub fn run(args: &ExplainArgs) -> Result<(), AnyError> {
-    let mut lines = Vec::new();
-    if args.logs.is_empty() {
-        let mut text = String::new();
-        std::io::stdin().read_to_string(&mut text)?;
-        lines.extend(parse("-", &text));
-    }
-    for file in &args.logs {
-        let name = file.display().to_string();
-        let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
-        lines.extend(parse(&name, &text));
-    }
-    lines.sort_by(|a, b| a.time.cmp(&b.time));
+    let lines = read(&args.logs)?;
     let shown = history(&lines, &args.id);
     if shown.is_empty() {
         let text = "no line names the request; lines may have been left out";
@@ -44,12 +34,30 @@
 
 /// A log line and where it stood.
 #[derive(Debug)]
-struct Line {
-    file: String,
+pub struct Line {
+    /// File of the process that wrote it.
+    pub file: String,
     time: String,
     fields: Map<String, Value>,
 }
 
+/// Reads log files, or standard input if there are none, in the order of time.
+pub fn read(files: &[PathBuf]) -> Result<Vec<Line>, AnyError> {
+    let mut lines = Vec::new();
+    if files.is_empty() {
+        let mut text = String::new();
+        std::io::stdin().read_to_string(&mut text)?;
+        lines.extend(parse("-", &text));
+    }
+    for file in files {
+        let name = file.display().to_string();
+        let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
+        lines.extend(parse(&name, &text));
+    }
+    lines.sort_by(|a, b| a.time.cmp(&b.time));
+    Ok(lines)
+}
+
 /// Returns the lines to show for a request.
 fn history<'a>(lines: &'a [Line], id: &str) -> Vec<&'a Line> {
     let of_request: Vec<_> = lines.iter().filter(|l| l.field("request") == id).collect();
@@ -83,10 +91,16 @@
 }
 
 impl Line {
-    fn field(&self, name: &str) -> &str {
+    /// A text field; empty if it is missing.
+    pub fn field(&self, name: &str) -> &str {
         self.fields.get(name).and_then(Value::as_str).unwrap_or_default()
     }
 
+    /// A whole number; `None` if it is missing.
+    pub fn number(&self, name: &str) -> Option<u64> {
+        self.fields.get(name).and_then(Value::as_u64)
+    }
+
     fn text(&self) -> String {
         let mut text = format!("{}  {}  {}", self.time, self.file, self.field("event"));
         for (name, value) in &self.fields {
--- a/crates/larkspring-cli/src/main.rs
+++ b/crates/larkspring-cli/src/main.rs
@@ -12,6 +12,7 @@
 mod process;
 mod standin;
 mod status;
+mod summary;
 
 use std::process::ExitCode;
 
@@ -42,6 +43,7 @@
         Command::PlatformEntry(args) => platform::entry(&args),
         Command::PlatformAgent(args) => platform::agent(&args),
         Command::Explain(args) => explain::run(&args),
+        Command::Summary(args) => summary::run(&args),
         Command::Check(args) => operate::check(&args),
         Command::Plan(args) => operate::plan(&args),
         Command::Confirm(args) => operate::confirm(&args),
--- /dev/null
+++ b/crates/larkspring-cli/src/summary.rs
@@ -0,0 +1,145 @@
+//! Where the time of all requests went, as the log lines of several processes tell.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use hdrhistogram::Histogram;
+
+use crate::args::SummaryArgs;
+use crate::explain::{read, Line};
+use crate::AnyError;
+
+/// Upper bounds of the sizes of prompts that are told apart, in tokens.
+const SIZES: [(u64, &str); 5] = [
+    (2_000, "under 2,000"),
+    (6_000, "under 6,000"),
+    (12_000, "under 12,000"),
+    (20_000, "under 20,000"),
+    (u64::MAX, "longer"),
+];
+/// The longest time that is told exactly, in milliseconds.
+const LONGEST_MS: u64 = 120_000;
+
+/// Prints tables of answers, refusals and loads.
+pub fn run(args: &SummaryArgs) -> Result<(), AnyError> {
+    let lines = read(&args.logs)?;
+    let mut by_size = BTreeMap::new();
+    let mut by_holding = BTreeMap::new();
+    let mut refused: BTreeMap<&str, u64> = BTreeMap::new();
+    let mut loads = Loads::default();
+    for line in &lines {
+        match line.field("event") {
+            "answered" => {
+                let Some(tokens) = line.number("prompt_tokens") else { continue };
+                let size = SIZES.iter().position(|(under, _)| tokens < *under);
+                let size = size.unwrap_or(SIZES.len() - 1);
+                by_size.entry(size).or_insert_with(Times::new).add(line);
+                let holding = line.field("holding");
+                by_holding.entry(holding).or_insert_with(Times::new).add(line);
+            }
+            "unserved" => *refused.entry(line.field("reason")).or_default() += 1,
+            "order" => loads.order(line),
+            _ => {}
+        }
+    }
+    println!("{}", Times::HEAD);
+    for (size, times) in &by_size {
+        times.print(SIZES[*size].1);
+    }
+    for (holding, times) in &by_holding {
+        times.print(holding);
+    }
+    println!("\nunserved");
+    for (reason, count) in refused {
+        println!("{count:>7}  {reason}");
+    }
+    println!("\nloads of adapters");
+    for (reason, count) in &loads.counts {
+        println!("{count:>7}  {reason}");
+    }
+    Ok(())
+}
+
+/// Times of answered requests, in milliseconds.
+struct Times {
+    count: u64,
+    again: u64,
+    waited: Histogram<u64>,
+    rest: Histogram<u64>,
+}
+
+impl Times {
+    const HEAD: &'static str = "prompt or holding  answers  sent again  \
+        adapter: mean  p50  p90  the rest: mean  p50  p90 (ms)";
+
+    fn new() -> Self {
+        let histogram = || {
+            let made = Histogram::new_with_max(LONGEST_MS, 3);
+            made.expect("three digits up to two minutes are valid bounds")
+        };
+        Self { count: 0, again: 0, waited: histogram(), rest: histogram() }
+    }
+
+    /// Counts an answer; its time is that for the adapter and the rest.
+    fn add(&mut self, line: &Line) {
+        let waited = line.number("waited_ms").unwrap_or_default();
+        let first_byte = line.number("first_byte_ms").unwrap_or_default();
+        self.count += 1;
+        self.again += u64::from(line.number("attempts").is_some_and(|n| n > 1));
+        self.waited.saturating_record(waited);
+        self.rest.saturating_record(first_byte.saturating_sub(waited));
+    }
+
+    fn print(&self, name: &str) {
+        let part = |h: &Histogram<u64>| {
+            let (p50, p90) = (h.value_at_quantile(0.5), h.value_at_quantile(0.9));
+            format!("{:>9.0} {p50:>6} {p90:>6}", h.mean())
+        };
+        let (count, again) = (self.count, self.again);
+        let (waited, rest) = (part(&self.waited), part(&self.rest));
+        println!("{name:<17} {count:>8} {again:>11} {waited} {rest}");
+    }
+}
+
+/// Loads by what was known of the adapter before, over all engines.
+#[derive(Default)]
+struct Loads<'a> {
+    /// Engines, by the file of their agent, that hold an adapter now.
+    held_by: HashMap<&'a str, HashSet<&'a str>>,
+    /// Engines that held an adapter before.
+    left: HashMap<&'a str, HashSet<&'a str>>,
+    counts: BTreeMap<&'static str, u64>,
+}
+
+impl<'a> Loads<'a> {
+    fn order(&mut self, line: &'a Line) {
+        let (adapter, engine) = (line.field("of"), line.file.as_str());
+        match (line.field("kind"), line.field("answer")) {
+            ("load", "under way") => {
+                *self.counts.entry(self.reason(adapter, engine)).or_default() += 1;
+                self.held_by.entry(adapter).or_default().insert(engine);
+            }
+            ("unload", "done") => {
+                self.held_by.entry(adapter).or_default().remove(engine);
+                self.left.entry(adapter).or_default().insert(engine);
+            }
+            _ => {}
+        }
+    }
+
+    fn reason(&self, adapter: &str, engine: &str) -> &'static str {
+        let left = self.left.get(adapter);
+        if left.is_some_and(|engines| engines.contains(engine)) {
+            return "from the VM's memory: this engine held it";
+        }
+        if self.held_by.get(adapter).is_some_and(|engines| !engines.is_empty()) {
+            return "fetched while another engine holds it";
+        }
+        if left.is_some() {
+            return "fetched though another engine held it";
+        }
+        match adapter.rsplit_once('@').is_some_and(|(_, version)| version != "1") {
+            true => "fetched first, as a newer version",
+            false => "fetched first",
+        }
+    }
+}
