Tell the other holders at once of partitions that a run took

Cause: an entry learns of another one's partitions by its next look at the table, up to 6 s later. An outage of the object API that began before left it without their holder, and each key of these partitions was refused as unclear.

Ruled out: that the holder itself refuses (it answers "foreign" to none of these keys once asked).

Change: a run that took partitions sends its table to the holders it knows, with the call that they already answer; a newer table is adopted. A renewal is not told.

--- a/crates/larkspring-cli/tests/once.rs
+++ b/crates/larkspring-cli/tests/once.rs
@@ -156,6 +156,26 @@
     }
 }
 
+#[test]
+fn object_api_outage_right_after_an_entry_joined_stops_no_claim() {
+    // The first entry looks at the table every 4 to 6 s, so that it would learn of the
+    // second one's partitions long after the outage has begun.
+    let entry_settings = "  max_key_partitions: 56\n";
+    let mut cluster =
+        Cluster::start(Plan { entries: 1, entry_settings, ..Plan::default() });
+    until("the first entry holds its share", || {
+        cluster.entries[0].key_partitions() == 56
+    });
+    cluster.add_entry();
+    cluster.wait_keys();
+    post(&cluster.objects.addr, "/faults", &json!({ "outage": true }));
+    for n in 0..40 {
+        let (key, prompt) = (fresh_key(), format!("joined{n}"));
+        let answer = ask(&cluster.entries[0].addr, &key, &prompt, 2);
+        assert_eq!(answer.text(), expected("once@v1", &prompt, 2), "{answer:?}");
+    }
+}
+
 #[test]
 fn keys_of_an_entry_that_died_never_run_again_and_new_ones_do() {
     let mut cluster = cluster(2);
--- a/crates/larkspring-proto/src/gen/larkspring.keys.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.keys.rs
@@ -90,8 +90,14 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SettleReply {}
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct HelloRequest {}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct HelloRequest {
+    /// Version of the object from which the asker's table is; 0 if it knows none.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    #[prost(message, optional, tag = "2")]
+    pub table: ::core::option::Option<KeyTable>,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct HelloReply {
     #[prost(uint64, tag = "1")]
@@ -283,7 +289,7 @@
                 .insert(GrpcMethod::new("larkspring.keys.Keys", "Handover"));
             self.inner.unary(req, path, codec).await
         }
-        /// Says which run of the process this is, and what it knows of the table.
+        /// Exchanges what both sides know of the table; the reply says which run this is.
         pub async fn hello(
             &mut self,
             request: impl tonic::IntoRequest<super::HelloRequest>,
@@ -335,7 +341,7 @@
             &self,
             request: tonic::Request<super::HandoverRequest>,
         ) -> std::result::Result<tonic::Response<super::HandoverReply>, tonic::Status>;
-        /// Says which run of the process this is, and what it knows of the table.
+        /// Exchanges what both sides know of the table; the reply says which run this is.
         async fn hello(
             &self,
             request: tonic::Request<super::HelloRequest>,
--- a/crates/larkspring/src/entry/keys/rpc.rs
+++ b/crates/larkspring/src/entry/keys/rpc.rs
@@ -66,8 +66,12 @@
 
     async fn hello(
         &self,
-        _: Request<HelloRequest>,
+        req: Request<HelloRequest>,
     ) -> Result<Response<HelloReply>, Status> {
+        let req = req.into_inner();
+        if let Some(table) = req.table {
+            self.keys.adopt(req.version, table);
+        }
         Ok(Response::new(self.keys.hello()))
     }
 }
--- a/crates/larkspring/src/entry/keys/table.rs
+++ b/crates/larkspring/src/entry/keys/table.rs
@@ -10,6 +10,7 @@
 use smol::Timer;
 
 use super::{timed, wall_clock, Keys};
+use crate::exec;
 use crate::platform::objects::{Object, ObjectApi, ObjectVersion};
 use crate::platform::PlatformError;
 
@@ -80,20 +81,51 @@
 
     /// Takes in the tables that other holders know.
     async fn ask_others(&self) {
-        let mut holders = self.hello().table.unwrap_or_default().partitions;
-        holders.retain(|t| !t.holder.is_empty() && !same_run(t, &self.me));
-        holders.sort_by(|a, b| a.holder.cmp(&b.holder));
-        holders.dedup_by(|a, b| same_run(a, b));
+        let mut holders = self.other_holders();
         fastrand::shuffle(&mut holders);
         for holder in holders.iter().take(ASKED_AT_A_TIME) {
             let Ok(mut client) = self.client(holder).await else { continue };
-            let Ok(reply) = timed(client.hello(HelloRequest {})).await else { continue };
+            let req = HelloRequest::default();
+            let Ok(reply) = timed(client.hello(req)).await else { continue };
             self.adopt(reply.version, reply.table.unwrap_or_default());
         }
     }
 
+    /// Tells the other holders of partitions that this run took.
+    ///
+    /// They look at the table every few seconds only, and could not look at all if the
+    /// object API failed before that; a key of a partition whose holder they do not know
+    /// would be refused as unclear until it is back.
+    fn tell_others(self: &Arc<Self>) {
+        for holder in self.other_holders() {
+            let keys = self.clone();
+            let tell = async move {
+                let (version, table) = keys.known_table();
+                let req = HelloRequest { version, table: Some(table) };
+                let told = match keys.client(&holder).await {
+                    Ok(mut client) => timed(client.hello(req)).await.map(drop),
+                    Err(e) => Err(e),
+                };
+                if let Err(e) = told {
+                    // It finds out by its next look at the table.
+                    tracing::info!(event = "table not told", holder = holder.holder, error = %e);
+                }
+            };
+            exec::spawn(tell).detach();
+        }
+    }
+
+    /// Other runs that hold partitions, each once.
+    fn other_holders(&self) -> Vec<Tenure> {
+        let mut holders = self.view.lock().table.partitions.clone();
+        holders.retain(|t| !t.holder.is_empty() && !same_run(t, &self.me));
+        holders.sort_by(|a, b| (&a.holder, a.run).cmp(&(&b.holder, b.run)));
+        holders.dedup_by(|a, b| same_run(a, b));
+        holders
+    }
+
     /// Makes a table the known one, unless a newer one is known already.
-    fn adopt(&self, version: ObjectVersion, table: KeyTable) {
+    pub(super) fn adopt(&self, version: ObjectVersion, table: KeyTable) {
         let mut view = self.view.lock();
         if view.version < version {
             view.version = version;
@@ -109,7 +141,7 @@
     }
 
     /// Changes the table if there is reason to, else waits for a change.
-    async fn step(&self) -> Result<(), PlatformError> {
+    async fn step(self: &Arc<Self>) -> Result<(), PlatformError> {
         let seen = self.view.lock().version;
         if seen == 0 {
             let object = self.api.get(TABLE).await?;
@@ -120,7 +152,12 @@
             (view.version, self.next_table(&view))
         };
         let Some(next) = next else { return self.wait().await };
-        self.write(version, next).await
+        let held = self.held();
+        self.write(version, next).await?;
+        if self.held() > held {
+            self.tell_others();
+        }
+        Ok(())
     }
 
     /// Waits until it is time to look at the table again, or a run is suspected.
@@ -244,7 +281,7 @@
         for (addr, run) in suspects {
             let holder = Tenure { holder: addr.clone(), run, ..Tenure::default() };
             let Ok(mut client) = self.client(&holder).await else { continue };
-            match timed(client.hello(HelloRequest {})).await {
+            match timed(client.hello(HelloRequest::default())).await {
                 Ok(reply) if reply.run != run => {
                     self.view.lock().ended.insert((addr, run));
                 }
