Name the VM in each log line; summary by second

Cause: a summary of merged logs counted all engines as one and gave 503 second fetches in place of 2,055, without a word. Nothing told at which second waits, refusals and lost orders came.

Ruled out: naming files after VMs, as a collector merges them.

Change: each line begins with its VM, in any process; what stands before a line is passed over; summary counts engines by VM, forgets what a restarted one held, and prints a row a second (answers, long waits, lost orders, rejected sends, fetches, unserved by reason). The line of an answer also tells its adapter, its objective and how many endpoints were known to hold the adapter.

Before: no such table.

--- a/crates/larkspring-cli/src/deployment.rs
+++ b/crates/larkspring-cli/src/deployment.rs
@@ -67,7 +67,7 @@
         let objects = start(any, Arc::new(Objects::default())).await?;
         let weights = start(any, Arc::new(Weights::new(shape.weights.clone()))).await?;
         let service = start(any, Arc::new(ServiceStandin::default())).await?;
-        let log = start_log(tracing::Level::WARN, shape.spans, LogTo::Stderr);
+        let log = start_log("local", tracing::Level::WARN, shape.spans, LogTo::Stderr);
         let mut dev =
             Self { entries: vec![], agents: vec![], standins: vec![], _log: log };
         let mut endpoints = Vec::new();
--- a/crates/larkspring-cli/src/explain.rs
+++ b/crates/larkspring-cli/src/explain.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::io::Read;
 use std::path::PathBuf;
+use std::sync::Arc;
 
 use serde_json::{Map, Value};
 
@@ -15,8 +16,8 @@
 /// Belief lines shown before a request's first line.
 const SHOWN_BELIEFS: usize = 8;
 /// Fields that are shown in front of the others, or that say nothing to a reader.
-const PLACED_FIELDS: [&str; 6] =
-    ["timestamp", "event", "level", "target", "request", "fields"];
+const PLACED_FIELDS: [&str; 7] =
+    ["timestamp", "vm", "event", "level", "target", "request", "fields"];
 
 /// Prints the lines about a request in order, after the beliefs that held then.
 pub fn run(args: &ExplainArgs) -> Result<(), AnyError> {
@@ -35,9 +36,10 @@
 /// A log line and where it stood.
 #[derive(Debug)]
 pub struct Line {
-    /// File of the process that wrote it.
-    pub file: String,
-    time: String,
+    /// VM of the process that wrote it; the file, where the line names none.
+    pub vm: Arc<str>,
+    /// When it was written, as text that sorts.
+    pub time: String,
     fields: Map<String, Value>,
 }
 
@@ -63,10 +65,10 @@
     let of_request: Vec<_> = lines.iter().filter(|l| l.field("request") == id).collect();
     let Some(first) = of_request.first() else { return Vec::new() };
     let last = of_request.last().map_or("", |l| &l.time);
-    let files: BTreeSet<_> = of_request.iter().map(|l| &l.file).collect();
+    let vms: BTreeSet<_> = of_request.iter().map(|l| &l.vm).collect();
     let endpoints: BTreeSet<_> = of_request.iter().map(|l| l.field("endpoint")).collect();
     let concerns = |l: &&Line| {
-        let belief = BELIEFS.contains(&l.field("event")) && files.contains(&l.file);
+        let belief = BELIEFS.contains(&l.field("event")) && vms.contains(&l.vm);
         let endpoint = l.field("endpoint");
         let of_endpoint = l.field("request").is_empty()
             && !endpoint.is_empty()
@@ -82,11 +84,16 @@
 }
 
 fn parse<'a>(file: &'a str, text: &'a str) -> impl Iterator<Item = Line> + 'a {
-    // Lines that are no JSON, as of other programs in one stream, are passed over.
-    let parsed = text.lines().filter_map(|l| serde_json::from_str(l).ok());
+    let file: Arc<str> = file.into();
+    // What collects lines may write before them. Those that are no JSON, as of other
+    // programs in one stream, are passed over.
+    let json = text.lines().filter_map(|l| Some(&l[l.find('{')?..]));
+    let parsed = json.filter_map(|l| serde_json::from_str(l).ok());
     parsed.map(move |fields: Map<String, Value>| {
-        let time = fields.get("timestamp").and_then(Value::as_str);
-        Line { file: file.into(), time: time.unwrap_or_default().into(), fields }
+        let text = |name| fields.get(name).and_then(Value::as_str);
+        let time = text("timestamp").unwrap_or_default().into();
+        let vm = text("vm").map_or_else(|| file.clone(), Into::into);
+        Line { vm, time, fields }
     })
 }
 
@@ -102,7 +109,7 @@
     }
 
     fn text(&self) -> String {
-        let mut text = format!("{}  {}  {}", self.time, self.file, self.field("event"));
+        let mut text = format!("{}  {}  {}", self.time, self.vm, self.field("event"));
         for (name, value) in &self.fields {
             if !PLACED_FIELDS.contains(&name.as_str()) {
                 text += &format!("  {name}={value}");
--- a/crates/larkspring-cli/src/platform.rs
+++ b/crates/larkspring-cli/src/platform.rs
@@ -34,7 +34,7 @@
         Ok::<_, SettingsError>(EntryCfg { placement, without, ..cfg })
     };
     let cfg = cfg_of(&settings)?;
-    let _log = start_log(args.process.log_level, false, LogTo::Stdout);
+    let _log = start_log(&cfg.process.vm, args.process.log_level, false, LogTo::Stdout);
     let store = Arc::new(Store::new(settings.store(), STORE_TIMEOUT));
     exec::run(THREADS, async {
         let requests = Requests::new()?;
@@ -53,7 +53,7 @@
 pub fn agent(args: &PlatformArgs) -> Result<(), AnyError> {
     let settings = Settings::load()?;
     let cfg = AgentCfg { without: args.without(), ..settings.agent()? };
-    let _log = start_log(args.log_level, false, LogTo::Stdout);
+    let _log = start_log(&cfg.process.vm, args.log_level, false, LogTo::Stdout);
     exec::run(THREADS, async {
         let requests = Requests::new()?;
         let agent = Agent::start(cfg, Arc::new(Wire)).await?;
--- a/crates/larkspring-cli/src/process.rs
+++ b/crates/larkspring-cli/src/process.rs
@@ -43,6 +43,6 @@
 fn prepare(args: &ProcessArgs) -> Result<(Settings, LogGuard), AnyError> {
     let settings = settings::load(&args.settings)?;
     let cfg = &settings.telemetry;
-    let log = start_log(cfg.level, cfg.spans, LogTo::Stdout);
+    let log = start_log(&settings.vm, cfg.level, cfg.spans, LogTo::Stdout);
     Ok((settings, log))
 }
--- a/crates/larkspring-cli/src/summary.rs
+++ b/crates/larkspring-cli/src/summary.rs
@@ -18,6 +18,8 @@
 ];
 /// The longest time that is told exactly, in milliseconds.
 const LONGEST_MS: u64 = 120_000;
+/// Characters of a line's time up to the second.
+const TO_THE_SECOND: usize = "2000-01-01T00:00:00".len();
 
 /// Prints tables of answers, refusals and loads.
 pub fn run(args: &SummaryArgs) -> Result<(), AnyError> {
@@ -26,7 +28,11 @@
     let mut by_holding = BTreeMap::new();
     let mut refused: BTreeMap<&str, u64> = BTreeMap::new();
     let mut loads = Loads::default();
+    let mut seconds: BTreeMap<&str, Second> = BTreeMap::new();
     for line in &lines {
+        let time = line.time.get(..TO_THE_SECOND).unwrap_or(&line.time);
+        let second = seconds.entry(time).or_default();
+        second.count(line);
         match line.field("event") {
             "answered" => {
                 let Some(tokens) = line.number("prompt_tokens") else { continue };
@@ -37,7 +43,8 @@
                 by_holding.entry(holding).or_insert_with(Times::new).add(line);
             }
             "unserved" => *refused.entry(line.field("reason")).or_default() += 1,
-            "order" => loads.order(line),
+            "order" => second.fetches += u64::from(loads.order(line)),
+            "engine restarted" => loads.restarted(&line.vm),
             _ => {}
         }
     }
@@ -56,9 +63,61 @@
     for (reason, count) in &loads.counts {
         println!("{count:>7}  {reason}");
     }
+    println!("\n{}", Second::HEAD);
+    for (time, second) in &seconds {
+        second.print(time);
+    }
     Ok(())
 }
 
+/// What happened in one second, over all processes.
+#[derive(Default)]
+struct Second<'a> {
+    answers: u64,
+    /// Answers that waited for their adapter for over half of their objective.
+    waited: u64,
+    lost_orders: u64,
+    /// Sends that the endpoint rejected, or that met another run of it.
+    rejected: u64,
+    fetches: u64,
+    unserved: BTreeMap<&'a str, u64>,
+}
+
+impl<'a> Second<'a> {
+    const HEAD: &'static str = "second               answers  waited long  orders lost  \
+        sends rejected  fetches  unserved";
+
+    fn count(&mut self, line: &'a Line) {
+        match line.field("event") {
+            "answered" => {
+                self.answers += 1;
+                let waited = line.number("waited_ms").unwrap_or_default();
+                let objective = line.number("objective_ms");
+                self.waited += u64::from(objective.is_some_and(|ms| waited * 2 > ms));
+            }
+            "unserved" => *self.unserved.entry(line.field("reason")).or_default() += 1,
+            "order" => self.lost_orders += u64::from(line.field("answer") == "no answer"),
+            "attempt ended" => {
+                let end = line.field("end");
+                let rejected = matches!(end, "rejected" | "moved" | "lacking");
+                self.rejected += u64::from(rejected);
+            }
+            _ => {}
+        }
+    }
+
+    fn print(&self, time: &str) {
+        let Self { answers, waited, lost_orders, rejected, fetches, .. } = self;
+        let unserved: Vec<_> =
+            self.unserved.iter().map(|(reason, n)| format!("{n} {reason}")).collect();
+        let unserved = unserved.join(", ");
+        println!(
+            "{time:<20} {answers:>7} {waited:>12} {lost_orders:>12} {rejected:>15} \
+             {fetches:>8}  {unserved}"
+        );
+    }
+}
+
 /// Times of answered requests, in milliseconds.
 struct Times {
     count: u64,
@@ -100,10 +159,13 @@
     }
 }
 
+/// Why a load is no fetch.
+const FROM_MEMORY: &str = "from the VM's memory: this engine held it";
+
 /// Loads by what was known of the adapter before, over all engines.
 #[derive(Default)]
 struct Loads<'a> {
-    /// Engines, by the file of their agent, that hold an adapter now.
+    /// Engines, by the VM of their agent, that hold an adapter now.
     held_by: HashMap<&'a str, HashSet<&'a str>>,
     /// Engines that held an adapter before.
     left: HashMap<&'a str, HashSet<&'a str>>,
@@ -111,12 +173,15 @@
 }
 
 impl<'a> Loads<'a> {
-    fn order(&mut self, line: &'a Line) {
-        let (adapter, engine) = (line.field("of"), line.file.as_str());
+    /// Counts an order; whether it fetches an adapter from the weight store.
+    fn order(&mut self, line: &'a Line) -> bool {
+        let (adapter, engine) = (line.field("of"), &*line.vm);
         match (line.field("kind"), line.field("answer")) {
             ("load", "under way") => {
-                *self.counts.entry(self.reason(adapter, engine)).or_default() += 1;
+                let reason = self.reason(adapter, engine);
+                *self.counts.entry(reason).or_default() += 1;
                 self.held_by.entry(adapter).or_default().insert(engine);
+                return reason != FROM_MEMORY;
             }
             ("unload", "done") => {
                 self.held_by.entry(adapter).or_default().remove(engine);
@@ -124,17 +189,26 @@
             }
             _ => {}
         }
+        false
+    }
+
+    /// Forgets what an engine held, with the copies on its VM.
+    fn restarted(&mut self, engine: &str) {
+        let of_all = self.held_by.values_mut().chain(self.left.values_mut());
+        for engines in of_all {
+            engines.remove(engine);
+        }
     }
 
     fn reason(&self, adapter: &str, engine: &str) -> &'static str {
         let left = self.left.get(adapter);
         if left.is_some_and(|engines| engines.contains(engine)) {
-            return "from the VM's memory: this engine held it";
+            return FROM_MEMORY;
         }
         if self.held_by.get(adapter).is_some_and(|engines| !engines.is_empty()) {
             return "fetched while another engine holds it";
         }
-        if left.is_some() {
+        if left.is_some_and(|engines| !engines.is_empty()) {
             return "fetched though another engine held it";
         }
         match adapter.rsplit_once('@').is_some_and(|(_, version)| version != "1") {
--- a/crates/larkspring/src/direct/entry/job.rs
+++ b/crates/larkspring/src/direct/entry/job.rs
@@ -429,6 +429,7 @@
 fn log_answered(job: &Job, endpoint: &Incarnation, status: u16) {
     if logs::allows(Line::Served) {
         let why = job.why.as_ref();
+        let model = job.caller.model.as_ref();
         let age = job.entry.beliefs.store_age();
         tracing::info!(
             event = "answered",
@@ -437,18 +438,21 @@
             endpoint = %endpoint,
             status,
             first_byte_ms = job.received.elapsed().as_millis() as u64,
+            objective_ms = job.route.objective.as_millis() as u64,
             waited_ms = job.waited.as_millis() as u64,
             attempts = job.history.attempts + 1,
             routing = job.routing.version,
             store_age_ms = age.map(|age| age.as_millis() as u64),
             same_hall = why.map(|w| w.same_hall),
+            adapter = model.and_then(|m| m.adapter.as_deref()),
             holding = why.map(|w| w.holding),
             running = why.map(|w| w.running),
             loads_ahead = why.map(|w| w.loads_ahead),
-            prompt_tokens = job.caller.model.as_ref().map(|m| m.prompt_tokens),
+            prompt_tokens = model.map(|m| m.prompt_tokens),
             unread_tokens = why.map(|w| w.unread_tokens),
             reading_tokens = why.map(|w| w.reading_tokens),
             free_places = why.map(|w| w.free_places),
+            holders = why.map(|w| w.holders),
             chosen_of = why.map(|w| w.of),
         );
     }
--- a/crates/larkspring/src/direct/entry/view.rs
+++ b/crates/larkspring/src/direct/entry/view.rs
@@ -98,6 +98,8 @@
     pub reading_tokens: u32,
     /// Adapters that it could take in without waiting, as far as known.
     pub free_places: u32,
+    /// Endpoints that held the adapter, as far as known.
+    pub holders: usize,
     /// Endpoints that could be chosen from.
     pub of: usize,
 }
@@ -115,6 +117,7 @@
             unread_tokens: view.prompt_tokens,
             reading_tokens: view.reading,
             free_places: view.free_places,
+            holders: views.iter().filter(|v| v.holding == Holding::Resident).count(),
             of: views.len(),
         }
     }
--- a/crates/larkspring/src/telemetry.rs
+++ b/crates/larkspring/src/telemetry.rs
@@ -1,6 +1,7 @@
 //! Logs as JSON lines, spans of each hop and metrics.
 
 use std::fmt::Display;
+use std::io;
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,8 +9,9 @@
 use cadence::{
     BufferedUdpMetricSink, Counted, NopMetricSink, QueuingMetricSink, StatsdClient, Timed,
 };
-use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
+use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::fmt::format::FmtSpan;
+use tracing_subscriber::fmt::MakeWriter;
 
 use crate::settings::TelemetryCfg;
 
@@ -34,14 +36,14 @@
 /// waits for the log.
 const WAITING_LINES: usize = 4096;
 
-/// Starts the log of the process; later calls change nothing.
-pub fn start_log(level: tracing::Level, spans: bool, to: LogTo) -> LogGuard {
+/// Starts the log of the process on a VM; later calls change nothing.
+pub fn start_log(vm: &str, level: tracing::Level, spans: bool, to: LogTo) -> LogGuard {
     let spans = if spans { FmtSpan::CLOSE } else { FmtSpan::NONE };
     let lines =
         NonBlockingBuilder::default().buffered_lines_limit(WAITING_LINES).lossy(true);
     let (writer, guard) = match to {
-        LogTo::Stdout => lines.finish(std::io::stdout()),
-        LogTo::Stderr => lines.finish(std::io::stderr()),
+        LogTo::Stdout => lines.finish(io::stdout()),
+        LogTo::Stderr => lines.finish(io::stderr()),
     };
     let log = tracing_subscriber::fmt()
         .json()
@@ -49,12 +51,54 @@
         .with_target(false)
         .with_max_level(level)
         .with_span_events(spans)
-        .with_writer(writer);
+        .with_writer(Named::new(writer, vm));
     // In one process with several roles the first one starts the log.
     let _ = log.try_init();
     LogGuard(guard)
 }
 
+/// Writes lines that begin with the name of the VM, so that those of several processes can
+/// be told apart once they are merged.
+#[derive(Clone)]
+struct Named {
+    inner: NonBlocking,
+    /// Takes the place of the brace that opens a line.
+    head: Arc<str>,
+}
+
+impl Named {
+    fn new(inner: NonBlocking, vm: &str) -> Self {
+        let vm = serde_json::Value::from(vm);
+        Self { inner, head: format!("{{\"vm\":{vm},").into() }
+    }
+}
+
+impl io::Write for Named {
+    /// Writes one whole line, as the formatter hands it over.
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        match line.split_first() {
+            Some((b'{', rest)) => {
+                let named = [self.head.as_bytes(), rest].concat();
+                self.inner.write_all(&named)?;
+            }
+            _ => self.inner.write_all(line)?,
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.inner.flush()
+    }
+}
+
+impl MakeWriter<'_> for Named {
+    type Writer = Self;
+
+    fn make_writer(&self) -> Self {
+        self.clone()
+    }
+}
+
 /// Sends metrics to a statsd address, or nowhere.
 #[derive(Debug, Clone)]
 pub struct Metrics {
