Copies by what an agent counts; runs by what an agent knows

An entry took the rate of an adapter at itself for that of its hall, times its 13 entries, so a single request (0.23 a second by the estimate) ordered a copy. Ruled out: the price of a fetch (400 ms in place of 150 changed nothing) and the choice itself. Cause 2: 908 sends were answered "another run has the address". 29 engines had come back; the platform lists a run after its first sign of life, entries read that every 2 s, and each of 68 found out by itself, up to three engines for one request. Ruled out: stale lists of adapters; all but 4 of them named the run.

Change 1: the agent that holds an adapter sees all requests for it. It counts them by hall and says with a grant when a copy pays there; the entry's own count is gone. Change 2: agents tell the run that their engine names itself. A former run gets no requests, the new one serves before the platform lists it, and a grant that came while the engine restarted holds for the new run. What was believed copied in the old run's memory is forgotten.

--- a/crates/larkspring-core/src/fleet/demand.rs
+++ b/crates/larkspring-core/src/fleet/demand.rs
@@ -1,14 +1,13 @@
-//! How often each adapter is asked for at one entry.
+//! How often each adapter is asked for.
 
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::time::{Duration, Instant};
 
-use crate::ids::AdapterId;
-
-/// Recent requests by adapter.
-#[derive(Debug, Default)]
-pub struct Demand {
-    seen: HashMap<AdapterId, Seen>,
+/// Recent requests by what they are counted for.
+#[derive(Debug)]
+pub struct Demand<K> {
+    seen: HashMap<K, Seen>,
 }
 
 #[derive(Debug)]
@@ -19,27 +18,33 @@
 
 /// Half of what was counted is forgotten in this time: popularity moves within seconds.
 const HALF_LIFE: Duration = Duration::from_secs(3);
-/// Adapters that are remembered, so that memory is bounded at 49,000 adapters.
+/// Keys that are remembered, so that memory is bounded at 49,000 adapters.
 const MAX_SEEN: usize = 4096;
-/// Recent requests below which an adapter is forgotten when there are too many.
+/// Recent requests below which a key is forgotten when there are too many.
 const FORGOTTEN: f64 = 0.25;
 
-impl Demand {
-    /// Counts a request and returns the recent rate for its adapter, a second.
-    pub fn count(&mut self, now: Instant, adapter: &AdapterId) -> f64 {
+impl<K> Default for Demand<K> {
+    fn default() -> Self {
+        Self { seen: HashMap::new() }
+    }
+}
+
+impl<K: Eq + Hash + Clone> Demand<K> {
+    /// Counts a request and returns the recent rate for its key, a second.
+    pub fn count(&mut self, now: Instant, key: &K) -> f64 {
         if self.seen.len() >= MAX_SEEN {
             self.seen.retain(|_, seen| seen.weight_at(now) >= FORGOTTEN);
         }
         let fresh = || Seen { weight: 0.0, at: now };
-        let seen = self.seen.entry(adapter.clone()).or_insert_with(fresh);
+        let seen = self.seen.entry(key.clone()).or_insert_with(fresh);
         seen.weight = seen.weight_at(now) + 1.0;
         seen.at = now;
         rate(seen.weight)
     }
 
-    /// Returns the recent rate for an adapter, a second.
-    pub fn rate(&self, now: Instant, adapter: &AdapterId) -> f64 {
-        self.seen.get(adapter).map_or(0.0, |seen| rate(seen.weight_at(now)))
+    /// Returns the recent rate for a key, a second.
+    pub fn rate(&self, now: Instant, key: &K) -> f64 {
+        self.seen.get(key).map_or(0.0, |seen| rate(seen.weight_at(now)))
     }
 }
 
--- a/crates/larkspring-core/src/fleet/members.rs
+++ b/crates/larkspring-core/src/fleet/members.rs
@@ -45,6 +45,15 @@
     lapses_at: Option<Instant>,
 }
 
+impl Endpoint {
+    /// Returns a run that came back at the same address and that the platform does not list
+    /// yet: it holds nothing, and takes requests.
+    pub fn next_run(&self, id: Incarnation) -> Self {
+        let listed_since = self.listed_since + 1;
+        Self { id, leaving: false, listed_since, holds: Vec::new(), ..self.clone() }
+    }
+}
+
 /// How long after an outage's end a missing endpoint is kept.
 ///
 /// The platform's operators state about two seconds for the return of lapsed entries.
--- a/crates/larkspring-core/src/fleet/mod.rs
+++ b/crates/larkspring-core/src/fleet/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! 1. [`routes`]: which declared route a request takes, and to which service.
 //! 2. [`members`]: which endpoints a service has now.
-//! 3. [`demand`]: how often each adapter is asked for here.
+//! 3. [`demand`]: how often each adapter is asked for.
 //! 4. [`copies`]: which adapters an engine held lately.
 //! 5. [`reading`]: how much of the prompts at an engine is still to be read.
 //! 6. [`choose`]: which endpoint is sent the request.
--- a/crates/larkspring-core/tests/fleet_choose.rs
+++ b/crates/larkspring-core/tests/fleet_choose.rs
@@ -9,7 +9,7 @@
 use larkspring_core::fleet::demand::Demand;
 use larkspring_core::fleet::mechanisms::{Mechanism, Without};
 use larkspring_core::fleet::quality::Quality;
-use larkspring_core::ids::Incarnation;
+use larkspring_core::ids::{AdapterId, Incarnation};
 
 const VIEW: View = View {
     same_hall: true,
@@ -245,7 +245,7 @@
 fn demand_follows_the_rate() {
     let start = Instant::now();
     let mut demand = Demand::default();
-    let adapter = "m/a1".into();
+    let adapter: AdapterId = "m/a1".into();
     for n in 0..200 {
         demand.count(start + Duration::from_millis(100 * n), &adapter);
     }
--- /dev/null
+++ b/crates/larkspring-core/tests/load_copies.rs
@@ -0,0 +1,85 @@
+//! Adapters that are asked for in halls which do not hold them.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use larkspring_core::fleet::choose::copy_pays;
+use larkspring_core::fleet::demand::Demand;
+
+/// The largest deployment known: 13 entries in each of 5 halls, 713 requests a second for
+/// 24,000 adapters by Zipf's law with power 1.2.
+const HALLS: usize = 5;
+const ENTRIES_IN_HALL: usize = 13;
+const RATE: u64 = 713;
+const ADAPTERS: usize = 24_000;
+const SKEW: f64 = 1.2;
+const LENGTH: u64 = 20;
+/// A copy pays if it spares 13 crossings, which is what a fetch costs.
+const CROSSINGS_A_FETCH: u64 = 13;
+
+#[derive(Debug, Default)]
+struct Copies {
+    made: u64,
+    /// Copies of which at least 13 requests made use within 10 s.
+    paid: u64,
+}
+
+/// Who counts the requests for an adapter that a hall does not hold.
+#[derive(Clone, Copy, PartialEq)]
+enum Counting {
+    /// Each entry its own, taken for one of as many as there are entries in its hall.
+    Entries,
+    /// The agent that holds the adapter, those of each hall.
+    Agent,
+}
+
+fn arrivals() -> Vec<(usize, usize, usize)> {
+    let mut rng = Rng::with_seed(7);
+    let mut sum = 0.0;
+    let sums: Vec<f64> = (1..=ADAPTERS)
+        .map(|n| {
+            sum += (n as f64).powf(-SKEW);
+            sum
+        })
+        .collect();
+    let draw = |rng: &mut Rng| {
+        let point = rng.f64() * sum;
+        let adapter = sums.partition_point(|s| *s < point);
+        (adapter, rng.usize(..HALLS), rng.usize(..ENTRIES_IN_HALL))
+    };
+    (0..RATE * LENGTH).map(|_| draw(&mut rng)).collect()
+}
+
+fn count(counting: Counting) -> Copies {
+    let start = Instant::now();
+    let arrivals = arrivals();
+    let mut demand = Demand::<(usize, usize, usize)>::default();
+    let mut copied: HashMap<(usize, usize), usize> = HashMap::new();
+    let mut copies = Copies::default();
+    for (n, &(adapter, hall, entry)) in arrivals.iter().enumerate() {
+        let now = start + Duration::from_secs_f64(n as f64 / RATE as f64);
+        let (key, factor) = match counting {
+            Counting::Entries => ((adapter, hall, entry), ENTRIES_IN_HALL as f64),
+            Counting::Agent => ((adapter, hall, 0), 1.0),
+        };
+        let rate = demand.count(now, &key) * factor;
+        if copied.contains_key(&(adapter, hall)) || !copy_pays(rate) {
+            continue;
+        }
+        copied.insert((adapter, hall), n);
+        copies.made += 1;
+        let after = arrivals[n..].iter().take((RATE * 10) as usize);
+        let used = after.filter(|a| (a.0, a.1) == (adapter, hall)).count() as u64;
+        copies.paid += u64::from(used >= CROSSINGS_A_FETCH);
+    }
+    copies
+}
+
+#[test]
+fn a_single_request_is_not_taken_for_the_demand_of_a_hall() {
+    let (entries, agent) = (count(Counting::Entries), count(Counting::Agent));
+    println!("entries count: {entries:?}\nagents count: {agent:?}");
+    assert!(agent.made * 10 < entries.made, "{agent:?} {entries:?}");
+    assert!(agent.paid * 2 > agent.made, "{agent:?}");
+}
--- a/crates/larkspring-proto/src/gen/larkspring.residency.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.residency.rs
@@ -98,6 +98,10 @@
 pub struct Granted {
     #[prost(uint64, tag = "1")]
     pub id: u64,
+    /// Whether the entry's hall asks for the adapter so often from other halls that a copy in
+    /// its own one pays.
+    #[prost(bool, tag = "2")]
+    pub copy_pays: bool,
 }
 /// The adapter of a hold will not be loaded in time.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -142,6 +146,9 @@
     /// Prompt tokens of the held requests that are probably not read yet.
     #[prost(uint32, tag = "11")]
     pub unread_tokens: u32,
+    /// The run that the engine named itself; empty if it is the same as before, or not known.
+    #[prost(string, tag = "12")]
+    pub run: ::prost::alloc::string::String,
 }
 /// What an engine can be asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
--- a/crates/larkspring/src/direct/agent/keeper.rs
+++ b/crates/larkspring/src/direct/agent/keeper.rs
@@ -5,9 +5,11 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::future;
+use larkspring_core::fleet::choose::copy_pays;
+use larkspring_core::fleet::demand::Demand;
 use larkspring_core::fleet::mechanisms::Mechanism;
 use larkspring_core::fleet::reading::Unread;
-use larkspring_core::ids::{AttemptId, Target};
+use larkspring_core::ids::{AttemptId, HallId, Target, TargetHash};
 use larkspring_core::outcome::Refusal;
 use larkspring_core::slots::{Action, Eviction, Limits, LoadOrder, Slots, Waiting};
 use larkspring_proto::residency as wire;
@@ -45,8 +47,11 @@
     pub(super) entries: HashMap<EntryNumber, Follower>,
     holds: HashMap<(EntryNumber, u64), AttemptId>,
     asked_by: HashMap<AttemptId, (EntryNumber, u64)>,
-    /// Unread prompt tokens of the requests that wait.
-    prompts: HashMap<AttemptId, u32>,
+    /// What waits for its adapter.
+    asked: HashMap<AttemptId, Asked>,
+    /// Granted requests by hall and adapter.
+    demand: Demand<(HallId, TargetHash)>,
+    hall: HallId,
     next_attempt: AttemptId,
     /// What the engine may hold, by the highest version of the routing that was told.
     pub(super) declared: wire::Engine,
@@ -63,10 +68,16 @@
     pub(super) in_use: Vec<(AttemptId, Target)>,
 }
 
+/// A request that waits for its adapter.
+struct Asked {
+    unread_tokens: u32,
+    adapter: TargetHash,
+}
+
 /// An entry that follows.
 pub(super) struct Follower {
     tx: Sender<wire::FromAgent>,
-    pub(super) hall: String,
+    pub(super) hall: HallId,
     /// Whether it was not told the whole state yet.
     pub(super) is_new: bool,
 }
@@ -122,7 +133,9 @@
                 unread: Unread::new(now, 0),
             },
             unread: Unread::new(now, 0),
-            prompts: HashMap::new(),
+            asked: HashMap::new(),
+            demand: Demand::default(),
+            hall: cfg.process.hall.clone(),
             in_use: Vec::new(),
         }
     }
@@ -166,7 +179,7 @@
     fn take(&mut self, now: Instant, event: Event) {
         match event {
             Event::EntryUp(number, tx) => {
-                let follower = Follower { tx, hall: String::new(), is_new: true };
+                let follower = Follower { tx, hall: HallId::default(), is_new: true };
                 self.entries.insert(number, follower);
             }
             Event::EntrySaid(number, said) => self.entry_said(now, number, said),
@@ -187,7 +200,7 @@
         match said {
             Said::Hello(hello) => {
                 if let Some(entry) = self.entries.get_mut(&number) {
-                    entry.hall = hello.hall;
+                    entry.hall = hello.hall.as_str().into();
                 }
                 logs::dependency(&format!("entry {}", hello.entry), true, "");
             }
@@ -223,7 +236,8 @@
             due: now + Duration::from_millis(hold.in_time_ms),
             worth: hold.worth,
         };
-        self.prompts.insert(id, hold.unread_tokens);
+        let adapter = req.target.hash();
+        self.asked.insert(id, Asked { unread_tokens: hold.unread_tokens, adapter });
         if let Err(refusal) = self.slots.admit(now, id, req) {
             self.refuse(id, &refusal, &hold.request);
         }
@@ -232,7 +246,7 @@
     fn release(&mut self, now: Instant, key: (EntryNumber, u64)) {
         let Some(id) = self.holds.remove(&key) else { return };
         self.asked_by.remove(&id);
-        self.prompts.remove(&id);
+        self.asked.remove(&id);
         self.in_use.retain(|(waiting, _)| *waiting != id);
         if !self.slots.abandon(id) {
             self.slots.ended(now, id);
@@ -264,14 +278,33 @@
     }
 
     fn grant(&mut self, now: Instant, id: AttemptId) {
-        let tokens = self.prompts.remove(&id).unwrap_or_default();
-        self.unread.add(now, tokens);
+        let Some(asked) = self.asked.remove(&id) else { return };
+        self.unread.add(now, asked.unread_tokens);
         let Some((number, hold)) = self.asked_by.get(&id).copied() else { return };
-        self.say(number, Say::Granted(wire::Granted { id: hold }));
+        let copy_pays = self.copy_pays(now, number, asked.adapter);
+        self.say(number, Say::Granted(wire::Granted { id: hold, copy_pays }));
+    }
+
+    /// Counts a request; whether its hall should hold the adapter too.
+    ///
+    /// An agent sees all requests for what it holds. An entry sees one in as many as there
+    /// are entries in its hall, and of 13 entries each would take a single request for
+    /// thirteen.
+    fn copy_pays(
+        &mut self,
+        now: Instant,
+        number: EntryNumber,
+        adapter: TargetHash,
+    ) -> bool {
+        let Some(entry) = self.entries.get(&number) else { return false };
+        if entry.hall == self.hall {
+            return false;
+        }
+        copy_pays(self.demand.count(now, &(entry.hall.clone(), adapter)))
     }
 
     fn refuse(&mut self, id: AttemptId, refusal: &Refusal, request: &str) {
-        self.prompts.remove(&id);
+        self.asked.remove(&id);
         let Some(key) = self.asked_by.remove(&id) else { return };
         self.holds.remove(&key);
         let retry_after = refusal.retry_after.unwrap_or_default();
--- a/crates/larkspring/src/direct/agent/tell.rs
+++ b/crates/larkspring/src/direct/agent/tell.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use larkspring_core::fleet::reading::Unread;
-use larkspring_core::ids::{Target, TargetHash};
+use larkspring_core::ids::{HallId, Incarnation, Target, TargetHash};
 use larkspring_proto::residency::from_agent::Kind as Say;
 use larkspring_proto::residency::{self as wire, Engagement};
 
@@ -28,6 +28,7 @@
     pub(super) resident: HashSet<TargetHash>,
     pub(super) loading: HashSet<TargetHash>,
     pub(super) entries: usize,
+    pub(super) run: Option<Incarnation>,
 }
 
 /// How often entries are told the state, changed or not.
@@ -46,14 +47,19 @@
         let since = now.saturating_duration_since(self.told.at);
         let more = self.unread.at(now).saturating_sub(self.told.unread.at(now));
         self.told.due = self.told.news != news || more >= LONG_PROMPT;
-        let pause = if self.told.due { TELL_PAUSE } else { TELL_EVERY };
+        let pause = match self.told.due {
+            // What is granted next is sent to this run.
+            _ if news.run.is_some() && news.run != self.told.news.run => Duration::ZERO,
+            true => TELL_PAUSE,
+            false => TELL_EVERY,
+        };
         if since < pause {
             return;
         }
         let changes = self.state(now, &news, &self.told.news);
         let all = self.state(now, &news, &News::default());
         let whole = wire::State { whole: true, ..all };
-        let mut halls: HashMap<String, u32> = HashMap::new();
+        let mut halls: HashMap<HallId, u32> = HashMap::new();
         for entry in self.entries.values() {
             *halls.entry(entry.hall.clone()).or_default() += 1;
         }
@@ -75,6 +81,7 @@
             resident: resident.into_iter().map(Target::hash).collect(),
             loading: loading.into_iter().map(Target::hash).collect(),
             entries: self.entries.len(),
+            run: self.engine.named.clone(),
         }
     }
 
@@ -91,6 +98,7 @@
         let held = |of: &News, hash: &TargetHash| {
             of.resident.contains(hash) || of.loading.contains(hash)
         };
+        let run = news.run.as_ref().filter(|_| news.run != told.run);
         let before = told.resident.iter().chain(&told.loading);
         wire::State {
             engagement: news.engagement,
@@ -103,6 +111,7 @@
             resident: news.resident.difference(&told.resident).copied().collect(),
             loading: news.loading.difference(&told.loading).copied().collect(),
             unread_tokens: self.unread.at(now),
+            run: run.map(|run| run.to_string()).unwrap_or_default(),
             gone: before.filter(|hash| !held(news, hash)).copied().collect(),
         }
     }
--- a/crates/larkspring/src/direct/entry/fleet.rs
+++ b/crates/larkspring/src/direct/entry/fleet.rs
@@ -7,6 +7,7 @@
 
 use arc_swap::ArcSwap;
 use event_listener::{Event, EventListener};
+use futures_lite::future;
 use larkspring_core::fleet::members::Endpoint;
 use larkspring_core::ids::{Incarnation, ServiceId};
 use parking_lot::Mutex;
@@ -25,6 +26,10 @@
     peers: ArcSwap<Peers>,
     links: Mutex<HashMap<SocketAddr, Kept>>,
     news: Arc<Event>,
+    /// Notified when an agent names another run of its engine.
+    runs: Arc<Event>,
+    /// Runs that the platform has listed at some time.
+    listed: Mutex<HashSet<Incarnation>>,
 }
 
 /// Endpoints by run and by service.
@@ -40,6 +45,9 @@
     _task: Task<()>,
 }
 
+/// Runs that are remembered as listed; at 11,000 endpoints and 4,300 restarts a day, all of
+/// some days.
+const MAX_LISTED: usize = 32 * 1024;
 /// How often connections that rested too long are closed.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -53,18 +61,27 @@
             peers: ArcSwap::default(),
             links: Mutex::default(),
             news: Arc::default(),
+            runs: Arc::default(),
+            listed: Mutex::default(),
         })
     }
 
-    /// Follows what the platform lists, for ever.
+    /// Follows what the platform lists and what agents tell of their engines, for ever.
     pub async fn follow(self: Arc<Self>) {
         loop {
-            let changed = self.beliefs.changed();
+            let (changed, runs) = (self.beliefs.changed(), self.runs.listen());
             self.rebuild();
-            changed.await;
+            future::or(changed, runs).await;
         }
     }
 
+    /// Returns the run that has taken the place of `peer`, or `peer` itself.
+    pub fn present(&self, peer: &Arc<Peer>) -> Arc<Peer> {
+        let next = peer.followed_by();
+        let next = next.and_then(|run| self.peers.load().by_id.get(&run).cloned());
+        next.unwrap_or_else(|| peer.clone())
+    }
+
     /// Closes connections that rested too long, now and then.
     pub async fn sweep(self: Arc<Self>) {
         loop {
@@ -119,7 +136,7 @@
         let routing = self.beliefs.routing();
         let before = self.peers.load();
         let mut now = Peers::default();
-        for endpoint in latest_by_addr(self.beliefs.endpoints()) {
+        for endpoint in self.endpoints(&before) {
             let engine = routing.as_ref().and_then(|r| r.service(&endpoint.service));
             let is_engine = engine.is_some_and(|s| s.engine.is_some());
             let known = before.by_id.get(&endpoint.id);
@@ -148,13 +165,34 @@
         self.news.notify(usize::MAX);
     }
 
+    /// What the platform lists, with runs that it will list soon by the word of the agents
+    /// beside them.
+    fn endpoints(&self, before: &Peers) -> Vec<Arc<Endpoint>> {
+        let mut endpoints = latest_by_addr(self.beliefs.endpoints());
+        let mut listed = self.listed.lock();
+        if listed.len() >= MAX_LISTED {
+            listed.clear();
+        }
+        listed.extend(endpoints.iter().map(|e| e.id.clone()));
+        let coming: Vec<_> = endpoints
+            .iter()
+            .filter_map(|e| {
+                let run = before.by_id.get(&e.id)?.followed_by()?;
+                // One that was listed and is not any more has gone, whatever its agent says.
+                (!listed.contains(&run)).then(|| Arc::new(e.next_run(run)))
+            })
+            .collect();
+        endpoints.extend(coming);
+        endpoints
+    }
+
     fn link(&self, endpoint: SocketAddr, service: &ServiceId) -> Arc<Link> {
         let addr = self.agent_addr(endpoint);
         let mut links = self.links.lock();
         if let Some(kept) = links.get(&addr) {
             return kept.link.clone();
         }
-        let link = Link::new(addr.to_string(), self.news.clone());
+        let link = Link::new(addr.to_string(), self.news.clone(), self.runs.clone());
         let (beliefs, service) = (self.beliefs.clone(), service.clone());
         let engine = move || engine_of(beliefs.routing().as_deref(), &service);
         let task = exec::spawn(link.clone().run(self.who.clone(), engine));
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -11,7 +11,7 @@
 use larkspring_core::fleet::copies::Copies;
 use larkspring_core::fleet::reading::Unread;
 use larkspring_core::fleet::routes::Routing;
-use larkspring_core::ids::{HallId, ServiceId, Target, TargetHash, VmId};
+use larkspring_core::ids::{HallId, Incarnation, ServiceId, Target, TargetHash, VmId};
 use larkspring_core::retry::backoff;
 use larkspring_proto::residency::from_agent::Kind as FromAgentKind;
 use larkspring_proto::residency::from_entry::Kind;
@@ -37,6 +37,8 @@
     granted: AtomicU32,
     /// Notified when the agent can be asked again, or its engine serves again.
     news: Arc<Event>,
+    /// Notified when the engine turns out to be another run.
+    runs: Arc<Event>,
     since: Instant,
 }
 
@@ -50,6 +52,8 @@
     resident: HashSet<TargetHash>,
     loading: HashSet<TargetHash>,
     copies: Copies,
+    /// The run that the engine named itself, and since when it is known.
+    run: Option<(Incarnation, Instant)>,
     unread: Option<Unread>,
     /// Granted holds of this entry when the agent said so.
     mine_then: u32,
@@ -66,8 +70,8 @@
 /// How a hold that waits ends.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum HoldEnd {
-    /// The adapter is loaded and stays so.
-    Granted,
+    /// The adapter is loaded and stays so. `copy_pays` if this hall needs a copy of its own.
+    Granted { copy_pays: bool },
     /// The agent will not have it loaded in time.
     Refused { reason: String, retry_after: Duration },
     /// The agent can't be asked any more.
@@ -142,7 +146,7 @@
 
 impl Link {
     /// Creates the connection to an agent, closed as yet.
-    pub fn new(addr: String, news: Arc<Event>) -> Arc<Self> {
+    pub fn new(addr: String, news: Arc<Event>, runs: Arc<Event>) -> Arc<Self> {
         Arc::new(Self {
             addr,
             tx: Mutex::default(),
@@ -151,6 +155,7 @@
             next_id: AtomicU64::new(1),
             granted: AtomicU32::new(0),
             news,
+            runs,
             since: Instant::now(),
         })
     }
@@ -282,6 +287,15 @@
         self.known.lock().heard.is_none() && self.since.elapsed() < FIRST_WORD
     }
 
+    /// The run that the engine last named itself, and since when it is known.
+    ///
+    /// Its agent knows a new run at once, the platform lists it after its first sign of
+    /// life: on the large deployment 29 engines were back for 1.5 to 4 s while 68 entries
+    /// sent 910 requests to their former runs.
+    pub fn run_named(&self) -> Option<(Incarnation, Instant)> {
+        self.known.lock().run.clone()
+    }
+
     /// Records that the engine turned out not to hold an adapter.
     pub fn lacks(&self, target: TargetHash) {
         self.known.lock().resident.remove(&target);
@@ -306,14 +320,17 @@
                 if regained || state.engagement != known.state.engagement {
                     self.news.notify(usize::MAX);
                 }
-                known.apply(&state);
+                if known.apply(now, &state) {
+                    self.runs.notify(usize::MAX);
+                }
                 known.unread = Some(Unread::new(now, state.unread_tokens));
                 known.mine_then = self.granted.load(Ordering::Relaxed);
                 known.state = state;
             }
             Some(FromAgentKind::Granted(granted)) => {
                 drop(known);
-                self.end_wait(granted.id, HoldEnd::Granted);
+                let copy_pays = granted.copy_pays;
+                self.end_wait(granted.id, HoldEnd::Granted { copy_pays });
             }
             Some(FromAgentKind::Refused(refused)) => {
                 drop(known);
@@ -332,14 +349,15 @@
         let mut holds = self.holds.lock();
         let Some(held) = holds.get_mut(&id) else { return };
         let waiter = held.waiter.take();
-        if end == HoldEnd::Granted {
+        let granted = end.is_granted();
+        if granted {
             // Known before the agent tells its state, which may be too late.
             let hash = held.target.hash();
             let mut known = self.known.lock();
             known.loading.remove(&hash);
             known.resident.insert(hash);
         }
-        if end != HoldEnd::Granted {
+        if !granted {
             holds.remove(&id);
         } else if waiter.is_some() {
             self.granted.fetch_add(1, Ordering::Relaxed);
@@ -401,12 +419,10 @@
 }
 
 impl Known {
-    /// Takes in what changed.
-    fn apply(&mut self, state: &wire::State) {
-        if state.engagement() == Engagement::Filling {
-            // The copies went with the run that made them.
-            self.copies.clear();
-        }
+    /// Takes in what changed; whether the engine is another run.
+    fn apply(&mut self, now: Instant, state: &wire::State) -> bool {
+        let known = self.run.as_ref().map(|(run, _)| &**run);
+        let is_new = !state.run.is_empty() && known != Some(&state.run);
         if state.whole {
             self.resident.clear();
             self.loading.clear();
@@ -421,6 +437,21 @@
         }
         self.resident.extend(&state.resident);
         self.loading.extend(&state.loading);
+        if state.engagement() == Engagement::Filling || (is_new && self.run.is_some()) {
+            // The copies went with the run that made them, and so did what it held.
+            self.copies.clear();
+        }
+        if is_new {
+            self.run = Some((state.run.as_str().into(), now));
+        }
+        is_new
+    }
+}
+
+impl HoldEnd {
+    /// Whether the adapter is loaded.
+    pub fn is_granted(&self) -> bool {
+        matches!(self, Self::Granted { .. })
     }
 }
 
@@ -429,7 +460,7 @@
     pub async fn granted(&mut self) -> HoldEnd {
         let Some(end) = self.end.take() else { return HoldEnd::Lost };
         let end = end.recv().await.unwrap_or(HoldEnd::Lost);
-        self.granted = end == HoldEnd::Granted;
+        self.granted = end.is_granted();
         end
     }
 }
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -29,7 +29,6 @@
 use event_listener::Event;
 use futures_lite::future;
 use http::StatusCode;
-use larkspring_core::fleet::demand::Demand;
 use larkspring_core::ids::{ServiceId, TargetHash};
 use larkspring_core::retry::RepeatWindow;
 use parking_lot::Mutex;
@@ -72,7 +71,6 @@
     beliefs: Arc<Beliefs>,
     fleet: Arc<Fleet>,
     stats: Arc<Stats>,
-    demand: Mutex<Demand>,
     repeats: Mutex<HashMap<ServiceId, RepeatWindow>>,
     /// Copies that were ordered ahead of requests, and when.
     copies: Mutex<HashMap<TargetHash, Instant>>,
@@ -133,7 +131,6 @@
             beliefs: beliefs.clone(),
             fleet: fleet.clone(),
             stats: stats.clone(),
-            demand: Mutex::default(),
             repeats: Mutex::default(),
             copies: Mutex::default(),
             refused: Mutex::default(),
--- a/crates/larkspring/src/direct/entry/peer.rs
+++ b/crates/larkspring/src/direct/entry/peer.rs
@@ -9,7 +9,7 @@
 use arc_swap::ArcSwap;
 use larkspring_core::fleet::members::Endpoint;
 use larkspring_core::fleet::quality::Quality;
-use larkspring_core::ids::TargetHash;
+use larkspring_core::ids::{Incarnation, TargetHash};
 use parking_lot::Mutex;
 
 use super::link::Link;
@@ -21,6 +21,8 @@
     endpoint: ArcSwap<Endpoint>,
     /// Connection to the agent beside it, if it is a model engine.
     pub link: Option<Arc<Link>>,
+    /// Since when it is known.
+    since: Instant,
     rested: Mutex<Vec<Conn>>,
     open: AtomicU32,
     /// Prompt tokens that it is reading for this entry.
@@ -68,6 +70,7 @@
         Arc::new(Self {
             endpoint: ArcSwap::new(endpoint),
             link,
+            since: Instant::now(),
             rested: Mutex::default(),
             open: AtomicU32::new(0),
             reading: AtomicU32::new(0),
@@ -86,7 +89,13 @@
     /// Whether it takes new requests, as far as known.
     pub fn is_open(&self) -> bool {
         let gone = self.gone_until.lock().is_some_and(|until| until > Instant::now());
-        !gone && !self.endpoint.load().leaving
+        !gone && !self.endpoint.load().leaving && self.followed_by().is_none()
+    }
+
+    /// The run that has taken its place at its address, by the agent there.
+    pub fn followed_by(&self) -> Option<Incarnation> {
+        let (run, at) = self.link.as_ref()?.run_named()?;
+        (run != self.endpoint.load().id && at > self.since).then_some(run)
     }
 
     /// Records that another run has its address.
--- a/crates/larkspring/src/direct/entry/place.rs
+++ b/crates/larkspring/src/direct/entry/place.rs
@@ -5,7 +5,7 @@
 
 use futures_lite::future;
 use larkspring_core::fleet::choose::{
-    batch_cost, copy_pays, for_adapter, for_any, ranked, Holding, Placement, View,
+    batch_cost, for_adapter, for_any, ranked, Holding, Placement, View,
 };
 use larkspring_core::fleet::mechanisms::Mechanism;
 use larkspring_core::fleet::reading::reading_time;
@@ -124,13 +124,10 @@
         adapter: &AdapterId,
         engine: &Engine,
     ) -> Result<Placed, NotPlaced> {
-        let now = Instant::now();
-        let rate = self.entry.demand.lock().count(now, adapter);
         let mut last: NotPlaced = (Reason::NoEndpoint, None);
         let mut passed_over = Vec::new();
         for _ in 0..MAX_HOLDS {
-            let Some(choice) = self.choose(model, adapter, engine, rate, &passed_over)
-            else {
+            let Some(choice) = self.choose(model, adapter, engine, &passed_over) else {
                 break;
             };
             self.why = Some(choice.why.clone());
@@ -161,11 +158,11 @@
         let in_time = self.in_time(&why);
         let open = peer.enter();
         let placed =
-            |hold| Placed { open, target: Some(target.clone()), why, _hold: hold };
+            |open, hold| Placed { open, target: Some(target.clone()), why, _hold: hold };
         let link = peer.link.as_ref().filter(|_| agent);
         let Some(link) = link else {
             peer.reads(hash, model);
-            return Ok(placed(None));
+            return Ok(placed(open, None));
         };
         let asked = Instant::now();
         let limit = self.left().saturating_sub(LEAST_LEFT);
@@ -189,17 +186,24 @@
         let end = within(patience, future::or(leaves, hold.granted())).await;
         let took = asked.elapsed();
         self.waited += took;
-        if !peer.is_open() {
+        // Its engine may have come back as another run meanwhile, to which the grant holds.
+        let now_there = fleet.present(&peer);
+        if !now_there.is_open() {
             // It began to leave while its adapter was waited for.
             self.log_hold(&peer, "the endpoint leaves", took);
             return Err(None);
         }
+        let open = if Arc::ptr_eq(&now_there, &peer) { open } else { now_there.enter() };
+        let peer = now_there;
         let (counted, reason) = match end {
-            Some(HoldEnd::Granted) => {
+            Some(HoldEnd::Granted { copy_pays }) => {
                 self.entry.stats.hold("granted");
                 self.entry.stats.adapter_wait(holding_name(was), took);
+                if copy_pays {
+                    self.copy_here(&target, model);
+                }
                 peer.reads(hash, model);
-                return Ok(placed(Some(hold)));
+                return Ok(placed(open, Some(hold)));
             }
             Some(HoldEnd::Refused { reason, retry_after }) => {
                 self.entry.stats.hold("refused");
@@ -216,7 +220,7 @@
         }
         // The engine itself refuses what it does not hold any more.
         peer.reads(hash, model);
-        Ok(placed(Some(hold)))
+        Ok(placed(open, Some(hold)))
     }
 
     /// What an answer in time is worth, against other requests.
@@ -239,7 +243,6 @@
         model: &ModelRequest,
         adapter: &AdapterId,
         engine: &Engine,
-        rate: f64,
         passed_over: &[Incarnation],
     ) -> Option<Choice> {
         let now = Instant::now();
@@ -276,12 +279,6 @@
             Placement::Random => choose_random(&views)?,
             Placement::Least => least_running(&views)?,
         };
-        let (_, in_hall) = self.entry.fleet.entries();
-        let held = |v: &View| matches!(v.holding, Holding::Resident | Holding::Loading);
-        let here = views.iter().any(|v| v.same_hall && held(v));
-        if resident && !here && copy_pays(rate * f64::from(in_hall)) {
-            self.copy_here(&peers, &views, &target);
-        }
         let agent = views[at].can_load;
         let why = Why::new(&peers[at], &views, at);
         Some(Choice { peer: peers[at].clone(), target, agent, why })
@@ -320,8 +317,24 @@
         self.copy(at.map(|at| &peers[at]), target);
     }
 
-    /// Has an adapter loaded at the first endpoint of this hall.
-    fn copy_here(&self, peers: &[Arc<Peer>], views: &[View], target: &Target) {
+    /// Has an adapter loaded at the first endpoint of this hall, unless one has it.
+    fn copy_here(&self, target: &Target, model: &ModelRequest) {
+        let Some(engine) = &self.service.engine else { return };
+        let (now, hash) = (Instant::now(), target.hash());
+        let hall = &self.entry.cfg().process.hall;
+        let mut peers = self.entry.fleet.open(&self.service.name);
+        peers.retain(|p| p.endpoint().hall == *hall);
+        let peers =
+            ranked(hash, peers.into_iter().map(|p| (p.endpoint(), p)).collect(), |e| {
+                &e.0.id
+            });
+        let peers: Vec<_> = peers.into_iter().map(|(_, p)| p).collect();
+        let views: Vec<_> =
+            peers.iter().map(|p| self.engine_view(now, p, hash, model, engine)).collect();
+        let held = |v: &View| matches!(v.holding, Holding::Resident | Holding::Loading);
+        if views.iter().any(held) {
+            return;
+        }
         // A copy is only worth it where it delays nobody.
         let fit = |v: &View| {
             v.same_hall && v.can_load && v.free_places > 0 && v.loads_ahead == 0
@@ -351,7 +364,7 @@
         let stats = self.entry.stats.clone();
         crate::exec::spawn(async move {
             let end = within(COPY_WAIT, hold.granted()).await;
-            let granted = end == Some(HoldEnd::Granted);
+            let granted = end.is_some_and(|end| end.is_granted());
             stats.hold(if granted { "copied" } else { "not copied" });
         })
         .detach();
