Have one agent of a hall read the platform's store for its entries

An entry that the store turned away had nobody to go on from.

Ruled out: longer waits (a watch that is cut off without a word would be noticed later than changes have to be in force); a relay among entries (they are the ones that callers need, and do not know each other).

Change: an agent keeps what the store answered, undecoded, and answers the entries of its hall: everything, or what came after a revision, with the age of the store's last answer. All entries of a hall take the same agent, by rendezvous hashing, and the next one when it does not answer in time, has read nothing yet, or tells a state older than half of the time within which changes have to be in force; then the store itself, from the revision that they know. So a lost agent costs a call, never a change. A revision never goes back. Lists are decoded with the changes after them. Metrics tell who answered.

--- a/crates/larkspring-cli/src/platform.rs
+++ b/crates/larkspring-cli/src/platform.rs
@@ -54,9 +54,10 @@
     let settings = Settings::load()?;
     let cfg = AgentCfg { without: args.without(), ..settings.agent()? };
     let _log = start_log(&cfg.process.vm, args.log_level, false, LogTo::Stdout);
+    let store = Arc::new(Store::new(settings.store(), STORE_TIMEOUT));
     exec::run(THREADS, async {
         let requests = Requests::new()?;
-        let agent = Agent::start(cfg, Arc::new(Wire)).await?;
+        let agent = Agent::start(cfg, Arc::new(Wire), store).await?;
         // Nothing that an agent goes by can change while it runs.
         let reload = |settings: &Settings| settings.agent().map(drop);
         until_stopped(requests, settings, reload).await;
--- a/crates/larkspring-cli/tests/common/site.rs
+++ b/crates/larkspring-cli/tests/common/site.rs
@@ -35,10 +35,17 @@
     pub agents: Vec<Process>,
     pub entries: Vec<Process>,
     pub dir: TempDir,
-    store_addr: SocketAddr,
+    ways: Ways,
     shape: Shape,
 }
 
+/// Addresses by which processes reach the store.
+#[derive(Debug, Clone, Copy)]
+pub struct Ways {
+    pub agents: SocketAddr,
+    pub entries: SocketAddr,
+}
+
 /// What a deployment consists of.
 #[derive(Debug, Clone, Copy)]
 pub struct Shape {
@@ -78,7 +85,12 @@
 impl Site {
     /// Starts a deployment and waits until it serves.
     pub fn start(shape: Shape) -> Self {
-        let site = Self::without_config(shape);
+        Self::start_behind(shape, |store| Ways { agents: store, entries: store })
+    }
+
+    /// The same, where processes reach the store by other addresses.
+    pub fn start_behind(shape: Shape, ways: impl FnOnce(SocketAddr) -> Ways) -> Self {
+        let site = Self::behind(shape, ways);
         site.store.put("config", "main", config(1, shape.timeout_ms, PLACES));
         site.list_all();
         for n in 0..shape.entries {
@@ -92,13 +104,13 @@
 
     /// Starts a deployment whose store holds nothing yet.
     pub fn without_config(shape: Shape) -> Self {
-        Self::behind(shape, |store| store)
+        Self::behind(shape, |store| Ways { agents: store, entries: store })
     }
 
-    /// The same, where processes reach the store by another address.
-    pub fn behind(shape: Shape, way: impl FnOnce(SocketAddr) -> SocketAddr) -> Self {
+    /// The same, where processes reach the store by other addresses.
+    pub fn behind(shape: Shape, ways: impl FnOnce(SocketAddr) -> Ways) -> Self {
         let store = Store::start("127.0.0.1:0");
-        let store_addr = way(store.addr);
+        let ways = ways(store.addr);
         let app = |n| Worker::start("127.0.0.1:0", &format!("app-{n}"));
         let mut site = Self {
             store,
@@ -107,7 +119,7 @@
             agents: Vec::new(),
             entries: Vec::new(),
             dir: tempfile::tempdir().unwrap(),
-            store_addr,
+            ways,
             shape,
         };
         for n in 0..shape.engines {
@@ -183,11 +195,15 @@
         ip: String,
         app: Option<String>,
     ) -> Process {
+        let store = match role {
+            "platform-agent" => self.ways.agents,
+            _ => self.ways.entries,
+        };
         let node = Node {
             name: "node",
             ip: ip.clone(),
             zone: "hall-a",
-            store: self.store_addr.to_string(),
+            store: store.to_string(),
             app,
             grace_s: self.shape.grace_s,
         };
--- a/crates/larkspring/src/direct/agent/mod.rs
+++ b/crates/larkspring/src/direct/agent/mod.rs
@@ -5,11 +5,13 @@
 //! 3. [`orders`]: what the engine reports, and the orders that follow.
 //! 4. [`tell`]: what the entries are told of it.
 //! 5. [`driver`]: asks the engine for its report and gives it orders, one at a time.
+//! 6. [`state`]: the declared state, read once for the entries of the hall.
 
 mod driver;
 mod keeper;
 mod orders;
 mod serve;
+mod state;
 mod tell;
 
 use std::net::SocketAddr;
@@ -21,8 +23,9 @@
 use smol::{channel, Task};
 
 use self::keeper::Keeper;
+use self::state::KeptState;
 use super::cfg::AgentCfg;
-use super::edge::Protocol;
+use super::edge::{Directory, Protocol};
 use super::entry::StartError;
 use super::stats::Stats;
 use super::{logs, side};
@@ -45,6 +48,7 @@
     pub async fn start(
         cfg: AgentCfg,
         protocol: Arc<dyn Protocol>,
+        directory: Arc<dyn Directory>,
     ) -> Result<Self, StartError> {
         let listener = TcpListener::bind(cfg.listen).await;
         let listener =
@@ -61,18 +65,18 @@
         tracing::info!(
             event = "start",
             process = "agent",
-            vm = %cfg.process.vm,
             hall = %cfg.process.hall,
             addr = %addr,
             engine = %cfg.engine,
         );
+        let state = KeptState::new(directory, stats.clone(), cfg.process.bound());
         let keeper = Keeper::new(&cfg, commands, stats);
         let tasks = vec![
             served,
             exec::spawn(keeper.run(rx)),
             exec::spawn(logs::report_left_out()),
         ];
-        let stopper = serve::start(listener, tx);
+        let stopper = serve::start(listener, tx, state);
         Ok(Self { addr, stopper, _tasks: tasks })
     }
 
--- a/crates/larkspring/src/direct/agent/serve.rs
+++ b/crates/larkspring/src/direct/agent/serve.rs
@@ -7,23 +7,29 @@
 
 use futures_lite::Stream;
 use larkspring_proto::residency::residency_server::{Residency, ResidencyServer};
-use larkspring_proto::residency::{FromAgent, FromEntry};
+use larkspring_proto::residency::{FromAgent, FromEntry, ReadReply, ReadRequest};
 use smol::channel::{self, Receiver, Sender};
 use smol::net::TcpListener;
 use tonic::{Request, Response, Status, Streaming};
 
 use super::keeper::{EntryNumber, Event};
+use super::state::KeptState;
 use crate::exec;
 use crate::rpc::serve::{serve, Stopper};
 
 struct Service {
     events: Sender<Event>,
     next: AtomicU64,
+    state: Arc<KeptState>,
 }
 
 /// Serves entries on `listener` in the background.
-pub(super) fn start(listener: TcpListener, events: Sender<Event>) -> Stopper {
-    let service = Arc::new(Service { events, next: AtomicU64::new(1) });
+pub(super) fn start(
+    listener: TcpListener,
+    events: Sender<Event>,
+    state: Arc<KeptState>,
+) -> Stopper {
+    let service = Arc::new(Service { events, next: AtomicU64::new(1), state });
     serve(listener, ResidencyServer::from_arc(service))
 }
 
@@ -43,6 +49,13 @@
         let task = exec::spawn(reader);
         Ok(Response::new(Following { rx: Box::pin(rx), _reader: task }))
     }
+
+    async fn read(
+        &self,
+        req: Request<ReadRequest>,
+    ) -> Result<Response<ReadReply>, Status> {
+        Ok(Response::new(self.state.read(&req.into_inner()).await))
+    }
 }
 
 /// Messages for one entry; what the entry says is read as long as this is kept.
--- /dev/null
+++ b/crates/larkspring/src/direct/agent/state.rs
@@ -0,0 +1,239 @@
+//! The declared state, read once for the entries of a hall.
+//!
+//! Every entry needs it, and each call to the platform's store is charged: with 68 entries
+//! that asked for themselves it was 3,264 calls on a quiet day, the largest price of all. An
+//! entry asks an agent of its hall instead, which keeps what the store answered, undecoded,
+//! and tells how old it is. The entry asks the store itself as soon as that is too old.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use event_listener::Event;
+use larkspring_proto::residency as wire;
+use parking_lot::Mutex;
+use smol::Timer;
+
+use crate::direct::edge::{After, Ask, Directory, Kind, ListRevision, Read, State};
+use crate::direct::stats::Stats;
+use crate::exec::{self, within};
+use crate::platform::PlatformError;
+
+/// What an agent keeps of the declared state.
+pub(super) struct KeptState {
+    directory: Arc<dyn Directory>,
+    stats: Arc<Stats>,
+    /// Pause between two reads of endpoints, and the longest wait of one.
+    beat: Duration,
+    /// When the store last answered a read of any kind.
+    heard: Mutex<Option<Instant>>,
+    kinds: [Feed; KINDS],
+}
+
+/// One kind of items.
+#[derive(Default)]
+struct Feed {
+    kept: Mutex<Kept>,
+    changed: Event,
+}
+
+#[derive(Default)]
+struct Kept {
+    /// The last list, and the changes after it.
+    pages: Vec<Bytes>,
+    listed: ListRevision,
+    changes: VecDeque<Change>,
+    revision: ListRevision,
+    /// When the store last answered; `None` before the first list.
+    heard: Option<Instant>,
+    /// Whether everything has to be read anew.
+    lists: bool,
+    /// When an entry last asked; the store is read while entries do.
+    asked: Option<Instant>,
+    is_read: bool,
+}
+
+struct Change {
+    /// Revision that it leads to.
+    to: ListRevision,
+    body: Bytes,
+}
+
+const KINDS: usize = 3;
+/// How long the store is asked to wait for a change of what seldom changes. A call that is cut off without a word
+/// is noticed this much later.
+const WAIT: Duration = Duration::from_secs(2);
+/// Least time between two reads of kinds that change seldom, so that a series of changes is
+/// read at once.
+const OTHERS_PAUSE: Duration = Duration::from_millis(50);
+/// Pause after a call that failed: entries ask the store themselves meanwhile.
+const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+/// Part of the shortest time within which declared changes have to be in force that goes by
+/// between two reads of endpoints, and that one of them waits. Their entries change all the
+/// time, and these reads show entries that the store is still heard: with two fifths they
+/// are no longer apart than the half that an entry allows.
+const BEAT_PART: f64 = 0.2;
+/// Time without a question after which the store is not read any more.
+const UNASKED: Duration = Duration::from_secs(5);
+/// Changes that are kept; one a second comes for endpoints. A reader that is further behind
+/// gets everything, and so does the next one after a new list.
+const MAX_CHANGES: usize = 64;
+
+impl KeptState {
+    /// Creates the state of an agent that nobody has asked; `bound` is the shortest time
+    /// within which declared changes have to be in force.
+    pub fn new(
+        directory: Arc<dyn Directory>,
+        stats: Arc<Stats>,
+        bound: Duration,
+    ) -> Arc<Self> {
+        let beat = bound.mul_f64(BEAT_PART);
+        Arc::new(Self {
+            directory,
+            stats,
+            beat,
+            heard: Mutex::default(),
+            kinds: Default::default(),
+        })
+    }
+
+    /// Answers an entry, after waiting for a change for as long as it asks.
+    pub async fn read(self: &Arc<Self>, req: &wire::ReadRequest) -> wire::ReadReply {
+        let kind = kind_of(req.kind());
+        let feed = self.feed(kind);
+        let begins = {
+            let mut kept = feed.kept.lock();
+            kept.asked = Some(Instant::now());
+            !std::mem::replace(&mut kept.is_read, true)
+        };
+        if begins {
+            exec::spawn(self.clone().follow(kind)).detach();
+        }
+        let changed = feed.changed.listen();
+        let (nothing_new, knows) = {
+            let kept = feed.kept.lock();
+            (kept.revision <= req.after, kept.heard.is_some())
+        };
+        if nothing_new || !knows {
+            within(Duration::from_millis(req.wait_ms), changed).await;
+        }
+        let now = Instant::now();
+        let last = *self.heard.lock();
+        let since_any =
+            last.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
+        let kept = feed.kept.lock();
+        kept.reply(req.after, now, since_any)
+    }
+
+    fn feed(&self, kind: Kind) -> &Feed {
+        &self.kinds[kind as usize]
+    }
+
+    /// Reads the store for as long as entries ask.
+    async fn follow(self: Arc<Self>, kind: Kind) {
+        let feed = self.feed(kind);
+        loop {
+            let after = {
+                let mut kept = feed.kept.lock();
+                if kept.asked.is_none_or(|at| at.elapsed() > UNASKED) {
+                    *kept = Kept::default();
+                    return;
+                }
+                let revision = kept.revision;
+                let is_full = kept.changes.len() >= MAX_CHANGES;
+                let lists = kept.heard.is_none() || kept.lists || is_full;
+                (!lists).then_some(After { revision, wait: self.wait(kind) })
+            };
+            let read = self.directory.read(Ask { kind, after }).await;
+            self.stats.store_call(kind.name(), read.is_ok());
+            let pause = self.take(kind, read);
+            Timer::after(pause).await;
+        }
+    }
+
+    /// Keeps what was read; returns the pause before the next read.
+    fn take(&self, kind: Kind, read: Result<Read, PlatformError>) -> Duration {
+        let feed = self.feed(kind);
+        let state = match read {
+            Ok(Read::State(state)) => state,
+            Ok(Read::HistoryGone) => {
+                feed.kept.lock().lists = true;
+                return Duration::ZERO;
+            }
+            Err(e) => {
+                tracing::debug!(event = "store not read", kind = kind.name(), cause = %e);
+                feed.changed.notify(usize::MAX);
+                return FAILURE_PAUSE;
+            }
+        };
+        let now = Instant::now();
+        *self.heard.lock() = Some(now);
+        if feed.kept.lock().take(state, now) {
+            feed.changed.notify(usize::MAX);
+        }
+        match kind {
+            Kind::Endpoints => self.beat,
+            Kind::Routing | Kind::Versions => OTHERS_PAUSE,
+        }
+    }
+
+    fn wait(&self, kind: Kind) -> Duration {
+        match kind {
+            Kind::Endpoints => self.beat,
+            Kind::Routing | Kind::Versions => WAIT,
+        }
+    }
+}
+
+impl Kept {
+    /// Takes in what the store answered; whether anything changed.
+    fn take(&mut self, state: State, now: Instant) -> bool {
+        let first = self.heard.replace(now).is_none();
+        if state.whole {
+            self.lists = false;
+            self.pages = state.pages;
+            self.listed = state.revision;
+            self.changes.clear();
+        }
+        let changed = first || !state.changes.is_empty();
+        let to = state.revision;
+        self.changes.extend(state.changes.into_iter().map(|body| Change { to, body }));
+        self.revision = self.revision.max(state.revision);
+        changed
+    }
+
+    /// What an entry gets that knows the state at `after`.
+    ///
+    /// Its age is that of the store's last answer to any read, as a watch of what seldom
+    /// changes is answered late; but a watch that is overdue may be cut off.
+    fn reply(
+        &self,
+        after: ListRevision,
+        now: Instant,
+        since_any: Duration,
+    ) -> wire::ReadReply {
+        let Some(heard) = self.heard else {
+            // Revision 0 tells that nothing is known.
+            return wire::ReadReply::default();
+        };
+        let whole = after < self.listed;
+        let overdue = now.saturating_duration_since(heard).saturating_sub(WAIT);
+        let newer = self.changes.iter().filter(|c| whole || c.to > after);
+        wire::ReadReply {
+            revision: self.revision,
+            whole,
+            pages: if whole { self.pages.clone() } else { Vec::new() },
+            changes: newer.map(|c| c.body.clone()).collect(),
+            age_ms: since_any.max(overdue).as_millis() as u64,
+        }
+    }
+}
+
+fn kind_of(kind: wire::Kind) -> Kind {
+    match kind {
+        wire::Kind::Routing => Kind::Routing,
+        wire::Kind::Endpoints => Kind::Endpoints,
+        wire::Kind::Versions => Kind::Versions,
+    }
+}
--- a/crates/larkspring/src/direct/cfg.rs
+++ b/crates/larkspring/src/direct/cfg.rs
@@ -27,6 +27,15 @@
     pub stop_grace: Duration,
     /// Time within which a leaving endpoint has to be passed over.
     pub drain: Duration,
+    /// Time within which a declared routing has to be in force.
+    pub in_force: Duration,
+}
+
+impl ProcessCfg {
+    /// The shortest time within which declared changes have to be in force.
+    pub fn bound(&self) -> Duration {
+        self.drain.min(self.in_force)
+    }
 }
 
 /// Settings of an entry.
--- a/crates/larkspring/src/direct/edge.rs
+++ b/crates/larkspring/src/direct/edge.rs
@@ -10,7 +10,7 @@
 use larkspring_core::ids::{AdapterId, BaseId, Incarnation, Target};
 use quick_error::quick_error;
 
-use crate::platform::Answer;
+use crate::platform::{Answer, PlatformError};
 
 /// Name that a caller gives to one attempt at a request.
 pub type RequestId = String;
@@ -20,16 +20,65 @@
 
 /// The declared state of a platform.
 pub trait Directory: Send + Sync {
-    /// Reads all items of a kind.
-    fn list(&self, kind: Kind) -> Answer<'_, Listed>;
-
-    /// Waits up to `wait` for changes after a revision.
-    fn watch(
-        &self,
-        kind: Kind,
-        after: ListRevision,
-        wait: Duration,
-    ) -> Answer<'_, Watched>;
+    /// Reads items of a kind, as they are written.
+    fn read(&self, ask: Ask) -> Answer<'_, Read>;
+
+    /// Decodes items that were read.
+    fn decode(&self, kind: Kind, state: &State) -> Result<Listed, PlatformError>;
+}
+
+/// What is read of the declared state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ask {
+    /// The kind of items.
+    pub kind: Kind,
+    /// What changed after a revision; everything if there is none.
+    pub after: Option<After>,
+}
+
+/// Which changes are read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct After {
+    /// The state that is known.
+    pub revision: ListRevision,
+    /// How long a change is waited for.
+    pub wait: Duration,
+}
+
+/// What a read brought.
+#[derive(Debug, Clone)]
+pub enum Read {
+    /// Items.
+    State(State),
+    /// The history since the revision is gone: everything has to be read anew.
+    HistoryGone,
+}
+
+/// Items of a kind at a revision, as they are written.
+#[derive(Debug, Clone, Default)]
+pub struct State {
+    /// The state that was read.
+    pub revision: ListRevision,
+    /// Whether it is everything, and not only what changed.
+    pub whole: bool,
+    /// Pages of a list.
+    pub pages: Vec<Bytes>,
+    /// Changes after the list, in their order.
+    pub changes: Vec<Bytes>,
+    /// Time since the platform's store answered; zero if it did just now.
+    pub age: Duration,
+    /// Who answered.
+    pub via: Via,
+}
+
+/// Who answers a read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Via {
+    /// The platform's store.
+    #[default]
+    Store,
+    /// An agent that reads for the entries of its hall.
+    Agent,
 }
 
 /// Kinds of declared state, each followed by itself.
@@ -54,7 +103,7 @@
     }
 }
 
-/// All items of a kind at a revision.
+/// Items of a kind at a revision.
 #[derive(Debug)]
 pub struct Listed {
     /// The state that was read.
@@ -63,15 +112,6 @@
     pub items: Vec<Item>,
 }
 
-/// What a watch brought.
-#[derive(Debug)]
-pub enum Watched {
-    /// Changes up to a revision; none if the wait ran out.
-    Changes(Listed),
-    /// The history since the revision is gone: the items have to be listed anew.
-    HistoryGone,
-}
-
 /// One item of declared state.
 #[derive(Debug)]
 pub enum Item {
--- a/crates/larkspring/src/direct/entry/fleet.rs
+++ b/crates/larkspring/src/direct/entry/fleet.rs
@@ -99,6 +99,14 @@
         all.iter().filter(|p| p.is_open()).cloned().collect()
     }
 
+    /// Endpoints of a hall whose agents were heard a moment ago.
+    pub fn agents_in(&self, hall: &str) -> Vec<Arc<Peer>> {
+        let live = |p: &&Arc<Peer>| p.link.as_ref().is_some_and(|link| link.is_live());
+        let peers = self.peers.load();
+        let in_hall = peers.by_id.values().filter(|p| *p.endpoint().hall == *hall);
+        in_hall.filter(live).filter(|p| p.is_open()).cloned().collect()
+    }
+
     /// Notifies of the next change that may make an endpoint usable.
     pub fn news(&self) -> EventListener {
         self.news.listen()
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -160,6 +160,16 @@
         })
     }
 
+    /// Address of the agent.
+    pub fn addr(&self) -> &str {
+        &self.addr
+    }
+
+    /// Whether the agent was heard a moment ago.
+    pub fn is_live(&self) -> bool {
+        self.known.lock().live
+    }
+
     /// Keeps the connection open for ever; `engine` says what the engine may hold.
     pub async fn run(
         self: Arc<Self>,
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -8,6 +8,7 @@
 
 mod answer;
 mod attempt;
+mod directory;
 mod events;
 mod fleet;
 mod job;
@@ -36,6 +37,7 @@
 use smol::net::TcpListener;
 use smol::{Task, Timer};
 
+use self::directory::HallDirectory;
 use self::fleet::Fleet;
 use self::link::Who;
 use super::beliefs::Beliefs;
@@ -137,8 +139,10 @@
             stop: Stop::default(),
             kept_bytes: AtomicUsize::new(0),
         });
-        let drain = inner.cfg().process.drain;
-        let mut tasks = watch::follow(directory, beliefs, stats.clone(), drain);
+        let (drain, hall) = (inner.cfg().process.drain, inner.cfg().process.hall.clone());
+        let bound = inner.cfg().process.bound();
+        let directory = HallDirectory::new(directory, fleet.clone(), hall, bound);
+        let mut tasks = watch::follow(Arc::new(directory), beliefs, stats.clone(), drain);
         tasks.push(exec::spawn(fleet.clone().follow()));
         tasks.push(exec::spawn(fleet.sweep()));
         tasks.push(exec::spawn(logs::report_left_out()));
@@ -154,7 +158,6 @@
         tracing::info!(
             event = "start",
             process = "entry",
-            vm = %inner.cfg().process.vm,
             hall = %inner.cfg().process.hall,
             addr = %addr,
         );
--- a/crates/larkspring/src/direct/stats.rs
+++ b/crates/larkspring/src/direct/stats.rs
@@ -23,6 +23,7 @@
     orders: IntCounterVec,
     reports: IntCounterVec,
     store_calls: IntCounterVec,
+    agent_reads: IntCounterVec,
     left_out: IntGaugeVec,
     state: IntGaugeVec,
 }
@@ -104,6 +105,11 @@
                 "Calls to the platform's store by kind and outcome.",
                 &["kind", "outcome"],
             ),
+            agent_reads: counter(
+                "larkspring_agent_reads_total",
+                "Reads of the declared state that an agent answered, by kind.",
+                &["kind"],
+            ),
             left_out: gauge(
                 "larkspring_log_lines_left_out",
                 "Log lines left out so far, by kind.",
@@ -168,6 +174,11 @@
         self.store_calls.with_label_values(&[kind, outcome(ok)]).inc();
     }
 
+    /// Counts a read of the declared state that an agent answered.
+    pub fn agent_read(&self, kind: &str) {
+        self.agent_reads.with_label_values(&[kind]).inc();
+    }
+
     /// Sets a figure of the present state.
     pub fn state(&self, of: &str, value: i64) {
         self.state.with_label_values(&[of]).set(value);
--- a/crates/larkspring/src/direct/watch.rs
+++ b/crates/larkspring/src/direct/watch.rs
@@ -9,7 +9,7 @@
 use smol::Timer;
 
 use super::beliefs::Beliefs;
-use super::edge::{Directory, Kind, ListRevision, Watched};
+use super::edge::{After, Ask, Directory, Kind, ListRevision, Read, State, Via};
 use super::stats::Stats;
 use crate::exec::{self, within};
 use crate::platform::PlatformError;
@@ -23,6 +23,8 @@
 /// Least time between two watches of endpoints, as a part of the time within which a
 /// leaving endpoint has to be passed over: each call is charged.
 const ENDPOINTS_PAUSE_PART: f64 = 0.5;
+/// The same where an agent answers, which costs no call.
+const AGENT_PAUSE: Duration = Duration::from_millis(50);
 /// The same for other kinds, so that a series of changes is read at once.
 const OTHERS_PAUSE: Duration = Duration::from_millis(50);
 /// First and longest pause after a call that failed.
@@ -87,57 +89,71 @@
 
     /// Lists and watches until a call fails.
     async fn follow(&mut self) -> PlatformError {
+        let mut after = None;
         loop {
-            let listed = match self.directory.list(self.kind).await {
-                Ok(listed) => listed,
-                Err(e) => return e,
+            let read = match after {
+                Some(after) => self.watch(after).await,
+                None => self.directory.read(Ask { kind: self.kind, after: None }).await,
             };
-            self.answered();
-            let mut revision = listed.revision;
-            self.beliefs.replace(Instant::now(), self.kind, listed);
-            loop {
-                Timer::after(self.pause()).await;
-                match self.watch(revision).await {
-                    Ok(Watched::Changes(changes)) => {
-                        self.answered();
-                        revision = changes.revision;
-                        self.beliefs.update(Instant::now(), changes);
-                    }
-                    Ok(Watched::HistoryGone) => {
-                        self.answered();
-                        tracing::info!(event = "history gone", kind = self.kind.name());
-                        break;
-                    }
-                    Err(e) => return e,
+            let taken = match read {
+                Ok(Read::State(state)) => self.take(&state),
+                Ok(Read::HistoryGone) => {
+                    tracing::info!(event = "history gone", kind = self.kind.name());
+                    after = None;
+                    continue;
                 }
-            }
+                Err(e) => Err(e),
+            };
+            let (revision, via) = match taken {
+                Ok(taken) => taken,
+                Err(e) => return e,
+            };
+            after = Some(After { revision, wait: self.wait() });
+            Timer::after(self.pause(via)).await;
         }
     }
 
-    async fn watch(&self, revision: ListRevision) -> Result<Watched, PlatformError> {
-        let wait = match self.kind {
-            Kind::Endpoints => ENDPOINTS_WAIT,
-            Kind::Routing | Kind::Versions => OTHERS_WAIT,
-        };
+    /// Takes in what was read; returns its revision and who answered.
+    fn take(&mut self, state: &State) -> Result<(ListRevision, Via), PlatformError> {
+        let listed = self.directory.decode(self.kind, state)?;
+        let now = Instant::now();
+        self.failures = 0;
+        match state.via {
+            Via::Store => self.stats.store_call(self.kind.name(), true),
+            Via::Agent => self.stats.agent_read(self.kind.name()),
+        }
+        self.beliefs.store_answered(now.checked_sub(state.age).unwrap_or(now));
+        let revision = listed.revision;
+        match state.whole {
+            true => self.beliefs.replace(now, self.kind, listed),
+            false => self.beliefs.update(now, listed),
+        }
+        Ok((revision, state.via))
+    }
+
+    async fn watch(&self, after: After) -> Result<Read, PlatformError> {
         let away = async {
             self.beliefs.store_lost().await;
             let cause = "the store does not answer other calls".into();
             Err(PlatformError::NoEffect("watch objects", cause))
         };
-        future::or(self.directory.watch(self.kind, revision, wait), away).await
+        let ask = Ask { kind: self.kind, after: Some(after) };
+        future::or(self.directory.read(ask), away).await
     }
 
-    fn pause(&self) -> Duration {
+    fn wait(&self) -> Duration {
         match self.kind {
-            Kind::Endpoints => self.drain.mul_f64(ENDPOINTS_PAUSE_PART),
-            Kind::Routing | Kind::Versions => OTHERS_PAUSE,
+            Kind::Endpoints => ENDPOINTS_WAIT,
+            Kind::Routing | Kind::Versions => OTHERS_WAIT,
         }
     }
 
-    fn answered(&mut self) {
-        self.failures = 0;
-        self.stats.store_call(self.kind.name(), true);
-        self.beliefs.store_answered(Instant::now());
+    fn pause(&self, via: Via) -> Duration {
+        match self.kind {
+            _ if via == Via::Agent => AGENT_PAUSE,
+            Kind::Endpoints => self.drain.mul_f64(ENDPOINTS_PAUSE_PART),
+            Kind::Routing | Kind::Versions => OTHERS_PAUSE,
+        }
     }
 
     fn failed(&self, e: &PlatformError) {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -50,6 +50,7 @@
         .bytes(".larkspring.agent")
         .bytes(".larkspring.keys")
         .bytes(".larkspring.config")
+        .bytes(".larkspring.residency")
         .compile_fds(files)?;
     Ok(())
 }
