--- /dev/null
+++ b/crates/larkspring-core/src/slots/loads.rs
@@ -0,0 +1,115 @@
+//! Which adapters are loaded, and which give up their places for them.
+
+use std::cmp::Ordering;
+use std::time::Instant;
+
+use super::residency::{Heat, Phase, Residency};
+use super::{Action, Eviction, LoadOrder, Slots, Waiting};
+use crate::ids::Target;
+
+/// Adapters that are not held and whose uses are remembered.
+const MAX_PAST: usize = 4096;
+/// Uses below which an adapter that is not held is forgotten when room is short.
+const FORGOTTEN: f64 = 0.5;
+
+impl Slots {
+    /// Loads the adapters that the most urgent requests wait for.
+    pub(super) fn load_next(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.loads_paused {
+            return;
+        }
+        let order = match self.limits.order {
+            LoadOrder::Urgency => self.by_urgency(),
+            LoadOrder::Worth => self.by_worth(now),
+        };
+        for id in order {
+            let loading = self.adapters.values().filter(|a| a.is_loading()).count();
+            if loading >= self.limits.max_loading {
+                return;
+            }
+            let req = self.waiting[&id].clone();
+            if self.adapters.contains_key(&req.target) {
+                continue;
+            }
+            if !self.may_fetch(now, &req.target) {
+                continue;
+            }
+            if self.other_version(&req.target, actions) {
+                continue;
+            }
+            if self.adapters.len() < self.limits.slots {
+                let mut loading = Residency::new(now, Phase::Loading { since: now });
+                if let Some(heat) = self.past.remove(&req.target) {
+                    loading.heat = heat;
+                }
+                self.adapters.insert(req.target.clone(), loading);
+                actions.push(Action::Load(req.target));
+                continue;
+            }
+            self.make_room(now, &req, actions);
+            return;
+        }
+    }
+
+    /// Whether the weight store takes a fetch of `target` now; a copy needs none.
+    fn may_fetch(&mut self, now: Instant, target: &Target) -> bool {
+        if !self.limits.paced || self.copies.contains(target.hash()) {
+            return true;
+        }
+        let copies = &self.copies;
+        let fetched =
+            |(t, a): &(&Target, &Residency)| a.is_loading() && !copies.contains(t.hash());
+        let fetching = self.adapters.iter().filter(fetched).count();
+        self.window.is_open(now, fetching)
+    }
+
+    /// Keeps the uses of an adapter that leaves; forgets the least used ones.
+    pub(super) fn remember(&mut self, now: Instant, target: &Target, heat: Heat) {
+        if self.past.len() >= MAX_PAST {
+            self.past.retain(|_, heat| heat.at(now) >= FORGOTTEN);
+        }
+        if self.past.len() < MAX_PAST {
+            self.past.insert(target.clone(), heat);
+        }
+    }
+
+    /// Frees a slot for `req`, or prepares to, unless one is being freed already.
+    fn make_room(&mut self, now: Instant, req: &Waiting, actions: &mut Vec<Action>) {
+        let freeing = |a: &Residency| matches!(a.phase, Phase::Unloading);
+        let settled = self.settled_at.is_some_and(|at| at <= now);
+        if !settled || self.adapters.values().any(freeing) {
+            return;
+        }
+        if let Some(victim) = self.coldest(now, |a| a.pins + a.foreign == 0) {
+            self.set_phase(&victim, Phase::Unloading);
+            actions.push(Action::Unload(victim));
+            return;
+        }
+        let retiring = self.adapters.values().any(|a| a.phase == Phase::Retiring);
+        if retiring || now.saturating_duration_since(req.since) < self.limits.patience {
+            return;
+        }
+        if let Some(victim) = self.coldest(now, |a| a.phase == Phase::Resident) {
+            self.set_phase(&victim, Phase::Retiring);
+        }
+    }
+
+    /// Finds the adapter that is worth least among those that `fits` picks.
+    fn coldest(&self, now: Instant, fits: impl Fn(&Residency) -> bool) -> Option<Target> {
+        let fit = self.adapters.iter().filter(|(_, a)| a.is_resident() && fits(a));
+        let least = fit.min_by(|(t1, a1), (t2, a2)| {
+            let heat = match self.limits.eviction {
+                Eviction::Heat => a1.heat.at(now).total_cmp(&a2.heat.at(now)),
+                Eviction::Lru => Ordering::Equal,
+            };
+            heat.then(a1.last_used.cmp(&a2.last_used)).then(t1.cmp(t2))
+        });
+        least.map(|(target, _)| target.clone())
+    }
+
+    fn set_phase(&mut self, target: &Target, phase: Phase) {
+        if let Some(adapter) = self.adapters.get_mut(target) {
+            adapter.phase = phase;
+        }
+    }
+}
--- /dev/null
+++ b/crates/larkspring/src/direct/entry/known.rs
@@ -0,0 +1,139 @@
+//! What an entry knows of one engine, by what the agent beside it last said.
+
+use std::collections::HashSet;
+use std::time::Instant;
+
+use larkspring_core::fleet::choose::Holding;
+use larkspring_core::fleet::copies::Copies;
+use larkspring_core::fleet::reading::Unread;
+use larkspring_core::ids::{Incarnation, TargetHash};
+use larkspring_proto::residency::{self as wire, Engagement};
+
+/// What the agent last said.
+#[derive(Debug, Default)]
+pub(super) struct Known {
+    /// When it last spoke; `None` if it never did.
+    pub heard: Option<Instant>,
+    /// Whether it spoke a moment ago.
+    pub live: bool,
+    /// The run that the engine named itself, and since when it is known.
+    pub run: Option<(Incarnation, Instant)>,
+    state: wire::State,
+    resident: HashSet<TargetHash>,
+    loading: HashSet<TargetHash>,
+    copies: Copies,
+    unread: Option<Unread>,
+    /// Granted holds of this entry when the agent said so.
+    mine_then: u32,
+}
+
+/// What an entry believes of an engine, by its agent.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct EngineView {
+    /// Whether the agent was heard a moment ago.
+    pub live: bool,
+    /// What the engine can be asked for.
+    pub engagement: Engagement,
+    /// Requests in the engine, of all entries.
+    pub running: u32,
+    pub free_places: u32,
+    pub loads_ahead: u32,
+    /// Prompt tokens that are still to be read, of all entries.
+    pub unread_tokens: u32,
+}
+
+/// What changed with a new state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Changed {
+    /// Whether the engine can be asked for something else than before.
+    pub engagement: bool,
+    /// Whether the engine is another run.
+    pub run: bool,
+}
+
+impl Known {
+    /// Takes in a state; `mine` is the number of granted holds of this entry.
+    pub fn take(&mut self, now: Instant, state: wire::State, mine: u32) -> Changed {
+        let engagement = state.engagement != self.state.engagement;
+        let run = self.apply(now, &state);
+        self.unread = Some(Unread::new(now, state.unread_tokens));
+        self.mine_then = mine;
+        self.state = state;
+        Changed { engagement, run }
+    }
+
+    /// What is believed of the engine now; `mine` is the number of granted holds of this
+    /// entry.
+    pub fn view(&self, now: Instant, mine: u32) -> EngineView {
+        let held = self.state.held.saturating_sub(self.mine_then) + mine;
+        EngineView {
+            live: self.live,
+            engagement: self.state.engagement(),
+            running: held.max(mine),
+            free_places: self.state.free_places,
+            loads_ahead: self.state.loads_ahead + self.loading.len() as u32,
+            unread_tokens: self.unread.map_or(0, |u| u.at(now)),
+        }
+    }
+
+    /// Whether the engine holds an adapter; `None` if the agent never spoke.
+    pub fn holding(&self, target: TargetHash) -> Option<Holding> {
+        self.heard?;
+        Some(if self.resident.contains(&target) {
+            Holding::Resident
+        } else if self.loading.contains(&target) {
+            Holding::Loading
+        } else if self.copies.contains(target) {
+            Holding::Copied
+        } else {
+            Holding::Absent
+        })
+    }
+
+    /// Records that the engine holds an adapter, before its agent tells so.
+    pub fn holds(&mut self, target: TargetHash) {
+        self.loading.remove(&target);
+        self.resident.insert(target);
+    }
+
+    /// Records that the engine turned out not to hold an adapter.
+    pub fn lacks(&mut self, target: TargetHash) {
+        self.resident.remove(&target);
+    }
+
+    /// Entries that follow the agent: in all, and in this entry's hall.
+    pub fn entries(&self) -> (u32, u32) {
+        match self.live {
+            true => (self.state.entries, self.state.entries_in_hall),
+            false => (0, 0),
+        }
+    }
+
+    /// Takes in what changed; whether the engine is another run.
+    fn apply(&mut self, now: Instant, state: &wire::State) -> bool {
+        let known = self.run.as_ref().map(|(run, _)| &**run);
+        let is_new = !state.run.is_empty() && known != Some(&state.run);
+        if state.whole {
+            self.resident.clear();
+            self.loading.clear();
+        }
+        for hash in state.loading.iter().chain(&state.gone) {
+            if self.resident.remove(hash) {
+                self.copies.leave(*hash);
+            }
+        }
+        for hash in state.resident.iter().chain(&state.gone) {
+            self.loading.remove(hash);
+        }
+        self.resident.extend(&state.resident);
+        self.loading.extend(&state.loading);
+        if state.engagement() == Engagement::Filling || (is_new && self.run.is_some()) {
+            // The copies went with the run that made them, and so did what it held.
+            self.copies.clear();
+        }
+        if is_new {
+            self.run = Some((state.run.as_str().into(), now));
+        }
+        is_new
+    }
+}
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -1,6 +1,6 @@
 //! Connections to agents: holds of adapters, and what agents say of their engines.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -8,20 +8,19 @@
 use event_listener::Event;
 use fastrand::Rng;
 use larkspring_core::fleet::choose::Holding;
-use larkspring_core::fleet::copies::Copies;
-use larkspring_core::fleet::reading::Unread;
 use larkspring_core::fleet::routes::Routing;
 use larkspring_core::ids::{HallId, Incarnation, ServiceId, Target, TargetHash, VmId};
 use larkspring_core::retry::backoff;
+use larkspring_proto::residency as wire;
 use larkspring_proto::residency::from_agent::Kind as FromAgentKind;
 use larkspring_proto::residency::from_entry::Kind;
 use larkspring_proto::residency::residency_client::ResidencyClient;
-use larkspring_proto::residency::{self as wire, Engagement};
 use parking_lot::Mutex;
 use smol::channel::{self, Receiver, Sender};
 use smol::Timer;
 use tonic::Status;
 
+use super::known::{EngineView, Known};
 use crate::direct::logs;
 use crate::exec::within;
 use crate::rpc::channel::Pool;
@@ -42,23 +41,6 @@
     since: Instant,
 }
 
-/// What the agent last said.
-#[derive(Debug, Default)]
-struct Known {
-    heard: Option<Instant>,
-    /// Whether the agent has spoken within [`SILENCE`].
-    live: bool,
-    state: wire::State,
-    resident: HashSet<TargetHash>,
-    loading: HashSet<TargetHash>,
-    copies: Copies,
-    /// The run that the engine named itself, and since when it is known.
-    run: Option<(Incarnation, Instant)>,
-    unread: Option<Unread>,
-    /// Granted holds of this entry when the agent said so.
-    mine_then: u32,
-}
-
 #[derive(Debug)]
 struct Held {
     target: Target,
@@ -104,21 +86,6 @@
     granted: bool,
 }
 
-/// What an entry believes of an engine, by its agent.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct EngineView {
-    /// Whether the agent was heard a moment ago.
-    pub live: bool,
-    /// What the engine can be asked for.
-    pub engagement: Engagement,
-    /// Requests in the engine, of all entries.
-    pub running: u32,
-    pub free_places: u32,
-    pub loads_ahead: u32,
-    /// Prompt tokens that are still to be read, of all entries.
-    pub unread_tokens: u32,
-}
-
 /// Who this entry is.
 #[derive(Debug, Clone)]
 pub(super) struct Who {
@@ -263,32 +230,13 @@
 
     /// What is known of the engine.
     pub fn view(&self) -> EngineView {
-        let known = self.known.lock();
         let mine = self.granted.load(Ordering::Relaxed);
-        let held = known.state.held.saturating_sub(known.mine_then) + mine;
-        EngineView {
-            live: known.live,
-            engagement: known.state.engagement(),
-            running: held.max(mine),
-            free_places: known.state.free_places,
-            loads_ahead: known.state.loads_ahead + known.loading.len() as u32,
-            unread_tokens: known.unread.map_or(0, |u| u.at(Instant::now())),
-        }
+        self.known.lock().view(Instant::now(), mine)
     }
 
     /// Whether the agent said that the engine holds an adapter; `None` if it never spoke.
     pub fn holding(&self, target: TargetHash) -> Option<Holding> {
-        let known = self.known.lock();
-        known.heard?;
-        Some(if known.resident.contains(&target) {
-            Holding::Resident
-        } else if known.loading.contains(&target) {
-            Holding::Loading
-        } else if known.copies.contains(target) {
-            Holding::Copied
-        } else {
-            Holding::Absent
-        })
+        self.known.lock().holding(target)
     }
 
     /// Whether the agent was not heard yet but may well be: what the platform lists of the
@@ -308,16 +256,12 @@
 
     /// Records that the engine turned out not to hold an adapter.
     pub fn lacks(&self, target: TargetHash) {
-        self.known.lock().resident.remove(&target);
+        self.known.lock().lacks(target);
     }
 
     /// Entries that follow the agent: in all, and in this entry's hall.
     pub fn entries(&self) -> (u32, u32) {
-        let known = self.known.lock();
-        match known.live {
-            true => (known.state.entries, known.state.entries_in_hall),
-            false => (0, 0),
-        }
+        self.known.lock().entries()
     }
 
     fn heard(&self, message: wire::FromAgent) {
@@ -327,15 +271,14 @@
         let regained = !std::mem::replace(&mut known.live, true);
         match message.kind {
             Some(FromAgentKind::State(state)) => {
-                if regained || state.engagement != known.state.engagement {
+                let mine = self.granted.load(Ordering::Relaxed);
+                let changed = known.take(now, state, mine);
+                if regained || changed.engagement {
                     self.news.notify(usize::MAX);
                 }
-                if known.apply(now, &state) {
+                if changed.run {
                     self.runs.notify(usize::MAX);
                 }
-                known.unread = Some(Unread::new(now, state.unread_tokens));
-                known.mine_then = self.granted.load(Ordering::Relaxed);
-                known.state = state;
             }
             Some(FromAgentKind::Granted(granted)) => {
                 drop(known);
@@ -362,10 +305,7 @@
         let granted = end.is_granted();
         if granted {
             // Known before the agent tells its state, which may be too late.
-            let hash = held.target.hash();
-            let mut known = self.known.lock();
-            known.loading.remove(&hash);
-            known.resident.insert(hash);
+            self.known.lock().holds(held.target.hash());
         }
         if !granted {
             holds.remove(&id);
@@ -428,36 +368,6 @@
     }
 }
 
-impl Known {
-    /// Takes in what changed; whether the engine is another run.
-    fn apply(&mut self, now: Instant, state: &wire::State) -> bool {
-        let known = self.run.as_ref().map(|(run, _)| &**run);
-        let is_new = !state.run.is_empty() && known != Some(&state.run);
-        if state.whole {
-            self.resident.clear();
-            self.loading.clear();
-        }
-        for hash in state.loading.iter().chain(&state.gone) {
-            if self.resident.remove(hash) {
-                self.copies.leave(*hash);
-            }
-        }
-        for hash in state.resident.iter().chain(&state.gone) {
-            self.loading.remove(hash);
-        }
-        self.resident.extend(&state.resident);
-        self.loading.extend(&state.loading);
-        if state.engagement() == Engagement::Filling || (is_new && self.run.is_some()) {
-            // The copies went with the run that made them, and so did what it held.
-            self.copies.clear();
-        }
-        if is_new {
-            self.run = Some((state.run.as_str().into(), now));
-        }
-        is_new
-    }
-}
-
 impl HoldEnd {
     /// Whether the adapter is loaded.
     pub fn is_granted(&self) -> bool {
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -12,6 +12,7 @@
 mod events;
 mod fleet;
 mod job;
+mod known;
 mod link;
 mod peer;
 mod place;
