--- a/crates/larkspring-core/tests/slots_loading.rs
+++ b/crates/larkspring-core/tests/slots_loading.rs
@@ -219,3 +219,28 @@
     let open = engine.pass(Duration::from_secs(2), quick);
     assert!(open > 3.5, "a store that is not full is used: {open}");
 }
+
+#[test]
+fn the_wait_for_an_order_is_not_taken_for_a_full_store() {
+    let quick = Duration::from_millis(250);
+    let lost = Duration::from_millis(600);
+    let mut engine = Engine::new(Instant::now());
+    engine.pass(Duration::from_secs(5), quick);
+    // Every order is answered late, and each load takes as long as before from there.
+    for _ in 0..8 {
+        engine.ask();
+        let ordered = loads(&engine.slots.schedule(engine.now));
+        for target in &ordered {
+            engine.slots.load_ordered(engine.now + lost, target);
+        }
+        engine.now += lost + quick;
+        for target in ordered {
+            engine.slots.loaded(engine.now, &target, true);
+        }
+    }
+    engine.fetching.clear();
+    let held: Vec<_> = engine.slots.held().0.into_iter().cloned().collect();
+    engine.slots.engine_is_now(engine.now, &run(), &held, &[], |_| true);
+    let open = engine.pass(Duration::from_secs(1), quick);
+    assert!(open > 3.5, "fetches are not held back: {open}");
+}
