Use a run before the platform lists it only if its agent saw it come

Cause: an agent that was connected anew may stand on another VM at an address that was passed on, beside an engine of another service; the run that it names would have been given the service of the former one. Found by reading; not seen in a run.

Ruled out: asking the agent for its service (it does not know it).

Change: a run that follows another one while its agent stays connected serves at once; one that is named by a new connection only ends the former run's requests, and serves once it is listed.

Test: a_run_that_a_new_agent_names_waits_for_the_platform fails without the condition (200 in place of 503), and passes with it.

--- a/crates/larkspring/src/direct/entry/fleet.rs
+++ b/crates/larkspring/src/direct/entry/fleet.rs
@@ -78,7 +78,7 @@
     /// Returns the run that has taken the place of `peer`, or `peer` itself.
     pub fn present(&self, peer: &Arc<Peer>) -> Arc<Peer> {
         let next = peer.followed_by();
-        let next = next.and_then(|run| self.peers.load().by_id.get(&run).cloned());
+        let next = next.and_then(|run| self.peers.load().by_id.get(&run.id).cloned());
         next.unwrap_or_else(|| peer.clone())
     }
 
@@ -187,7 +187,8 @@
             .filter_map(|e| {
                 let run = before.by_id.get(&e.id)?.followed_by()?;
                 // One that was listed and is not any more has gone, whatever its agent says.
-                (!listed.contains(&run)).then(|| Arc::new(e.next_run(run)))
+                let coming = run.in_place && !listed.contains(&run.id);
+                coming.then(|| Arc::new(e.next_run(run.id)))
             })
             .collect();
         endpoints.extend(coming);
--- a/crates/larkspring/src/direct/entry/known.rs
+++ b/crates/larkspring/src/direct/entry/known.rs
@@ -16,8 +16,8 @@
     pub heard: Option<Instant>,
     /// Whether it spoke a moment ago.
     pub live: bool,
-    /// The run that the engine named itself, and since when it is known.
-    pub run: Option<(Incarnation, Instant)>,
+    /// The run that the engine last named itself.
+    pub run: Option<NamedRun>,
     state: wire::State,
     resident: HashSet<TargetHash>,
     loading: HashSet<TargetHash>,
@@ -42,6 +42,17 @@
     pub unread_tokens: u32,
 }
 
+/// The run that an engine named itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct NamedRun {
+    pub id: Incarnation,
+    /// Since when it is known.
+    pub since: Instant,
+    /// Whether the agent saw it follow another run while it was connected. Else the address
+    /// may have passed to another VM, whose engine may belong to another service.
+    pub in_place: bool,
+}
+
 /// What changed with a new state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Changed {
@@ -111,7 +122,7 @@
 
     /// Takes in what changed; whether the engine is another run.
     fn apply(&mut self, now: Instant, state: &wire::State) -> bool {
-        let known = self.run.as_ref().map(|(run, _)| &**run);
+        let known = self.run.as_ref().map(|run| &*run.id);
         let is_new = !state.run.is_empty() && known != Some(&state.run);
         if state.whole {
             self.resident.clear();
@@ -132,7 +143,9 @@
             self.copies.clear();
         }
         if is_new {
-            self.run = Some((state.run.as_str().into(), now));
+            let id = state.run.as_str().into();
+            let in_place = self.run.is_some() && !state.whole;
+            self.run = Some(NamedRun { id, since: now, in_place });
         }
         is_new
     }
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -9,7 +9,7 @@
 use fastrand::Rng;
 use larkspring_core::fleet::choose::Holding;
 use larkspring_core::fleet::routes::Routing;
-use larkspring_core::ids::{HallId, Incarnation, ServiceId, Target, TargetHash, VmId};
+use larkspring_core::ids::{HallId, ServiceId, Target, TargetHash, VmId};
 use larkspring_core::retry::backoff;
 use larkspring_proto::residency as wire;
 use larkspring_proto::residency::from_agent::Kind as FromAgentKind;
@@ -20,7 +20,7 @@
 use smol::Timer;
 use tonic::Status;
 
-use super::known::{EngineView, Known};
+use super::known::{EngineView, Known, NamedRun};
 use crate::direct::logs;
 use crate::exec::within;
 use crate::rpc::channel::Pool;
@@ -245,12 +245,12 @@
         self.known.lock().heard.is_none() && self.since.elapsed() < FIRST_WORD
     }
 
-    /// The run that the engine last named itself, and since when it is known.
+    /// The run that the engine last named itself.
     ///
     /// Its agent knows a new run at once, the platform lists it after its first sign of
     /// life: on the large deployment 29 engines were back for 1.5 to 4 s while 68 entries
     /// sent 910 requests to their former runs.
-    pub fn run_named(&self) -> Option<(Incarnation, Instant)> {
+    pub fn run_named(&self) -> Option<NamedRun> {
         self.known.lock().run.clone()
     }
 
--- a/crates/larkspring/src/direct/entry/peer.rs
+++ b/crates/larkspring/src/direct/entry/peer.rs
@@ -9,9 +9,10 @@
 use arc_swap::ArcSwap;
 use larkspring_core::fleet::members::Endpoint;
 use larkspring_core::fleet::quality::Quality;
-use larkspring_core::ids::{Incarnation, TargetHash};
+use larkspring_core::ids::TargetHash;
 use parking_lot::Mutex;
 
+use super::known::NamedRun;
 use super::link::Link;
 use crate::direct::conn::Conn;
 use crate::direct::edge::{ModelRequest, PromptPart};
@@ -93,9 +94,9 @@
     }
 
     /// The run that has taken its place at its address, by the agent there.
-    pub fn followed_by(&self) -> Option<Incarnation> {
-        let (run, at) = self.link.as_ref()?.run_named()?;
-        (run != self.endpoint.load().id && at > self.since).then_some(run)
+    pub fn followed_by(&self) -> Option<NamedRun> {
+        let run = self.link.as_ref()?.run_named()?;
+        (run.id != self.endpoint.load().id && run.since > self.since).then_some(run)
     }
 
     /// Records that another run has its address.
