--- a/crates/larkspring-core/src/fleet/choose.rs
+++ b/crates/larkspring-core/src/fleet/choose.rs
@@ -68,14 +68,9 @@
     Home,
 }
 
-/// Cost of another hall for a plain call: bytes between halls are charged, those of a call
-/// at about a thirtieth of what its answer is worth (the deployments' price lists).
+/// Cost of another hall: bytes between halls are charged; a short request costs about a
+/// thirtieth of what its answer is worth (the deployments' price lists).
 const CROSSING_MS: f64 = 25.0;
-/// The same for a request to an adapter, whose 4 KB are charged at a twentieth of its worth
-/// and whose objective is four times as long. It stays under [`COPIED_MS`], so that a far
-/// holder is taken before an adapter is loaded near. Of 103 MB between halls on a day of 68
-/// entries 93 were left with 60 ms in place of 25, with as many fetches and late answers.
-const ADAPTER_CROSSING_MS: f64 = 45.0;
 /// Time for an adapter from the weight store when few are fetched (measured: 250 to
 /// 270 ms).
 const LOAD_MS: f64 = 260.0;
@@ -123,8 +118,7 @@
 /// Chooses among `views` for a request that any endpoint can run.
 pub fn for_any(views: &[View], answer_time: Duration) -> Option<usize> {
     let per_request = answer_time.as_secs_f64() * 1000.0;
-    let cost = |v: &View| common_cost(v, CROSSING_MS) + waiting_cost(v, per_request);
-    least(views, |_| true, |_, v| cost(v))
+    least(views, |_| true, |_, v| common_cost(v) + waiting_cost(v, per_request))
 }
 
 /// Cost of one more answer at a plain service.
@@ -140,7 +134,7 @@
         Holding::Copied => COPIED_MS + turn_cost(v),
         Holding::Absent => LOAD_MS + fetch_cost(v) + home + turn_cost(v),
     };
-    common_cost(v, ADAPTER_CROSSING_MS) + load + batch_cost(v)
+    common_cost(v) + load + batch_cost(v)
 }
 
 /// Price of a fetch, which weighs less against the answer to a longer prompt.
@@ -166,8 +160,8 @@
     reading + queue + f64::from(v.running) * (RUNNING_MS + follow * OTHER_READ_MS)
 }
 
-fn common_cost(v: &View, crossing: f64) -> f64 {
-    let crossing = if v.same_hall { 0.0 } else { crossing };
+fn common_cost(v: &View) -> f64 {
+    let crossing = if v.same_hall { 0.0 } else { CROSSING_MS };
     let avoided = if v.avoided { AVOIDED_MS } else { 0.0 };
     let quality = v.quality.as_secs_f64() * 1000.0;
     crossing + avoided + quality + f64::from(v.prompt_tokens) * TOKEN_MS
