--- a/crates/larkspring/src/direct/agent/state.rs
+++ b/crates/larkspring/src/direct/agent/state.rs
@@ -61,8 +61,8 @@
 }
 
 const KINDS: usize = 3;
-/// How long the store is asked to wait for a change of what seldom changes. A call that is cut off without a word
-/// is noticed this much later.
+/// How long the store is asked to wait for a change of what seldom changes. A call that is
+/// cut off without a word is noticed this much later.
 const WAIT: Duration = Duration::from_secs(2);
 /// Least time between two reads of kinds that change seldom, so that a series of changes is
 /// read at once.
@@ -70,9 +70,9 @@
 /// Pause after a call that failed: entries ask the store themselves meanwhile.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 /// Part of the shortest time within which declared changes have to be in force that goes by
-/// between two reads of endpoints, and that one of them waits. Their entries change all the
-/// time, and these reads show entries that the store is still heard: with two fifths they
-/// are no longer apart than the half that an entry allows.
+/// between two reads of endpoints, and that one of them waits. What is listed of endpoints
+/// changes all the time, and these reads show that the store is still heard: two fifths
+/// between them at most, where an entry allows half.
 const BEAT_PART: f64 = 0.2;
 /// Time without a question after which the store is not read any more.
 const UNASKED: Duration = Duration::from_secs(5);
