Take a new agent's first run as named on its connection, not as a follower

An agent that starts anew tells its state before it knows its engine's run; the run came with the next message, which was not a whole state, and so counted as one that had followed another while the agent stayed connected. Ruled out: the test's own order (the agent's orders were seen before the call). Change: a run follows another one only if that was named on the same connection, which begins with a whole state.

--- a/crates/larkspring/src/direct/entry/known.rs
+++ b/crates/larkspring/src/direct/entry/known.rs
@@ -18,6 +18,8 @@
     pub live: bool,
     /// The run that the engine last named itself.
     pub run: Option<NamedRun>,
+    /// Whether the agent named a run on this connection, which begins with a whole state.
+    named_here: bool,
     state: wire::State,
     resident: HashSet<TargetHash>,
     loading: HashSet<TargetHash>,
@@ -48,8 +50,8 @@
     pub id: Incarnation,
     /// Since when it is known.
     pub since: Instant,
-    /// Whether the agent saw it follow another run while it was connected. Else the address
-    /// may have passed to another VM, whose engine may belong to another service.
+    /// Whether the agent named another run before it on the same connection. Else the
+    /// address may have passed to another VM, whose engine may belong to another service.
     pub in_place: bool,
 }
 
@@ -125,6 +127,7 @@
         let known = self.run.as_ref().map(|run| &*run.id);
         let is_new = !state.run.is_empty() && known != Some(&state.run);
         if state.whole {
+            self.named_here = false;
             self.resident.clear();
             self.loading.clear();
         }
@@ -144,9 +147,10 @@
         }
         if is_new {
             let id = state.run.as_str().into();
-            let in_place = self.run.is_some() && !state.whole;
+            let in_place = self.named_here;
             self.run = Some(NamedRun { id, since: now, in_place });
         }
+        self.named_here |= !state.run.is_empty();
         is_new
     }
 }
