Do not walk through all agents of a hall while the store is away

Entries passed over the agents that had nothing to tell and went on to the next two of the hall, each of which then read the store by itself, three kinds 2.5 times a second, until all did. Change: the two agents to ask are the first of all that are heard, passed over or not; an agent pauses for 1 s after a call that failed.

--- a/crates/larkspring/src/direct/agent/state.rs
+++ b/crates/larkspring/src/direct/agent/state.rs
@@ -67,8 +67,9 @@
 /// Least time between two reads of kinds that change seldom, so that a series of changes is
 /// read at once.
 const OTHERS_PAUSE: Duration = Duration::from_millis(50);
-/// Pause after a call that failed: entries ask the store themselves meanwhile.
-const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+/// Pause after a call that failed: entries ask the store themselves meanwhile, and pass an
+/// agent over for 3 s.
+const FAILURE_PAUSE: Duration = Duration::from_secs(1);
 /// Part of the shortest time within which declared changes have to be in force that goes by
 /// between two reads of endpoints, and that one of them waits. What is listed of endpoints
 /// changes all the time, and these reads show that the store is still heard: two fifths
--- a/crates/larkspring/src/direct/entry/directory.rs
+++ b/crates/larkspring/src/direct/entry/directory.rs
@@ -43,7 +43,7 @@
 const ANSWER: Duration = Duration::from_millis(150);
 /// How long an agent that did not answer well is not asked.
 const PASSED_OVER: Duration = Duration::from_secs(3);
-/// Agents of the hall that are asked in one read.
+/// Agents of the hall that read the store for its entries: one, and one to go to.
 const MAX_ASKED: usize = 2;
 /// Connections to agents of the hall.
 const MAX_CONNECTIONS: usize = 4;
@@ -78,6 +78,9 @@
     }
 
     /// The agents to ask, the one that all entries of the hall agree on first.
+    ///
+    /// Those that are passed over are not replaced by the next ones: each agent that is
+    /// asked reads the store by itself, and while the store is away no agent answers well.
     fn agents(&self) -> Vec<Arc<Peer>> {
         if self.fleet.entries().1 < MIN_ENTRIES {
             return Vec::new();
@@ -87,10 +90,10 @@
         passed_over.retain(|(_, until)| *until > now);
         let is_out = |id: &Incarnation| passed_over.iter().any(|(out, _)| out == id);
         let peers = self.fleet.agents_in(&self.hall);
-        let peers = peers.into_iter().map(|p| (p.endpoint().id.clone(), p));
-        let peers = peers.filter(|(id, _)| !is_out(id)).collect();
+        let peers = peers.into_iter().map(|p| (p.endpoint().id.clone(), p)).collect();
         let ranked = ranked(xxh3_64(self.hall.as_bytes()), peers, |(id, _)| id);
-        ranked.into_iter().map(|(_, p)| p).take(MAX_ASKED).collect()
+        let first = ranked.into_iter().take(MAX_ASKED);
+        first.filter(|(id, _)| !is_out(id)).map(|(_, p)| p).collect()
     }
 
     async fn read_from(&self, peer: &Peer, ask: Ask) -> Result<State, String> {
