Move bodies, log lines and the limits' messages out of job, link and keeper

The body of a request, the log lines of its end and the messages of the limits, written both ways in one place, stand in files of their own now. No behaviour changes: moves only.

--- a/crates/larkspring/src/direct/agent/keeper.rs
+++ b/crates/larkspring/src/direct/agent/keeper.rs
@@ -10,7 +10,7 @@
 use larkspring_core::fleet::mechanisms::Mechanism;
 use larkspring_core::fleet::reading::Unread;
 use larkspring_core::ids::{AttemptId, HallId, Target, TargetHash};
-use larkspring_core::limits::home::{Ask, Grant, Home, Want};
+use larkspring_core::limits::home::{Ask, Home};
 use larkspring_core::limits::presence;
 use larkspring_core::outcome::Refusal;
 use larkspring_core::slots::{Action, Eviction, Limits, LoadOrder, Slots, Waiting};
@@ -25,6 +25,7 @@
 use super::tell::{News, Told, TELL_EVERY, TELL_PAUSE};
 use crate::direct::cfg::AgentCfg;
 use crate::direct::edge::Change;
+use crate::direct::limits::{read_want, write_grant};
 use crate::direct::logs::{self, Line};
 use crate::direct::stats::Stats;
 
@@ -224,7 +225,7 @@
 
     /// Answers an entry as the home of limits.
     fn reserve(&mut self, now: Instant, number: EntryNumber, asked: &wire::Reserve) {
-        let wants: Vec<_> = asked.wants.iter().map(want).collect();
+        let wants: Vec<_> = asked.wants.iter().map(read_want).collect();
         let told = presence::Told {
             time: Duration::from_millis(asked.told_ms),
             joined: asked.joined,
@@ -232,7 +233,7 @@
         let entries = self.entries.len().max(asked.entries as usize);
         let grants = self.limits.ask(now, &Ask { told, entries, wants: &wants });
         if !grants.is_empty() {
-            let grants = grants.iter().map(grant).collect();
+            let grants = grants.iter().map(write_grant).collect();
             self.say(number, Say::Reserved(wire::Reserved { grants }));
         }
     }
@@ -356,28 +357,3 @@
         }
     }
 }
-
-fn want(want: &wire::Want) -> Want {
-    Want {
-        workspace: want.workspace,
-        ask: want.ask,
-        debt: want.debt as f64,
-        returned: want.returned as f64,
-        need: want.need as f64,
-        first: want.first as f64,
-        ahead: want.ahead as f64,
-        per_sec: want.per_sec as f64,
-        burst: want.burst as f64,
-        version: want.routing_version,
-    }
-}
-
-/// Units are cut to whole ones, so that no entry gets more than was taken.
-fn grant(grant: &Grant) -> wire::Grant {
-    wire::Grant {
-        workspace: grant.workspace,
-        ask: grant.ask,
-        units: grant.units as u64,
-        wait_ms: (grant.wait.as_secs_f64() * 1000.0).ceil() as u64,
-    }
-}
--- a/crates/larkspring/src/direct/entry/job.rs
+++ b/crates/larkspring/src/direct/entry/job.rs
@@ -4,21 +4,21 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
-use futures_lite::future::{self, poll_fn};
+use futures_lite::future;
 use http::header::{HeaderName, CONNECTION, CONTENT_LENGTH, HOST};
 use http::{HeaderMap, Method, Request, Response, Uri};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use larkspring_core::fleet::attempt::{next, AttemptEnd, History, Next};
 use larkspring_core::fleet::mechanisms::Mechanism;
 use larkspring_core::fleet::routes::{Route, RouteClass, Routing, Service};
 use larkspring_core::ids::Incarnation;
 use larkspring_core::workspaces::Workspace;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::admit::Charge;
 use super::answer::{close_if_leaving, own, AnswerBody, Reason};
 use super::attempt::{Answered, Ended};
+use super::body::{discard, fingerprint, read_body, KeptBody};
+use super::log::{log_answered, log_refused};
 use super::peer::Peer;
 use super::relay::Relay;
 use super::serve::Done;
@@ -64,23 +64,6 @@
     pub why: Option<Why>,
 }
 
-/// The body of a request.
-pub(super) enum KeptBody {
-    /// Held, so that it can be sent more than once.
-    Held { bytes: Bytes, _counted: Counted },
-    /// Too large to be held: its beginning and the rest, sent once.
-    Flowing(Option<(Bytes, Incoming)>),
-}
-
-/// Bytes that count toward what is held for all requests.
-pub(super) struct Counted {
-    entry: Arc<Inner>,
-    len: usize,
-}
-
-/// Most bytes of a body that is held for another attempt; the largest prompts of the
-/// deployments come to 110,000.
-const MAX_HELD_BODY: usize = 128 * 1024;
 /// Deadline of a request that names none, on a route without a time-out.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 /// How long a request waits for the routing, which an entry knows soon after its start.
@@ -382,15 +365,6 @@
     entry.beliefs.routing()
 }
 
-fn fingerprint(path: &str, body: &KeptBody) -> Option<u64> {
-    match body {
-        KeptBody::Held { bytes, .. } if !bytes.is_empty() => {
-            Some(xxh3_64_with_seed(bytes, xxh3_64_with_seed(path.as_bytes(), 0)))
-        }
-        _ => None,
-    }
-}
-
 /// Removes the headers that concern one connection only.
 fn passed_on(mut headers: HeaderMap) -> HeaderMap {
     let named: Vec<HeaderName> = headers
@@ -405,128 +379,3 @@
     }
     headers
 }
-
-/// Most time for which the body of a refused request is read on: its caller may read the
-/// answer only once the body is sent.
-const DISCARD: Duration = Duration::from_secs(1);
-
-/// Reads on a body that nobody needs, without keeping it, so that its connection is not
-/// reset before the answer is read.
-async fn discard(body: Option<Incoming>) {
-    let Some(mut body) = body else { return };
-    let read = async {
-        let mut len = 0;
-        while len < MAX_HELD_BODY && !body.is_end_stream() {
-            let next = poll_fn(|cx| std::pin::Pin::new(&mut body).poll_frame(cx)).await;
-            let Some(Ok(frame)) = next else { return };
-            len += frame.into_data().map_or(0, |data| data.len());
-        }
-    };
-    // What does not come in time is dropped with its connection.
-    let _ = within(DISCARD, read).await;
-}
-
-async fn read_body(
-    entry: &Arc<Inner>,
-    mut body: Incoming,
-    max: usize,
-) -> Result<KeptBody, Reason> {
-    let declared = body.size_hint().exact();
-    if declared.is_some_and(|len| len > max as u64) {
-        return Err(Reason::BodyTooLarge);
-    }
-    let mut counted = Counted { entry: entry.clone(), len: 0 };
-    let mut held = BytesMut::new();
-    while !body.is_end_stream() {
-        let frame = poll_fn(|cx| std::pin::Pin::new(&mut body).poll_frame(cx)).await;
-        let Some(frame) = frame else { break };
-        // A caller that breaks off in its body gets no answer that it could read.
-        let frame = frame.map_err(|_| Reason::BadRequest)?;
-        let Ok(data) = frame.into_data() else { continue };
-        if held.len() + data.len() > max {
-            return Err(Reason::BodyTooLarge);
-        }
-        held.extend_from_slice(&data);
-        if held.len() > MAX_HELD_BODY || !counted.add(data.len()) {
-            return Ok(KeptBody::Flowing(Some((held.freeze(), body))));
-        }
-    }
-    Ok(KeptBody::Held { bytes: held.freeze(), _counted: counted })
-}
-
-impl Counted {
-    /// Counts bytes in, unless too many are held already.
-    fn add(&mut self, len: usize) -> bool {
-        let all = self.entry.kept_bytes.fetch_add(len, Ordering::Relaxed) + len;
-        self.len += len;
-        all <= self.entry.cfg().max_kept_bytes
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.entry.kept_bytes.fetch_sub(self.len, Ordering::Relaxed);
-    }
-}
-
-fn log_refused(
-    entry: &Inner,
-    caller: &CallerRequest,
-    workspace: Option<&str>,
-    reason: Reason,
-    since: Instant,
-    why: Option<&Why>,
-) {
-    if logs::allows(Line::Unserved) {
-        tracing::warn!(
-            event = "unserved",
-            request = caller.id,
-            workspace,
-            reason = reason.name(),
-            status = reason.status().as_u16(),
-            took_ms = since.elapsed().as_millis() as u64,
-            routing = entry.beliefs.routing().map(|r| r.version),
-            routing_proof_age_ms =
-                entry.beliefs.routing_age().map(|age| age.as_millis() as u64),
-            store_age_ms = entry.beliefs.store_age().map(|age| age.as_millis() as u64),
-            endpoint = why.map(|w| &*w.endpoint),
-            holding = why.map(|w| w.holding),
-            running = why.map(|w| w.running),
-            loads_ahead = why.map(|w| w.loads_ahead),
-            chosen_of = why.map(|w| w.of),
-        );
-    }
-}
-
-fn log_answered(job: &Job, endpoint: &Incarnation, status: u16) {
-    if logs::allows(Line::Served) {
-        let why = job.why.as_ref();
-        let model = job.caller.model.as_ref();
-        let age = job.entry.beliefs.store_age();
-        tracing::info!(
-            event = "answered",
-            request = job.caller.id,
-            workspace = job.workspace_name(),
-            route = %job.route.name,
-            endpoint = %endpoint,
-            status,
-            first_byte_ms = job.received.elapsed().as_millis() as u64,
-            objective_ms = job.route.objective.as_millis() as u64,
-            waited_ms = job.waited.as_millis() as u64,
-            attempts = job.history.attempts + 1,
-            routing = job.routing.version,
-            store_age_ms = age.map(|age| age.as_millis() as u64),
-            same_hall = why.map(|w| w.same_hall),
-            adapter = model.and_then(|m| m.adapter.as_deref()),
-            holding = why.map(|w| w.holding),
-            running = why.map(|w| w.running),
-            loads_ahead = why.map(|w| w.loads_ahead),
-            prompt_tokens = model.map(|m| m.prompt_tokens),
-            unread_tokens = why.map(|w| w.unread_tokens),
-            reading_tokens = why.map(|w| w.reading_tokens),
-            free_places = why.map(|w| w.free_places),
-            holders = why.map(|w| w.holders),
-            chosen_of = why.map(|w| w.of),
-        );
-    }
-}
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -10,7 +10,7 @@
 use larkspring_core::fleet::choose::Holding;
 use larkspring_core::fleet::routes::Routing;
 use larkspring_core::ids::{HallId, ServiceId, Target, TargetHash, VmId};
-use larkspring_core::limits::home::{Ask, Grant, Want};
+use larkspring_core::limits::home::{Ask, Grant};
 use larkspring_core::retry::backoff;
 use larkspring_proto::residency as wire;
 use larkspring_proto::residency::from_agent::Kind as FromAgentKind;
@@ -22,6 +22,7 @@
 use tonic::Status;
 
 use super::known::{EngineView, Known, NamedRun};
+use crate::direct::limits::{read_grant, write_want};
 use crate::direct::logs;
 use crate::exec::within;
 use crate::rpc::channel::Pool;
@@ -239,7 +240,7 @@
     /// Asks the agent, as the home of limits, for units; whether it could be asked.
     pub fn reserve(&self, ask: &Ask<'_>) -> bool {
         self.say(Kind::Reserve(wire::Reserve {
-            wants: ask.wants.iter().map(want).collect(),
+            wants: ask.wants.iter().map(write_want).collect(),
             told_ms: ask.told.time.as_millis() as u64,
             joined: ask.told.joined,
             entries: ask.entries as u32,
@@ -305,7 +306,7 @@
             }
             Some(FromAgentKind::Reserved(reserved)) => {
                 drop(known);
-                let grants = reserved.grants.into_iter().map(grant).collect();
+                let grants = reserved.grants.iter().map(read_grant).collect();
                 // The receiver lives as long as the entry.
                 let _ = self.heard.grants.try_send(grants);
             }
@@ -442,30 +443,6 @@
     tx.try_send(wire::FromEntry { kind: Some(kind) }).is_ok()
 }
 
-fn want(want: &Want) -> wire::Want {
-    wire::Want {
-        workspace: want.workspace,
-        ask: want.ask,
-        debt: want.debt.ceil() as u64,
-        returned: want.returned as u64,
-        need: want.need.ceil() as u64,
-        first: want.first.ceil() as u64,
-        ahead: want.ahead.ceil() as u64,
-        per_sec: want.per_sec as u64,
-        burst: want.burst as u64,
-        routing_version: want.version,
-    }
-}
-
-fn grant(grant: wire::Grant) -> Grant {
-    Grant {
-        workspace: grant.workspace,
-        ask: grant.ask,
-        units: grant.units as f64,
-        wait: Duration::from_millis(grant.wait_ms),
-    }
-}
-
 fn status_text(status: &Status) -> String {
     format!("{}: {}", status.code(), status.message())
 }
--- /dev/null
+++ b/crates/larkspring/src/direct/entry/log.rs
@@ -0,0 +1,76 @@
+//! Log lines of a request's end, with the inputs that decided it.
+
+use std::time::Instant;
+
+use larkspring_core::ids::Incarnation;
+
+use super::answer::Reason;
+use super::job::Job;
+use super::view::Why;
+use super::Inner;
+use crate::direct::edge::CallerRequest;
+use crate::direct::logs::{self, Line};
+
+/// Logs that larkspring answered a request itself.
+pub(super) fn log_refused(
+    entry: &Inner,
+    caller: &CallerRequest,
+    workspace: Option<&str>,
+    reason: Reason,
+    since: Instant,
+    why: Option<&Why>,
+) {
+    if logs::allows(Line::Unserved) {
+        tracing::warn!(
+            event = "unserved",
+            request = caller.id,
+            workspace,
+            reason = reason.name(),
+            status = reason.status().as_u16(),
+            took_ms = since.elapsed().as_millis() as u64,
+            routing = entry.beliefs.routing().map(|r| r.version),
+            routing_proof_age_ms =
+                entry.beliefs.routing_age().map(|age| age.as_millis() as u64),
+            store_age_ms = entry.beliefs.store_age().map(|age| age.as_millis() as u64),
+            endpoint = why.map(|w| &*w.endpoint),
+            holding = why.map(|w| w.holding),
+            running = why.map(|w| w.running),
+            loads_ahead = why.map(|w| w.loads_ahead),
+            chosen_of = why.map(|w| w.of),
+        );
+    }
+}
+
+/// Logs that an endpoint's answer is delivered.
+pub(super) fn log_answered(job: &Job, endpoint: &Incarnation, status: u16) {
+    if logs::allows(Line::Served) {
+        let why = job.why.as_ref();
+        let model = job.caller.model.as_ref();
+        let age = job.entry.beliefs.store_age();
+        tracing::info!(
+            event = "answered",
+            request = job.caller.id,
+            workspace = job.workspace_name(),
+            route = %job.route.name,
+            endpoint = %endpoint,
+            status,
+            first_byte_ms = job.received.elapsed().as_millis() as u64,
+            objective_ms = job.route.objective.as_millis() as u64,
+            waited_ms = job.waited.as_millis() as u64,
+            attempts = job.history.attempts + 1,
+            routing = job.routing.version,
+            store_age_ms = age.map(|age| age.as_millis() as u64),
+            same_hall = why.map(|w| w.same_hall),
+            adapter = model.and_then(|m| m.adapter.as_deref()),
+            holding = why.map(|w| w.holding),
+            running = why.map(|w| w.running),
+            loads_ahead = why.map(|w| w.loads_ahead),
+            prompt_tokens = model.map(|m| m.prompt_tokens),
+            unread_tokens = why.map(|w| w.unread_tokens),
+            reading_tokens = why.map(|w| w.reading_tokens),
+            free_places = why.map(|w| w.free_places),
+            holders = why.map(|w| w.holders),
+            chosen_of = why.map(|w| w.of),
+        );
+    }
+}
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -10,6 +10,7 @@
 mod admit;
 mod answer;
 mod attempt;
+mod body;
 mod directory;
 mod events;
 mod fleet;
@@ -17,6 +18,7 @@
 mod known;
 mod limits;
 mod link;
+mod log;
 mod peer;
 mod place;
 mod relay;
--- a/crates/larkspring/src/direct/mod.rs
+++ b/crates/larkspring/src/direct/mod.rs
@@ -15,6 +15,7 @@
 mod conn;
 pub mod edge;
 pub mod entry;
+mod limits;
 mod logs;
 mod side;
 mod stats;
