Take an entry that hears no agent for one of 64, not for the only one

Cause, found by reading: before an agent tells how many entries there are, each entry took itself for the only one. After a loss of all every one of 26 would have been its own home with the whole rate, and would have used the whole part of the slack that is meant for all, until its first agent was heard.

Change: 64 entries are assumed while no agent is heard. Costs service of limited workspaces in the first tenths of a second after a start.

--- a/crates/larkspring/src/direct/entry/limits.rs
+++ b/crates/larkspring/src/direct/entry/limits.rs
@@ -52,6 +52,9 @@
 /// How long a home that did not answer is not asked: an agent that is silent for longer is
 /// no home any more for anybody.
 const PASSED_OVER: Duration = Duration::from_millis(1000);
+/// Entries that are assumed while no agent is heard: about as many as the largest deployment
+/// has (68). With one assumed, each of them would give a whole limit after a loss of all.
+const UNKNOWN_ENTRIES: u32 = 64;
 /// Workspaces that share a home, so that an entry speaks to few homes at a time.
 const GROUP: usize = 64;
 
@@ -144,11 +147,10 @@
 
     /// Decides what homes left unanswered, and passes them over.
     fn decide_unanswered(&self, now: Instant) {
-        let (entries, _) = self.fleet.entries();
         let mut decided = Vec::new();
         let asked = {
             let mut accounts = self.accounts.lock();
-            accounts.set_entries(entries);
+            accounts.set_entries(self.entries());
             accounts.unanswered(now, &mut decided)
         };
         tell(decided);
@@ -182,8 +184,8 @@
             }
             let home = self.home(now, group);
             let told = self.told(now, group, home.as_ref().map(|(addr, _)| *addr));
-            let (entries, _) = self.fleet.entries();
-            let ask = Ask { told, entries: entries as usize, wants: &wants };
+            let entries = self.entries() as usize;
+            let ask = Ask { told, entries, wants: &wants };
             match home {
                 // An ask that can't be sent goes unanswered, which is seen in time.
                 Some((_, link)) => drop(link.reserve(&ask)),
@@ -202,6 +204,15 @@
         told
     }
 
+    /// Entries that share the limits. An entry that hears no agent does not know, and all of
+    /// them may have been started at the same moment.
+    fn entries(&self) -> u32 {
+        match self.fleet.live_links().is_empty() {
+            true => UNKNOWN_ENTRIES,
+            false => self.fleet.entries().0,
+        }
+    }
+
     /// Groups of workspaces, each with a home; zero where nothing is limited.
     fn groups(&self) -> u64 {
         let routing = self.beliefs.routing();
