Let a grant be used in the moment it comes, also where a limit has no slack

Cause, found by reading: without slack a reservation has no life, and counted as lapsed in the moment of its grant, so a limit without overage and tolerance let nothing through. Test: 99 of 100 requests within such a limit are admitted; 0 before.

--- a/crates/larkspring-core/src/limits/account.rs
+++ b/crates/larkspring-core/src/limits/account.rs
@@ -279,7 +279,7 @@
 
     /// Drops what was not used in time.
     fn lapse(&mut self, now: Instant) {
-        while let Some(oldest) = self.reserved.front().filter(|r| r.until <= now) {
+        while let Some(oldest) = self.reserved.front().filter(|r| r.until < now) {
             if oldest.home == self.home {
                 self.lapsed += oldest.units;
             }
@@ -339,7 +339,7 @@
 
     /// What is reserved and has not lapsed.
     fn held(&self, now: Instant) -> f64 {
-        self.reserved.iter().filter(|r| r.until > now).map(|r| r.units).sum()
+        self.reserved.iter().filter(|r| r.until >= now).map(|r| r.units).sum()
     }
 
     /// What should be reserved ahead of requests; zero while over half of it is there.
--- a/crates/larkspring-core/tests/limits.rs
+++ b/crates/larkspring-core/tests/limits.rs
@@ -7,6 +7,13 @@
 
 mod limited;
 
+use std::time::{Duration, Instant};
+
+use larkspring_core::limits::account::{Accounts, Verdict};
+use larkspring_core::limits::home::{Ask, Home};
+use larkspring_core::limits::presence::Told;
+use larkspring_core::limits::LimitTerms;
+use larkspring_core::workspaces::{Limit, Unit, Workspace};
 use limited::{Fault, Shape, Way};
 
 const SEEDS: [u64; 3] = [1, 2, 3];
@@ -113,6 +120,35 @@
     }
 }
 
+/// Without any slack nothing may be out when a window begins, so each request asks for
+/// itself, and is let in by what its own ask brings.
+#[test]
+fn a_limit_without_slack_is_served_request_by_request() {
+    // Longer than a home without units is left alone.
+    const STEP: Duration = Duration::from_millis(200);
+    let terms = LimitTerms { overage: 0.0, tolerance: 0.0, ..limited::TERMS };
+    let limit = Limit { per_sec: 1000.0, burst: 1000.0, unit: Unit::Requests };
+    let workspace = Workspace { name: "w".into(), priority: None, limit: Some(limit) };
+    let (mut home, mut accounts) = (Home::new(terms), Accounts::new(terms));
+    let start = Instant::now();
+    let mut admitted = 0;
+    for step in 0..100_u32 {
+        let now = start + STEP * step;
+        let entered = accounts.enter(now, &workspace, 1, 10.0, step);
+        assert_eq!(entered, None, "step {step}: it waits for its own ask");
+        let wants = accounts.wants(now, false);
+        let time = if step == 0 { Duration::ZERO } else { STEP };
+        let told = Told { time, joined: step == 0 };
+        let grants = home.ask(now, &Ask { told, entries: 1, wants: &wants });
+        for (request, verdict) in accounts.granted(now, &grants) {
+            assert_eq!(request, step);
+            admitted += usize::from(verdict == Verdict::Admitted);
+        }
+    }
+    // 200 units come with each step and 10 are asked; the first step finds nothing.
+    assert_eq!(admitted, 99);
+}
+
 /// Faults drawn at random: up to four of any kind, each for up to 4 s, with three hot
 /// workspaces.
 #[test]
