Keep what answers say of their endpoints: one that leaves or rests gets no requests

Cause: an answer's head was decoded to four things, and what an endpoint says of itself was dropped with the rest. An entry knew of a leaving by the platform's store alone, which may be away, and took a refusal for one failure among others, whose cost wears off in 2 s. Ruled out: repeats and a lack of other endpoints (the failing tests need neither); a request placed before the word came (all waited 1 ms). Change: core::fleet::availability holds what a run said, which nothing older takes back; the last look is just before the first byte; entries, agents' calls and agents' news go by the same decoder and type; where all rest, a request is refused at once with the time of the first that is back. An engine's agent tells all entries that it leaves, and neither asks nor orders an engine that wants rest of it. A run is told from one before it under its name by its start.

--- a/crates/larkspring-core/src/fleet/availability.rs
+++ b/crates/larkspring-core/src/fleet/availability.rs
@@ -1,6 +1,28 @@
-//! What an endpoint says of itself in its answers.
+//! Whether an endpoint takes requests, by what it says of itself in its answers.
+//!
+//! What is said holds for the run that said it, and for this VM. Nothing older takes it back:
+//! while the platform's store is away, its list goes on to call a leaving endpoint ready.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use crate::ids::StartMs;
+
+/// What is known of one run of an endpoint by its answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Availability {
+    /// When the run began, as the platform lists it.
+    start: Option<StartMs>,
+    /// Since when it is known to leave.
+    leaving_since: Option<Instant>,
+    rest: Option<Rest>,
+}
+
+/// A time in which an endpoint wants no requests of this VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Rest {
+    asked_at: Instant,
+    until: Instant,
+}
 
 /// What an answer says of its endpoint, beside what it answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -11,9 +33,101 @@
     pub rest: Option<Duration>,
 }
 
+/// What changed with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct News {
+    /// It is known to leave, and was not before.
+    pub leaves: bool,
+    /// It rests, and did not before.
+    pub rests: bool,
+}
+
+/// The longest rest that is kept: an endpoint that names a year by mistake is tried again
+/// after an hour. Within a longer one it then gets one request an hour, of the two that may
+/// cross any rest.
+pub const MAX_REST: Duration = Duration::from_secs(3600);
+/// Part of the named rest over which the VMs that were asked for it come back: else all of
+/// them send at once what they have kept from the endpoint.
+const SPREAD: f64 = 0.1;
+
 impl Notice {
+    /// What an endpoint says that leaves.
+    pub const LEAVING: Self = Self { leaving: true, rest: None };
+
     /// Whether it says nothing.
     pub fn is_empty(&self) -> bool {
         *self == Self::default()
     }
 }
+
+impl News {
+    /// Whether anything changed.
+    pub fn is_any(self) -> bool {
+        self.leaves || self.rests
+    }
+}
+
+impl Availability {
+    /// Takes in what an answer of the run says, and returns what is news.
+    ///
+    /// `share` of 0 to 1 is this VM's place among those that come back after a rest. Each
+    /// answer's time stands by itself: a shorter one, or none, does not end a longer one.
+    pub fn hear(&mut self, now: Instant, notice: Notice, share: f64) -> News {
+        let before = *self;
+        if notice.leaving {
+            self.leaving_since.get_or_insert(now);
+        }
+        if let Some(rest) = notice.rest.filter(|rest| !rest.is_zero()) {
+            let rest = rest.min(MAX_REST);
+            let until = now + rest + rest.mul_f64(SPREAD * share.clamp(0.0, 1.0));
+            let later = self.rest.is_none_or(|known| until > known.until);
+            if later {
+                self.rest = Some(Rest { asked_at: now, until });
+            }
+        }
+        News {
+            leaves: self.leaves() && !before.leaves(),
+            rests: self.rests_for(now).is_some() && before.rests_for(now).is_none(),
+        }
+    }
+
+    /// Takes in when the run began, as the platform lists it. A later start is another run
+    /// of the same name, of which nothing is known; an earlier one is an old list.
+    pub fn listed(&mut self, start: Option<StartMs>) {
+        match (self.start, start) {
+            (Some(known), Some(start)) if start > known => {
+                *self = Self { start: Some(start), ..Self::default() };
+            }
+            (None, Some(_)) => self.start = start,
+            _ => {}
+        }
+    }
+
+    /// Takes in that another run of the same name has begun by `since`: what was said before
+    /// is not about it.
+    pub fn renewed(&mut self, since: Instant) {
+        self.leaving_since = self.leaving_since.filter(|at| *at >= since);
+        self.rest = self.rest.filter(|rest| rest.asked_at >= since);
+    }
+
+    /// Whether the run said that it leaves.
+    pub fn leaves(&self) -> bool {
+        self.leaving_since.is_some()
+    }
+
+    /// How long it still wants no requests; `None` if it takes them.
+    pub fn rests_for(&self, now: Instant) -> Option<Duration> {
+        let left = self.rest?.until.checked_duration_since(now)?;
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Whether it takes requests, as far as it said.
+    pub fn is_open(&self, now: Instant) -> bool {
+        !self.leaves() && self.rests_for(now).is_none()
+    }
+
+    /// Whether anything is known that must outlive its place in a list.
+    pub fn matters(&self, now: Instant) -> bool {
+        !self.is_open(now)
+    }
+}
--- a/crates/larkspring-core/src/fleet/members.rs
+++ b/crates/larkspring-core/src/fleet/members.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::ids::{HallId, Incarnation, ServiceId, Target};
+use crate::ids::{HallId, Incarnation, ServiceId, StartMs, Target};
 
 /// The endpoints that are listed, and those that may be listed again.
 #[derive(Debug, Default)]
@@ -34,6 +34,8 @@
     pub leaving: bool,
     /// Rises with each run that is listed, so that of two at one address the later is known.
     pub listed_since: u64,
+    /// When the run began, if it says so. Another start under the same name is another run.
+    pub start: Option<StartMs>,
     /// Adapters that it said it holds.
     pub holds: Vec<Target>,
 }
@@ -50,7 +52,14 @@
     /// yet: it holds nothing, and takes requests.
     pub fn next_run(&self, id: Incarnation) -> Self {
         let listed_since = self.listed_since + 1;
-        Self { id, leaving: false, listed_since, holds: Vec::new(), ..self.clone() }
+        Self {
+            id,
+            leaving: false,
+            listed_since,
+            start: None,
+            holds: Vec::new(),
+            ..self.clone()
+        }
     }
 }
 
--- a/crates/larkspring-core/src/ids.rs
+++ b/crates/larkspring-core/src/ids.rs
@@ -33,6 +33,8 @@
 pub type Revision = u64;
 /// Name that an engine gives to one run of itself.
 pub type Incarnation = Arc<str>;
+/// When a run of an endpoint began, in Unix milliseconds of its own clock.
+pub type StartMs = u64;
 /// Hash of an exact adapter, as carried in hints.
 pub type TargetHash = u64;
 /// Hash of a run of an endpoint and one attempt there.
--- a/crates/larkspring-core/tests/fleet_members.rs
+++ b/crates/larkspring-core/tests/fleet_members.rs
@@ -13,6 +13,7 @@
         slots: 1,
         leaving,
         listed_since: 1,
+        start: None,
         holds: Vec::new(),
     }
 }
--- a/crates/larkspring-proto/src/gen/larkspring.residency.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.residency.rs
@@ -291,6 +291,9 @@
     /// The same name again, in a state that is not whole, is another run under that name.
     #[prost(string, tag = "12")]
     pub run: ::prost::alloc::string::String,
+    /// Whether the engine said that it leaves: it takes no new requests.
+    #[prost(bool, tag = "13")]
+    pub leaving: bool,
 }
 /// Kinds of declared state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
--- a/crates/larkspring/src/direct/agent/driver.rs
+++ b/crates/larkspring/src/direct/agent/driver.rs
@@ -51,6 +51,7 @@
     protocol: Arc<dyn Protocol>,
     conn: Option<Conn>,
     time: CallTime,
+    events: Sender<Event>,
 }
 
 /// Starts the driver of an engine; it ends with the returned sender.
@@ -60,13 +61,14 @@
     events: Sender<Event>,
 ) -> Sender<Command> {
     let (tx, rx) = channel::bounded(1);
-    let driver = Driver { engine, protocol, conn: None, time: CallTime::new(ANSWER) };
-    exec::spawn(driver.run(rx, events)).detach();
+    let time = CallTime::new(ANSWER);
+    let driver = Driver { engine, protocol, conn: None, time, events };
+    exec::spawn(driver.run(rx)).detach();
     tx
 }
 
 impl Driver {
-    async fn run(mut self, commands: Receiver<Command>, events: Sender<Event>) {
+    async fn run(mut self, commands: Receiver<Command>) {
         while let Ok(command) = commands.recv().await {
             let driven = match command {
                 Command::Report => Driven::Report(self.report().await),
@@ -76,7 +78,7 @@
                     Driven::Order(order, end)
                 }
             };
-            if events.send(Event::Driven(driven)).await.is_err() {
+            if self.events.send(Event::Driven(driven)).await.is_err() {
                 return;
             }
         }
@@ -129,6 +131,11 @@
         let got: Option<Result<_, String>> = within(limit, work).await;
         let (res, conn) = got.ok_or("no answer in time")??;
         self.conn = Some(conn);
+        let notice = self.protocol.notice(res.status(), res.headers());
+        if !notice.is_empty() {
+            // The keeper lives as long as the agent.
+            let _ = self.events.try_send(Event::Noticed(notice));
+        }
         Ok(res)
     }
 }
--- a/crates/larkspring/src/direct/agent/keeper.rs
+++ b/crates/larkspring/src/direct/agent/keeper.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::future;
+use larkspring_core::fleet::availability::Notice;
 use larkspring_core::fleet::choose::copy_pays;
 use larkspring_core::fleet::demand::Demand;
 use larkspring_core::fleet::mechanisms::Mechanism;
@@ -40,6 +41,8 @@
     EntrySaid(EntryNumber, Said),
     EntryDown(EntryNumber),
     Driven(Driven),
+    /// An answer of the engine said something of it, before what it answers is told.
+    Noticed(Notice),
     /// Entries are to be told what was found of requests that end endpoints.
     Found(Vec<wire::Finding>),
 }
@@ -202,6 +205,7 @@
             Event::EntrySaid(number, said) => self.entry_said(now, number, said),
             Event::EntryDown(number) => self.entry_down(now, number),
             Event::Found(findings) => self.found(findings),
+            Event::Noticed(notice) => self.noticed(now, notice),
             Event::Driven(driven) => {
                 self.driving = false;
                 match driven {
--- a/crates/larkspring/src/direct/agent/orders.rs
+++ b/crates/larkspring/src/direct/agent/orders.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use larkspring_core::fleet::availability::{Availability, Notice};
 use larkspring_core::ids::{Incarnation, Target};
 
 use super::driver::Command;
@@ -20,6 +21,8 @@
     pub(super) named: Option<Incarnation>,
     /// When the run is asked for its name again, if it gave none.
     pub(super) ask_name_at: Option<Instant>,
+    /// What the run said of whether it wants requests.
+    pub(super) said: Availability,
     pub(super) report: Report,
     /// Reports in a row that did not come.
     pub(super) failures: u32,
@@ -70,7 +73,8 @@
 
     /// Gives the driver its next command, if it is free.
     pub(super) fn drive(&mut self, now: Instant) {
-        if self.driving {
+        // An engine that asked this VM for rest is sent neither orders nor calls for reports.
+        if self.driving || self.engine.said.rests_for(now).is_some() {
             return;
         }
         self.forget_unwanted();
@@ -124,6 +128,21 @@
         }
     }
 
+    /// Takes in what an answer of the engine says of it.
+    pub(super) fn noticed(&mut self, now: Instant, notice: Notice) {
+        let news = self.engine.said.hear(now, notice, 0.0);
+        if news.is_any() {
+            tracing::info!(
+                event = if news.leaves { "engine leaves" } else { "engine rests" },
+                endpoint = self.engine.named.as_deref(),
+                rest_ms = notice.rest.map(|rest| rest.as_millis() as u64),
+            );
+        }
+        if let Some(left) = self.engine.said.rests_for(now) {
+            self.report_at = now + left;
+        }
+    }
+
     pub(super) fn reported(&mut self, now: Instant, report: Report) {
         self.stats.report(true);
         self.put_places(now);
@@ -179,6 +198,10 @@
 
     pub(super) fn no_report(&mut self, now: Instant, cause: &str) {
         self.stats.report(false);
+        // A refusal that asks for rest is an answer: the engine is there.
+        if self.engine.said.rests_for(now).is_some() {
+            return;
+        }
         self.engine.failures += 1;
         if self.engine.failures == MAX_FAILURES {
             logs::dependency("engine", false, cause);
@@ -274,13 +297,16 @@
         let known = &self.engine.report;
         let counts_on = report.orders_taken >= known.orders_taken;
         let keeps_base = known.bases.is_empty() || !report.bases.is_empty();
+        let began_again = report.start.is_some()
+            && known.start.is_some_and(|start| Some(start) != report.start);
         if let Some(run) = &self.engine.run {
-            if counts_on && keeps_base {
+            if counts_on && keeps_base && !began_again {
                 return run.clone();
             }
             tracing::warn!(event = "engine restarted", run = %run);
             self.todo.clear();
             self.engine.unclear = None;
+            self.engine.said = Availability::default();
         }
         self.engine.runs += 1;
         self.engine.former = self.engine.named.take();
--- a/crates/larkspring/src/direct/agent/tell.rs
+++ b/crates/larkspring/src/direct/agent/tell.rs
@@ -28,6 +28,8 @@
     pub(super) resident: HashSet<TargetHash>,
     pub(super) loading: HashSet<TargetHash>,
     pub(super) entries: usize,
+    /// Whether the engine said that it leaves.
+    pub(super) leaving: bool,
     /// The run's name, with the number that tells it from one of the same name before it.
     pub(super) run: Option<(Incarnation, u64)>,
 }
@@ -82,6 +84,7 @@
             resident: resident.into_iter().map(Target::hash).collect(),
             loading: loading.into_iter().map(Target::hash).collect(),
             entries: self.entries.len(),
+            leaving: self.engine.said.leaves(),
             run: self.engine.named.clone().map(|name| (name, self.engine.runs)),
         }
     }
@@ -109,6 +112,7 @@
             entries: news.entries as u32,
             entries_in_hall: 0,
             whole: false,
+            leaving: news.leaving,
             resident: news.resident.difference(&told.resident).copied().collect(),
             loading: news.loading.difference(&told.loading).copied().collect(),
             unread_tokens: self.unread.at(now),
--- a/crates/larkspring/src/direct/edge.rs
+++ b/crates/larkspring/src/direct/edge.rs
@@ -8,7 +8,9 @@
 use larkspring_core::fleet::availability::Notice;
 use larkspring_core::fleet::members::Endpoint;
 use larkspring_core::fleet::routes::Routing;
-use larkspring_core::ids::{AdapterId, BaseId, ContentHash, Incarnation, Target};
+use larkspring_core::ids::{
+    AdapterId, BaseId, ContentHash, Incarnation, StartMs, Target,
+};
 use larkspring_core::workspaces::Credential;
 use quick_error::quick_error;
 
@@ -309,6 +311,8 @@
 /// The state of an engine, by its own report.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Report {
+    /// When the run began, if it says so.
+    pub start: Option<StartMs>,
     /// Orders that it has taken in this run.
     pub orders_taken: u64,
     /// Whether it is working on an order for a base model.
--- a/crates/larkspring/src/direct/entry/answer.rs
+++ b/crates/larkspring/src/direct/entry/answer.rs
@@ -52,6 +52,7 @@
     Stopping,
     NoRouting,
     NoEndpoint,
+    Resting,
     NoAdapterInTime,
     Rejected,
     Unsent,
@@ -75,6 +76,7 @@
             Self::Stopping => "the entry stops",
             Self::NoRouting => "routing not known yet",
             Self::NoEndpoint => "no endpoint",
+            Self::Resting => "all endpoints asked for rest",
             Self::NoAdapterInTime => "adapter not ready in time",
             Self::Rejected => "rejected by the endpoint",
             Self::Unsent => "endpoint not reached",
@@ -100,6 +102,7 @@
             | Self::Stopping
             | Self::NoRouting
             | Self::NoEndpoint
+            | Self::Resting
             | Self::NoAdapterInTime
             | Self::Rejected
             | Self::Unsent
@@ -138,8 +141,8 @@
             | Self::Rejected
             | Self::Unsent
             | Self::LateNotRun => COME_BACK_SOON,
-            // The limits tell when.
-            Self::OverLimit => return None,
+            // The limits, and the endpoints themselves, tell when.
+            Self::OverLimit | Self::Resting => return None,
             Self::BadRequest | Self::NoRoute | Self::BodyTooLarge => return None,
             Self::NoKey | Self::UnknownKey | Self::EndsEndpoints => return None,
             Self::Unclear | Self::LateUnclear => return None,
@@ -149,6 +152,12 @@
     }
 }
 
+/// When to come back for an endpoint that takes requests again after `rest`: not before, and
+/// spread over some time after.
+pub(super) fn after_rest(rest: Duration) -> Duration {
+    rest.mul_f64(1.0 + SPREAD * fastrand::f64())
+}
+
 impl AnswerBody {
     /// Creates a body that is held whole.
     pub fn whole(bytes: Bytes, done: Option<Done>) -> Self {
--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -99,7 +99,7 @@
             self.entry.stats.connection("reused");
             match self.exchange(conn, &placed, peer).await {
                 // It closed while it rested; the endpoint itself may be well.
-                Err(SendError::Unsent(..)) => {}
+                Err(SendError::Unsent(..)) if peer.is_open() => {}
                 got => return self.sorted(got, placed, peer).await,
             }
         }
@@ -123,9 +123,15 @@
         placed: &Placed,
         peer: &Arc<Peer>,
     ) -> Result<(Response<Incoming>, Conn), SendError> {
+        let endpoint = peer.endpoint();
+        // The last look before the first byte: since it was chosen, another answer may have
+        // said that it leaves or rests.
+        if !peer.is_open() {
+            let cause = "it takes no requests any more".into();
+            return Err(SendError::Unsent(endpoint.addr.to_string(), cause));
+        }
         placed.open.has_read();
         placed.open.reads(placed.why.unread_tokens);
-        let endpoint = peer.endpoint();
         let Some(body) = self.send_body() else {
             let cause = "the body was sent and is not kept".into();
             return Err(SendError::TakenBack(endpoint.addr.to_string(), cause));
--- a/crates/larkspring/src/direct/entry/fleet.rs
+++ b/crates/larkspring/src/direct/entry/fleet.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwap;
 use event_listener::{Event, EventListener};
 use futures_lite::future;
+use larkspring_core::fleet::availability::{Availability, Notice};
 use larkspring_core::fleet::members::Endpoint;
 use larkspring_core::ids::{HallId, Incarnation, ServiceId};
 use parking_lot::Mutex;
@@ -16,6 +17,7 @@
 use super::link::{engine_of, Heard, Link, Told, Who};
 use super::peer::Peer;
 use crate::direct::beliefs::Beliefs;
+use crate::direct::logs::{self, Line};
 use crate::exec;
 
 /// All endpoints of a fleet.
@@ -26,13 +28,16 @@
     peers: ArcSwap<Peers>,
     links: Mutex<HashMap<SocketAddr, Kept>>,
     news: Arc<Event>,
-    /// Notified when an agent names another run of its engine.
+    /// Notified when an agent names another run of its engine, or says that it leaves.
     runs: Arc<Event>,
     /// Notified when another run answers at an endpoint's address. Apart from the news, which
     /// wake every request that waits for an endpoint.
     moved: Event,
     /// Where what agents tell goes.
     told: Told,
+    /// What endpoints said that are not listed now: an entry that lapsed while the store was
+    /// away is listed again, and its endpoint still leaves.
+    unlisted: Mutex<HashMap<Incarnation, Arc<Mutex<Availability>>>>,
     /// Runs that the platform has listed at some time.
     listed: Mutex<HashSet<Incarnation>>,
 }
@@ -74,6 +79,7 @@
             runs: Arc::default(),
             moved: Event::new(),
             told,
+            unlisted: Mutex::default(),
             listed: Mutex::default(),
         })
     }
@@ -111,12 +117,33 @@
         all.iter().filter(|p| p.is_open()).cloned().collect()
     }
 
+    /// How long until the first endpoint of a service takes requests again, if all that stay
+    /// rest.
+    pub fn first_back(&self, service: &str) -> Option<Duration> {
+        let peers = self.peers.load();
+        let all = peers.by_service.get(service)?;
+        let staying = all.iter().filter(|p| p.is_staying());
+        let rests: Option<Vec<_>> = staying.map(|p| p.rests_for()).collect();
+        rests?.into_iter().min()
+    }
+
+    /// Takes in what an answer says of its endpoint, and what its agent says.
+    pub fn hear(&self, peer: &Peer, notice: Notice, source: Source<'_>) {
+        let news = peer.hear(notice);
+        if !news.is_any() {
+            return;
+        }
+        log_news(peer, notice, source);
+        // Requests that wait there for an adapter go elsewhere.
+        self.news.notify(usize::MAX);
+    }
+
     /// Endpoints of a hall whose agents were heard a moment ago.
     pub fn agents_in(&self, hall: &str) -> Vec<Arc<Peer>> {
         let live = |p: &&Arc<Peer>| p.link.as_ref().is_some_and(|link| link.is_live());
         let peers = self.peers.load();
         let in_hall = peers.by_id.values().filter(|p| *p.endpoint().hall == *hall);
-        in_hall.filter(live).filter(|p| p.is_open()).cloned().collect()
+        in_hall.filter(live).filter(|p| p.is_staying()).cloned().collect()
     }
 
     /// Halls in which endpoints stand, sorted.
@@ -215,9 +242,13 @@
                 None => {
                     let link =
                         is_engine.then(|| self.link(endpoint.addr, &endpoint.service));
-                    Peer::new(endpoint.clone(), link)
+                    let said = self.said_before(&before, &endpoint.id);
+                    Peer::new(endpoint.clone(), link, said)
                 }
             };
+            if peer.leaves_by_agent() {
+                self.hear(&peer, Notice::LEAVING, Source::Agent);
+            }
             now.by_id.insert(endpoint.id.clone(), peer.clone());
             now.by_service.entry(endpoint.service.clone()).or_default().push(peer);
         }
@@ -227,10 +258,32 @@
         let addrs = now.by_id.values().map(|p| self.agent_addr(p.endpoint().addr));
         let used: HashSet<_> = addrs.collect();
         self.links.lock().retain(|addr, _| used.contains(addr));
+        self.keep_unlisted(&before, &now);
         self.peers.store(Arc::new(now));
         self.news.notify(usize::MAX);
     }
 
+    /// What an endpoint said of itself, by whatever record of it there is.
+    fn said_before(&self, before: &Peers, id: &Incarnation) -> Arc<Mutex<Availability>> {
+        let known = before.by_id.get(id).map(|peer| peer.availability());
+        known.or_else(|| self.unlisted.lock().remove(id)).unwrap_or_default()
+    }
+
+    /// Keeps what endpoints said that are not listed any more.
+    fn keep_unlisted(&self, before: &Peers, now: &Peers) {
+        let mut unlisted = self.unlisted.lock();
+        if unlisted.len() >= MAX_LISTED {
+            unlisted.clear();
+        }
+        let missing = before.by_id.iter().filter(|(id, _)| !now.by_id.contains_key(*id));
+        for (id, peer) in missing {
+            let said = peer.availability();
+            if said.lock().matters(Instant::now()) {
+                unlisted.insert(id.clone(), said.clone());
+            }
+        }
+    }
+
     /// What the platform lists, with runs that it will list soon by the word of the agents
     /// beside them.
     fn endpoints(&self, before: &Peers) -> Vec<Arc<Endpoint>> {
@@ -284,6 +337,32 @@
     }
 }
 
+/// Who said something of an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Source<'a> {
+    /// An answer to a request, with its status.
+    Answer { request: &'a str, status: u16 },
+    /// The agent beside it.
+    Agent,
+}
+
+fn log_news(peer: &Peer, notice: Notice, source: Source<'_>) {
+    if !logs::allows(Line::Belief) {
+        return;
+    }
+    let (request, status) = match source {
+        Source::Answer { request, status } => (Some(request), Some(status)),
+        Source::Agent => (None, None),
+    };
+    tracing::info!(
+        event = if notice.leaving { "endpoint leaves" } else { "endpoint rests" },
+        endpoint = %peer.endpoint().id,
+        request,
+        status,
+        rest_ms = notice.rest.map(|rest| rest.as_millis() as u64),
+    );
+}
+
 /// Leaves out runs whose address a later run has: their entries outlive them for a while.
 fn latest_by_addr(endpoints: Vec<Arc<Endpoint>>) -> Vec<Arc<Endpoint>> {
     let mut latest: HashMap<SocketAddr, u64> = HashMap::new();
--- a/crates/larkspring/src/direct/entry/known.rs
+++ b/crates/larkspring/src/direct/entry/known.rs
@@ -60,7 +60,7 @@
 pub(super) struct Changed {
     /// Whether the engine can be asked for something else than before.
     pub engagement: bool,
-    /// Whether the engine is another run.
+    /// Whether the engine is another run, or leaves and did not before.
     pub run: bool,
 }
 
@@ -68,7 +68,8 @@
     /// Takes in a state; `mine` is the number of granted holds of this entry.
     pub fn take(&mut self, now: Instant, state: wire::State, mine: u32) -> Changed {
         let engagement = state.engagement != self.state.engagement;
-        let run = self.apply(now, &state);
+        let leaves = state.leaving && !self.state.leaving;
+        let run = self.apply(now, &state) || leaves;
         self.unread = Some(Unread::new(now, state.unread_tokens));
         self.mine_then = mine;
         self.state = state;
@@ -89,6 +90,12 @@
         }
     }
 
+    /// The run of which the agent says that it leaves, if any.
+    pub fn leaving(&self) -> Option<Incarnation> {
+        let run = self.run.as_ref().filter(|_| self.state.leaving);
+        run.map(|run| run.id.clone())
+    }
+
     /// Whether the engine holds an adapter; `None` if the agent never spoke.
     pub fn holding(&self, target: TargetHash) -> Option<Holding> {
         self.heard?;
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -11,7 +11,7 @@
 use fastrand::Rng;
 use larkspring_core::fleet::choose::Holding;
 use larkspring_core::fleet::routes::Routing;
-use larkspring_core::ids::{HallId, ServiceId, TargetHash, VmId};
+use larkspring_core::ids::{HallId, Incarnation, ServiceId, TargetHash, VmId};
 use larkspring_core::limits::home::{Ask, Grant};
 use larkspring_core::retry::backoff;
 use larkspring_proto::residency as wire;
@@ -52,7 +52,7 @@
 pub(super) struct Heard {
     /// Notified when the agent can be asked again, or its engine serves again.
     pub news: Arc<Event>,
-    /// Notified when the engine turns out to be another run.
+    /// Notified when the engine turns out to be another run, or to leave.
     pub runs: Arc<Event>,
     /// Where what the agent tells goes.
     pub told: Told,
@@ -239,6 +239,11 @@
         self.known.lock().run.clone()
     }
 
+    /// The run of which the agent says that it leaves, if any.
+    pub fn leaving(&self) -> Option<Incarnation> {
+        self.known.lock().leaving()
+    }
+
     /// Records that the engine turned out not to hold an adapter.
     pub fn lacks(&self, target: TargetHash) {
         self.known.lock().lacks(target);
--- a/crates/larkspring/src/direct/entry/peer.rs
+++ b/crates/larkspring/src/direct/entry/peer.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
+use larkspring_core::fleet::availability::{Availability, News, Notice};
 use larkspring_core::fleet::members::Endpoint;
 use larkspring_core::fleet::quality::Quality;
 use larkspring_core::ids::{ContentHash, TargetHash};
@@ -22,6 +23,8 @@
     endpoint: ArcSwap<Endpoint>,
     /// Connection to the agent beside it, if it is a model engine.
     pub link: Option<Arc<Link>>,
+    /// What it said of itself; outlives its place in the platform's list.
+    availability: Arc<Mutex<Availability>>,
     /// Since when it is known.
     since: Instant,
     rested: Mutex<Vec<Conn>>,
@@ -79,8 +82,14 @@
 
 impl Peer {
     /// Creates the record of an endpoint.
-    pub fn new(endpoint: Arc<Endpoint>, link: Option<Arc<Link>>) -> Arc<Self> {
+    pub fn new(
+        endpoint: Arc<Endpoint>,
+        link: Option<Arc<Link>>,
+        availability: Arc<Mutex<Availability>>,
+    ) -> Arc<Self> {
+        availability.lock().listed(endpoint.start);
         Arc::new(Self {
+            availability,
             endpoint: ArcSwap::new(endpoint),
             link,
             since: Instant::now(),
@@ -102,8 +111,50 @@
 
     /// Whether it takes new requests, as far as known.
     pub fn is_open(&self) -> bool {
+        self.is_staying() && self.rests_for().is_none()
+    }
+
+    /// Whether it goes on to serve, as far as known, now or after a rest.
+    pub fn is_staying(&self) -> bool {
         let gone = self.gone_until.lock().is_some_and(|until| until > Instant::now());
-        !gone && !self.endpoint.load().leaving && self.followed_by().is_none()
+        !gone
+            && !self.endpoint.load().leaving
+            && self.followed_by().is_none()
+            && !self.said().leaves()
+    }
+
+    /// How long it still wants no requests of this VM; `None` if it takes them.
+    pub fn rests_for(&self) -> Option<Duration> {
+        self.said().rests_for(Instant::now())
+    }
+
+    /// Takes in what it says of itself, or its agent of it, and returns what is news.
+    pub fn hear(&self, notice: Notice) -> News {
+        self.availability.lock().hear(Instant::now(), notice, fastrand::f64())
+    }
+
+    /// Whether the agent beside it says that it leaves.
+    pub fn leaves_by_agent(&self) -> bool {
+        let leaving = self.link.as_ref().and_then(|link| link.leaving());
+        leaving.is_some_and(|run| run == self.endpoint.load().id)
+    }
+
+    /// What it said of itself, which outlives this record.
+    pub fn availability(&self) -> Arc<Mutex<Availability>> {
+        self.availability.clone()
+    }
+
+    /// What it said, but for what a run before it under the same name said.
+    fn said(&self) -> Availability {
+        let mut said = self.availability.lock();
+        if said.matters(Instant::now()) {
+            let run = self.link.as_ref().and_then(|link| link.run_named());
+            let again = run.filter(|r| r.in_place && r.id == self.endpoint.load().id);
+            if let Some(run) = again {
+                said.renewed(run.since);
+            }
+        }
+        *said
     }
 
     /// The run that has taken its place at its address, by the agent there.
@@ -140,6 +191,7 @@
 
     /// Takes in what the platform now lists of it.
     pub fn update(&self, endpoint: Arc<Endpoint>) {
+        self.availability.lock().listed(endpoint.start);
         self.endpoint.store(endpoint);
     }
 
--- a/crates/larkspring/src/direct/entry/place.rs
+++ b/crates/larkspring/src/direct/entry/place.rs
@@ -14,7 +14,7 @@
 use larkspring_core::ids::{AdapterId, Incarnation, Target, VersionId};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::answer::Reason;
+use super::answer::{after_rest, Reason};
 use super::attempt::Placed;
 use super::job::Job;
 use super::link::{HoldEnd, Need};
@@ -45,7 +45,8 @@
 impl Job {
     /// Chooses an endpoint and waits until it can take the request.
     ///
-    /// Where there is none it waits for one, as long as that costs the caller little.
+    /// Where there is none it waits for one, as long as that costs the caller little. Where
+    /// all rest, it is refused at once unless the first is back in time for its objective.
     pub(super) async fn place(&mut self) -> Result<Placed, NotPlaced> {
         loop {
             let news = self.entry.fleet.news();
@@ -56,6 +57,14 @@
                 }
                 return placed;
             };
+            if let Some(back) = self.entry.fleet.first_back(&self.service.name) {
+                if back > self.patience().min(self.objective_left()) {
+                    return Err((Reason::Resting, Some(after_rest(back))));
+                }
+                // Either the rest ends first or something else has changed.
+                within(back, news).await;
+                continue;
+            }
             let patience = self.patience();
             if patience.is_zero() || within(patience, news).await.is_none() {
                 return placed;
@@ -188,8 +197,8 @@
         // Its engine may have come back as another run meanwhile, to which the grant holds.
         let now_there = fleet.present(&peer);
         if !now_there.is_open() {
-            // It began to leave while its adapter was waited for.
-            self.log_hold(&peer, "the endpoint leaves", took);
+            // It began to leave or to rest while its adapter was waited for.
+            self.log_hold(&peer, "the endpoint takes no requests any more", took);
             return Err(None);
         }
         let open = if Arc::ptr_eq(&now_there, &peer) { open } else { now_there.enter() };
@@ -232,8 +241,13 @@
 
     /// How long the adapter may take at an engine until the answer begins late.
     fn in_time(&self, why: &Why) -> Duration {
-        let left = self.route.objective.saturating_sub(self.received.elapsed());
-        left.saturating_sub(reading_time(why.reading_tokens + why.unread_tokens))
+        let unread = why.reading_tokens + why.unread_tokens;
+        self.objective_left().saturating_sub(reading_time(unread))
+    }
+
+    /// Time until its answer begins late.
+    fn objective_left(&self) -> Duration {
+        self.route.objective.saturating_sub(self.received.elapsed())
     }
 
     /// Chooses an endpoint and a version of the adapter for it.
