Drop what was not delivered when a connection is closed

Cause: bytes that a dark peer had not acknowledged were left to the system at the close, which delivers them when the peer is back. Change: connections to endpoints, agents and the store forget what is unsent when closed.

--- a/crates/larkspring/src/http/client.rs
+++ b/crates/larkspring/src/http/client.rs
@@ -1,12 +1,13 @@
 //! Requests to endpoints and the platform.
 
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures_lite::AsyncReadExt;
 use http_types::{Method, Request, Response, Url};
 use quick_error::quick_error;
+use rustix::net::sockopt::set_socket_linger;
 use smol::net::TcpStream;
 
 use crate::exec::within;
@@ -58,10 +59,20 @@
         ErrorKind::ConnectionRefused => HttpError::Refused(addr.into()),
         _ => HttpError::Connect(addr.into(), e.to_string()),
     })?;
-    let _ = sock.set_nodelay(true);
+    let set = sock.set_nodelay(true).and_then(|()| forgets_unsent(&sock));
+    set.map_err(|e| HttpError::Connect(addr.into(), e.to_string()))?;
     Ok(sock)
 }
 
+/// Has the system drop what it has not delivered yet when the connection is closed.
+///
+/// Else it goes on sending for minutes, and a request whose time is long up reaches a VM
+/// that comes back: a call of 100 KB arrived whole at a peer that read on after it had been
+/// given up. Whoever closes has read its answer or wants none.
+fn forgets_unsent(sock: &TcpStream) -> io::Result<()> {
+    Ok(set_socket_linger(sock, Some(Duration::ZERO))?)
+}
+
 /// Sends a request on an open connection and returns the answer's head.
 pub async fn exchange(
     sock: TcpStream,
