--- a/crates/larkspring-cli/src/args.rs
+++ b/crates/larkspring-cli/src/args.rs
@@ -7,6 +7,9 @@
 use clap_complete::Shell;
 use larkspring_core::fleet::choose::Placement;
 use larkspring_core::fleet::mechanisms::{Mechanism, Without};
+use larkspring_core::ids::ContentHash;
+
+use crate::quarantine::read_content;
 
 /// A serving layer for very many LoRA adapters.
 ///
@@ -34,6 +37,8 @@
     Explain(ExplainArgs),
     /// Print where the time of all requests went, from log lines.
     Summary(SummaryArgs),
+    /// List, lift or forbid requests that are refused since endpoints ended under them.
+    Quarantine(QuarantineArgs),
     /// Check settings and declarations without changing anything.
     Check(CheckArgs),
     /// Ask an entry what a folder of declarations would change.
@@ -82,6 +87,36 @@
     pub without: Vec<MechanismArg>,
 }
 
+/// Arguments of `quarantine`.
+#[derive(Debug, Args)]
+pub struct QuarantineArgs {
+    /// Address of the platform's store.
+    #[arg(long, value_name = "ADDR")]
+    pub store: SocketAddr,
+    /// What to do.
+    #[command(subcommand)]
+    pub step: QuarantineStep,
+}
+
+/// What is done with refused requests.
+#[derive(Debug, Subcommand)]
+pub enum QuarantineStep {
+    /// Print the content of each, as log lines write it.
+    List,
+    /// Serve one again; agents see it within half a minute.
+    Lift {
+        /// Its content, as log lines write it.
+        #[arg(value_parser = read_content)]
+        content: ContentHash,
+    },
+    /// Refuse one; agents that refuse any see it within half a minute, others as they start.
+    Forbid {
+        /// Its content, as log lines write it.
+        #[arg(value_parser = read_content)]
+        content: ContentHash,
+    },
+}
+
 /// Arguments of an entry on the users' platform.
 #[derive(Debug, Args)]
 pub struct PlatformEntryArgs {
--- a/crates/larkspring-cli/src/main.rs
+++ b/crates/larkspring-cli/src/main.rs
@@ -10,6 +10,7 @@
 mod operate;
 mod platform;
 mod process;
+mod quarantine;
 mod standin;
 mod status;
 mod summary;
@@ -44,6 +45,7 @@
         Command::PlatformAgent(args) => platform::agent(&args),
         Command::Explain(args) => explain::run(&args),
         Command::Summary(args) => summary::run(&args),
+        Command::Quarantine(args) => quarantine::run(&args),
         Command::Check(args) => operate::check(&args),
         Command::Plan(args) => operate::plan(&args),
         Command::Confirm(args) => operate::confirm(&args),
--- a/crates/larkspring/src/direct/agent/lasting.rs
+++ b/crates/larkspring/src/direct/agent/lasting.rs
@@ -2,7 +2,8 @@
 //!
 //! Without them a loss of all processes would cost three more endpoints for each content. The
 //! store is read once at the start; it is written once for each content, and read again only
-//! while there are any, so that an operator lifts one by removing its object.
+//! while there are any, so that an operator lifts one by
+//! removing its object, and forbids another by making one.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -97,6 +98,10 @@
             let lifted = self.findings.answered(*content);
             self.tell(lifted.into_iter().collect()).await;
         }
+        let forbidden: Vec<_> = listed.difference(&self.stored).copied().collect();
+        let news = self.findings.quarantine(&forbidden);
+        self.stored.extend(forbidden);
+        self.tell(news).await;
         Ok(())
     }
 
