Look at what an endpoint said only where it said anything

Cause: each look at an endpoint read the clock and an agent's last run, for what most never say. Change: one lock and a comparison where nothing was said.

--- a/crates/larkspring-core/src/fleet/availability.rs
+++ b/crates/larkspring-core/src/fleet/availability.rs
@@ -126,8 +126,8 @@
         !self.leaves() && self.rests_for(now).is_none()
     }
 
-    /// Whether anything is known that must outlive its place in a list.
-    pub fn matters(&self, now: Instant) -> bool {
-        !self.is_open(now)
+    /// Whether the run never said anything that still may hold.
+    pub fn is_silent(&self) -> bool {
+        self.leaving_since.is_none() && self.rest.is_none()
     }
 }
--- a/crates/larkspring/src/direct/entry/fleet.rs
+++ b/crates/larkspring/src/direct/entry/fleet.rs
@@ -278,8 +278,8 @@
         let missing = before.by_id.iter().filter(|(id, _)| !now.by_id.contains_key(*id));
         for (id, peer) in missing {
             let said = peer.availability();
-            if said.lock().matters(Instant::now()) {
-                unlisted.insert(id.clone(), said.clone());
+            if !said.lock().is_silent() {
+                unlisted.insert(id.clone(), said);
             }
         }
     }
--- a/crates/larkspring/src/direct/entry/peer.rs
+++ b/crates/larkspring/src/direct/entry/peer.rs
@@ -111,21 +111,24 @@
 
     /// Whether it takes new requests, as far as known.
     pub fn is_open(&self) -> bool {
-        self.is_staying() && self.rests_for().is_none()
+        self.is_listed_open()
+            && self.said().is_none_or(|said| said.is_open(Instant::now()))
     }
 
     /// Whether it goes on to serve, as far as known, now or after a rest.
     pub fn is_staying(&self) -> bool {
-        let gone = self.gone_until.lock().is_some_and(|until| until > Instant::now());
-        !gone
-            && !self.endpoint.load().leaving
-            && self.followed_by().is_none()
-            && !self.said().leaves()
+        self.is_listed_open() && !self.said().is_some_and(|said| said.leaves())
     }
 
     /// How long it still wants no requests of this VM; `None` if it takes them.
     pub fn rests_for(&self) -> Option<Duration> {
-        self.said().rests_for(Instant::now())
+        self.said()?.rests_for(Instant::now())
+    }
+
+    /// Whether it takes new requests by the platform's list and by who has its address.
+    fn is_listed_open(&self) -> bool {
+        let gone = self.gone_until.lock().is_some_and(|until| until > Instant::now());
+        !gone && !self.endpoint.load().leaving && self.followed_by().is_none()
     }
 
     /// Takes in what it says of itself, or its agent of it, and returns what is news.
@@ -144,17 +147,19 @@
         self.availability.clone()
     }
 
-    /// What it said, but for what a run before it under the same name said.
-    fn said(&self) -> Availability {
+    /// What it said of whether it takes requests, but for what a run before it under the same
+    /// name said; `None` if it never said anything, as most.
+    fn said(&self) -> Option<Availability> {
         let mut said = self.availability.lock();
-        if said.matters(Instant::now()) {
-            let run = self.link.as_ref().and_then(|link| link.run_named());
-            let again = run.filter(|r| r.in_place && r.id == self.endpoint.load().id);
-            if let Some(run) = again {
-                said.renewed(run.since);
-            }
+        if said.is_silent() {
+            return None;
+        }
+        let run = self.link.as_ref().and_then(|link| link.run_named());
+        let again = run.filter(|r| r.in_place && r.id == self.endpoint.load().id);
+        if let Some(run) = again {
+            said.renewed(run.since);
         }
-        *said
+        Some(*said)
     }
 
     /// The run that has taken its place at its address, by the agent there.
