Let requests go elsewhere that wait at an engine which asked its agent for rest

Cause: an agent that was asked for rest gave no orders, and what waited there for an adapter waited on. Change: such an engine counts as away for loads until the rest ends. Measured: an_engine_that_asks_its_agent_for_rest_gets_no_orders: 30 requests for new adapters served by the other engine, one order.

--- a/crates/larkspring/src/direct/agent/orders.rs
+++ b/crates/larkspring/src/direct/agent/orders.rs
@@ -139,6 +139,8 @@
             );
         }
         if let Some(left) = self.engine.said.rests_for(now) {
+            // What waits for an adapter goes to other engines; the next report brings it back.
+            self.slots.engine_lost();
             self.report_at = now + left;
         }
     }
--- a/crates/larkspring/src/direct/agent/tell.rs
+++ b/crates/larkspring/src/direct/agent/tell.rs
@@ -46,7 +46,7 @@
 impl Keeper {
     /// Tells the entries the state, if it changed or now and then.
     pub(super) fn tell(&mut self, now: Instant) {
-        let news = self.news();
+        let news = self.news(now);
         let since = now.saturating_duration_since(self.told.at);
         let more = self.unread.at(now).saturating_sub(self.told.unread.at(now));
         self.told.due = self.told.news != news || more >= LONG_PROMPT;
@@ -77,10 +77,10 @@
         self.told = Told { news, at: now, due: false, unread: self.unread };
     }
 
-    fn news(&self) -> News {
+    fn news(&self, now: Instant) -> News {
         let (resident, loading) = self.slots.held();
         News {
-            engagement: self.engagement().into(),
+            engagement: self.engagement(now).into(),
             resident: resident.into_iter().map(Target::hash).collect(),
             loading: loading.into_iter().map(Target::hash).collect(),
             entries: self.entries.len(),
@@ -89,8 +89,9 @@
         }
     }
 
-    fn engagement(&self) -> Engagement {
-        match (self.engine.failures < MAX_FAILURES, &self.engine.run) {
+    fn engagement(&self, now: Instant) -> Engagement {
+        let asked = self.engine.said.rests_for(now).is_none();
+        match (self.engine.failures < MAX_FAILURES && asked, &self.engine.run) {
             (false, _) | (_, None) => Engagement::Away,
             _ if self.engine.report.bases.is_empty() => Engagement::Filling,
             _ => Engagement::Serving,
