Let a broken stream wait for the end of a rest, past its objective

Cause: where all endpoints rest, a request was refused unless the first is back within its objective; a stream that has begun can't be told to come back, and broke. Change: what may have run waits as long as it can be answered. Measured: a_broken_stream_waits_for_the_end_of_a_rest fails without the change.

--- a/crates/larkspring-core/src/fleet/availability.rs
+++ b/crates/larkspring-core/src/fleet/availability.rs
@@ -80,8 +80,7 @@
         if let Some(rest) = notice.rest.filter(|rest| !rest.is_zero()) {
             let rest = rest.min(MAX_REST);
             let until = now + rest + rest.mul_f64(SPREAD * share.clamp(0.0, 1.0));
-            let later = self.rest.is_none_or(|known| until > known.until);
-            if later {
+            if self.rest.is_none_or(|known| until > known.until) {
                 self.rest = Some(Rest { asked_at: now, until });
             }
         }
--- a/crates/larkspring/src/direct/agent/lasting.rs
+++ b/crates/larkspring/src/direct/agent/lasting.rs
@@ -2,8 +2,8 @@
 //!
 //! Without them a loss of all processes would cost three more endpoints for each content. The
 //! store is read once at the start; it is written once for each content, and read again only
-//! while there are any, so that an operator lifts one by
-//! removing its object, and forbids another by making one.
+//! while there are any, so that an operator lifts one by removing its object, and forbids
+//! another by making one.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
--- a/crates/larkspring/src/direct/entry/place.rs
+++ b/crates/larkspring/src/direct/entry/place.rs
@@ -58,7 +58,7 @@
                 return placed;
             };
             if let Some(back) = self.entry.fleet.first_back(&self.service.name) {
-                if back > self.patience().min(self.objective_left()) {
+                if back > self.patience_with_rest() {
                     return Err((Reason::Resting, Some(after_rest(back))));
                 }
                 // Either the rest ends first or something else has changed.
@@ -72,6 +72,15 @@
         }
     }
 
+    /// How long it may wait for the end of a rest: until its answer would begin late, but for
+    /// one that may have run, which can't be told to come back.
+    fn patience_with_rest(&self) -> Duration {
+        match self.history.may_have_run {
+            true => self.patience(),
+            false => self.patience().min(self.objective_left()),
+        }
+    }
+
     async fn try_place(&mut self) -> Result<Placed, NotPlaced> {
         if self.left() < LEAST_LEFT {
             return Err((Reason::LateNotRun, None));
