--- a/crates/larkspring-core/src/fleet/availability.rs
+++ b/crates/larkspring-core/src/fleet/availability.rs
@@ -5,6 +5,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::rate::{Rate, RateLimit, RateWord};
 use crate::ids::StartMs;
 
 /// What is known of one run of an endpoint by its answers.
@@ -15,6 +16,8 @@
     /// Since when it is known to leave.
     leaving_since: Option<Instant>,
     rest: Option<Rest>,
+    /// The rate of requests that it takes from all VMs together.
+    rate: Option<RateLimit>,
 }
 
 /// A time in which an endpoint wants no requests of this VM.
@@ -31,6 +34,8 @@
     pub leaving: bool,
     /// For how long it wants no requests of this VM.
     pub rest: Option<Duration>,
+    /// The rate of requests that it takes from all VMs together.
+    pub rate: RateWord,
 }
 
 /// What changed with an answer.
@@ -40,6 +45,8 @@
     pub leaves: bool,
     /// It rests, and did not before.
     pub rests: bool,
+    /// It names another rate than before, or none any more.
+    pub rate: bool,
 }
 
 /// The longest rest that is kept: an endpoint that names a year by mistake is tried again
@@ -52,28 +59,50 @@
 
 impl Notice {
     /// What an endpoint says that leaves.
-    pub const LEAVING: Self = Self { leaving: true, rest: None };
+    pub const LEAVING: Self =
+        Self { leaving: true, rest: None, rate: RateWord::Unreadable };
+
+    /// What is said of the rate alone.
+    pub fn of_rate(rate: RateWord) -> Self {
+        Self { rate, ..Self::default() }
+    }
 
     /// Whether it says nothing.
     pub fn is_empty(&self) -> bool {
         *self == Self::default()
     }
+
+    /// The same, where its silence is no word of the endpoint.
+    pub fn without_silence(self) -> Self {
+        match self.rate {
+            RateWord::Silent => Self { rate: RateWord::Unreadable, ..self },
+            RateWord::Unreadable | RateWord::Named(_) => self,
+        }
+    }
 }
 
 impl News {
     /// Whether anything changed.
     pub fn is_any(self) -> bool {
-        self.leaves || self.rests
+        self.leaves || self.rests || self.rate
     }
 }
 
 impl Availability {
     /// Takes in what an answer of the run says, and returns what is news.
     ///
-    /// `share` of 0 to 1 is this VM's place among those that come back after a rest. Each
-    /// answer's time stands by itself: a shorter one, or none, does not end a longer one.
-    pub fn hear(&mut self, now: Instant, notice: Notice, share: f64) -> News {
+    /// It was asked for at `asked`. `share` of 0 to 1 is this VM's place among those that
+    /// come back after a rest. Each answer's time stands by itself: a shorter one, or none,
+    /// does not end a longer one.
+    pub fn hear(
+        &mut self,
+        now: Instant,
+        asked: Instant,
+        notice: Notice,
+        share: f64,
+    ) -> News {
         let before = *self;
+        self.rate = RateLimit::heard(self.rate, now, asked, notice.rate);
         if notice.leaving {
             self.leaving_since.get_or_insert(now);
         }
@@ -87,6 +116,7 @@
         News {
             leaves: self.leaves() && !before.leaves(),
             rests: self.rests_for(now).is_some() && before.rests_for(now).is_none(),
+            rate: self.rate_named() != before.rate_named(),
         }
     }
 
@@ -107,6 +137,7 @@
     pub fn renewed(&mut self, since: Instant) {
         self.leaving_since = self.leaving_since.filter(|at| *at >= since);
         self.rest = self.rest.filter(|rest| rest.asked_at >= since);
+        self.rate = self.rate.filter(|rate| rate.told_at() >= since);
     }
 
     /// Whether the run said that it leaves.
@@ -120,6 +151,16 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// What it said of the rate of requests that it takes, while that bounds it.
+    pub fn rate_limit(&self, now: Instant) -> Option<RateLimit> {
+        self.rate.filter(|rate| rate.in_force(now).is_some())
+    }
+
+    /// The rate that it names.
+    pub fn rate_named(&self) -> Option<Rate> {
+        self.rate?.named()
+    }
+
     /// Whether it takes requests, as far as it said.
     pub fn is_open(&self, now: Instant) -> bool {
         !self.leaves() && self.rests_for(now).is_none()
@@ -127,6 +168,6 @@
 
     /// Whether the run never said anything that still may hold.
     pub fn is_silent(&self) -> bool {
-        self.leaving_since.is_none() && self.rest.is_none()
+        self.leaving_since.is_none() && self.rest.is_none() && self.rate.is_none()
     }
 }
--- a/crates/larkspring-core/src/fleet/mod.rs
+++ b/crates/larkspring-core/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 //! 10. [`worth`]: what an answer is worth, against other answers.
 //! 11. [`urgency`]: in which order an engine reads the prompts that wait there.
 //! 12. [`availability`]: whether an endpoint takes requests, by what its answers say.
+//! 13. [`rate`]: how many requests it takes from all VMs together, by the same.
 //!
 //! [`mechanisms`] lists what can be switched off in a measurement.
 
@@ -23,6 +24,7 @@
 pub mod mechanisms;
 pub mod members;
 pub mod quality;
+pub mod rate;
 pub mod reading;
 pub mod routes;
 pub mod urgency;
--- a/crates/larkspring-core/tests/availability.rs
+++ b/crates/larkspring-core/tests/availability.rs
@@ -42,12 +42,12 @@
 fn play(steps: &[Step]) -> (Availability, Instant) {
     let (mut said, mut now) = (Availability::default(), Instant::now());
     for step in steps {
-        let hear = |said: &mut Availability, notice| said.hear(now, notice, 0.0);
+        let hear = |said: &mut Availability, notice| said.hear(now, now, notice, 0.0);
         match *step {
             Leaves => drop(hear(&mut said, Notice::LEAVING)),
             Rest(secs) => {
                 let rest = Some(Duration::from_secs(secs));
-                hear(&mut said, Notice { leaving: false, rest });
+                hear(&mut said, Notice { rest, ..Notice::default() });
             }
             Silent => drop(hear(&mut said, Notice::default())),
             Listed(start) => said.listed(start),
@@ -113,11 +113,12 @@
 fn only_what_changes_is_news() {
     let now = Instant::now();
     let mut said = Availability::default();
-    let rest = Notice { leaving: false, rest: Some(Duration::from_secs(2)) };
-    assert_eq!(said.hear(now, rest, 0.0), News { leaves: false, rests: true });
-    assert_eq!(said.hear(now, rest, 1.0), News::default());
-    assert_eq!(said.hear(now, Notice::LEAVING, 0.0), News { leaves: true, rests: false });
-    assert_eq!(said.hear(now, Notice::LEAVING, 0.0), News::default());
+    let rest = Notice { rest: Some(Duration::from_secs(2)), ..Notice::default() };
+    assert_eq!(said.hear(now, now, rest, 0.0), News { rests: true, ..News::default() });
+    assert_eq!(said.hear(now, now, rest, 1.0), News::default());
+    let leaves = News { leaves: true, ..News::default() };
+    assert_eq!(said.hear(now, now, Notice::LEAVING, 0.0), leaves);
+    assert_eq!(said.hear(now, now, Notice::LEAVING, 0.0), News::default());
 }
 
 /// VMs come back one after the other: none before the end of the rest, all soon after.
@@ -127,7 +128,8 @@
     let rest = Duration::from_secs(10);
     let ends = [0.0, 0.25, 0.5, 1.0].map(|share| {
         let mut said = Availability::default();
-        said.hear(now, Notice { leaving: false, rest: Some(rest) }, share);
+        let notice = Notice { rest: Some(rest), ..Notice::default() };
+        said.hear(now, now, notice, share);
         said.rests_for(now).unwrap()
     });
     assert!(ends.is_sorted() && ends[0] == rest && ends[3] <= rest.mul_f64(1.1));
--- a/crates/larkspring/src/direct/agent/driver.rs
+++ b/crates/larkspring/src/direct/agent/driver.rs
@@ -8,6 +8,7 @@
 use futures_lite::future::poll_fn;
 use http::{Request, Response};
 use larkspring_core::call_time::{CallBounds, CallTime};
+use larkspring_core::fleet::rate::RateWord;
 use larkspring_core::ids::Incarnation;
 use smol::channel::{self, Receiver, Sender};
 
@@ -52,6 +53,17 @@
     conn: Option<Conn>,
     time: CallTime,
     events: Sender<Event>,
+    /// The kind of call whose answer named a rate last: silence of other answers may be no
+    /// word of the engine.
+    rate_named_by: Option<Call>,
+}
+
+/// A kind of call to the engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Call {
+    Report,
+    Health,
+    Order,
 }
 
 /// Starts the driver of an engine; it ends with the returned sender.
@@ -62,7 +74,8 @@
 ) -> Sender<Command> {
     let (tx, rx) = channel::bounded(1);
     let time = CallTime::new(ANSWER);
-    let driver = Driver { engine, protocol, conn: None, time, events };
+    let driver =
+        Driver { engine, protocol, conn: None, time, events, rate_named_by: None };
     exec::spawn(driver.run(rx)).detach();
     tx
 }
@@ -85,26 +98,30 @@
     }
 
     async fn report(&mut self) -> Result<Report, String> {
-        let res = self.timed(self.protocol.report()).await?;
+        let res = self.timed(Call::Report, self.protocol.report()).await?;
         self.protocol.read_report(&res).map_err(|e| e.to_string())
     }
 
     async fn identify(&mut self, path: &str) -> Result<Incarnation, String> {
         let req = self.protocol.health(path).ok_or("the health path can't be read")?;
-        let res = self.call(req, IDENTIFY).await?;
+        let res = self.call(Call::Health, req, IDENTIFY).await?;
         let run = self.protocol.read_health(&res);
         run.ok_or_else(|| format!("answered {} without its run", res.status()))
     }
 
     async fn order(&mut self, order: &Order) -> Result<OrderEnd, String> {
-        let res = self.timed(self.protocol.order(order)).await?;
+        let res = self.timed(Call::Order, self.protocol.order(order)).await?;
         Ok(self.protocol.read_order(&res))
     }
 
     /// Calls the engine for as long as its answers usually take.
-    async fn timed(&mut self, req: Request<Bytes>) -> Result<Response<Bytes>, String> {
+    async fn timed(
+        &mut self,
+        kind: Call,
+        req: Request<Bytes>,
+    ) -> Result<Response<Bytes>, String> {
         let asked = Instant::now();
-        let res = self.call(req, self.time.limit()).await;
+        let res = self.call(kind, req, self.time.limit()).await;
         match &res {
             Ok(_) => self.time.answered(asked.elapsed()),
             Err(_) => self.time.lost(),
@@ -115,10 +132,11 @@
     /// Calls the engine; a connection that brought no answer is closed.
     async fn call(
         &mut self,
+        kind: Call,
         req: Request<Bytes>,
         limit: Duration,
     ) -> Result<Response<Bytes>, String> {
-        let engine = self.engine;
+        let (engine, asked) = (self.engine, Instant::now());
         let work = async {
             let mut conn = match kept(self.conn.take()).await {
                 Some(conn) => conn,
@@ -131,13 +149,24 @@
         let got: Option<Result<_, String>> = within(limit, work).await;
         let (res, conn) = got.ok_or("no answer in time")??;
         self.conn = Some(conn);
-        let notice = self.protocol.notice(res.status(), res.headers());
-        if !notice.is_empty() {
-            // The keeper lives as long as the agent.
-            let _ = self.events.try_send(Event::Noticed(notice));
-        }
+        self.notice(kind, asked, &res);
         Ok(res)
     }
+
+    /// Tells the keeper what an answer says of the engine.
+    fn notice(&mut self, kind: Call, asked: Instant, res: &Response<Bytes>) {
+        let mut notice = self.protocol.notice(res.status(), res.headers());
+        match notice.rate {
+            RateWord::Named(_) => self.rate_named_by = Some(kind),
+            RateWord::Silent if self.rate_named_by == Some(kind) => {
+                self.rate_named_by = None;
+            }
+            _ if notice.is_empty() => return,
+            _ => notice = notice.without_silence(),
+        }
+        // The keeper lives as long as the agent.
+        let _ = self.events.try_send(Event::Noticed { asked, notice });
+    }
 }
 
 /// Returns a kept connection, unless the engine has closed it.
--- a/crates/larkspring/src/direct/agent/keeper.rs
+++ b/crates/larkspring/src/direct/agent/keeper.rs
@@ -42,7 +42,10 @@
     EntryDown(EntryNumber),
     Driven(Driven),
     /// An answer of the engine said something of it, before what it answers is told.
-    Noticed(Notice),
+    Noticed {
+        asked: Instant,
+        notice: Notice,
+    },
     /// Entries are to be told what was found of requests that end endpoints.
     Found(Vec<wire::Finding>),
 }
@@ -205,7 +208,7 @@
             Event::EntrySaid(number, said) => self.entry_said(now, number, said),
             Event::EntryDown(number) => self.entry_down(now, number),
             Event::Found(findings) => self.found(findings),
-            Event::Noticed(notice) => self.noticed(now, notice),
+            Event::Noticed { asked, notice } => self.noticed(now, asked, notice),
             Event::Driven(driven) => {
                 self.driving = false;
                 match driven {
--- a/crates/larkspring/src/direct/agent/orders.rs
+++ b/crates/larkspring/src/direct/agent/orders.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use larkspring_core::fleet::availability::{Availability, Notice};
+use larkspring_core::fleet::availability::{Availability, News, Notice};
 use larkspring_core::ids::{Incarnation, Target};
 
 use super::driver::Command;
@@ -129,13 +129,20 @@
     }
 
     /// Takes in what an answer of the engine says of it.
-    pub(super) fn noticed(&mut self, now: Instant, notice: Notice) {
-        let news = self.engine.said.hear(now, notice, 0.0);
+    pub(super) fn noticed(&mut self, now: Instant, asked: Instant, notice: Notice) {
+        let news = self.engine.said.hear(now, asked, notice, 0.0);
         if news.is_any() {
+            let rate = self.engine.said.rate_named();
             tracing::info!(
-                event = if news.leaves { "engine leaves" } else { "engine rests" },
+                event = match news {
+                    News { leaves: true, .. } => "engine leaves",
+                    News { rests: true, .. } => "engine rests",
+                    News { .. } if rate.is_some() => "engine names a rate",
+                    News { .. } => "engine names no rate any more",
+                },
                 endpoint = self.engine.named.as_deref(),
                 rest_ms = notice.rest.map(|rest| rest.as_millis() as u64),
+                rate_per_sec = rate.map(|rate| rate.as_per_sec()),
             );
         }
         if let Some(left) = self.engine.said.rests_for(now) {
--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -130,6 +130,9 @@
             let cause = "it takes no requests any more".into();
             return Err(SendError::Unsent(endpoint.addr.to_string(), cause));
         }
+        if peer.rate_limit().is_some() {
+            self.entry.stats.rated_send(self.kind_of_send());
+        }
         placed.open.has_read();
         placed.open.reads(placed.why.unread_tokens);
         let Some(body) = self.send_body() else {
@@ -177,6 +180,15 @@
         Ended::Without(end)
     }
 
+    /// Whether it is sent for the first time, as metrics say it.
+    fn kind_of_send(&self) -> &'static str {
+        match (self.history.attempts, &self.resume_after) {
+            (0, _) => "first",
+            (_, Some(_)) => "goes on",
+            (_, None) => "again",
+        }
+    }
+
     fn request(
         &self,
         incarnation: &str,
@@ -226,7 +238,7 @@
         let said = self.entry.protocol.answer(&head.headers, &self.caller.id);
         let endpoint = peer.endpoint();
         let status = head.status;
-        self.notice(&head, &said, peer);
+        self.notice(&head, &said, peer, placed.began);
         if said.echo == Echo::Other {
             peer.garbled();
             log_attempt(self, peer, AttemptEnd::Unclear, "answer to another request");
--- a/crates/larkspring/src/direct/entry/fleet.rs
+++ b/crates/larkspring/src/direct/entry/fleet.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwap;
 use event_listener::{Event, EventListener};
 use futures_lite::future;
-use larkspring_core::fleet::availability::{Availability, Notice};
+use larkspring_core::fleet::availability::{Availability, News, Notice};
 use larkspring_core::fleet::members::Endpoint;
 use larkspring_core::ids::{HallId, Incarnation, ServiceId};
 use parking_lot::Mutex;
@@ -128,14 +128,13 @@
     }
 
     /// Takes in what an answer says of its endpoint, and what its agent says.
-    pub fn hear(&self, peer: &Peer, notice: Notice, source: Source<'_>) {
-        let news = peer.hear(notice);
-        if !news.is_any() {
-            return;
+    pub fn hear(&self, peer: &Peer, asked: Instant, notice: Notice, source: Source<'_>) {
+        let news = peer.hear(asked, notice);
+        log_news(peer, notice, news, source);
+        if news.leaves || news.rests {
+            // Requests that wait there for an adapter go elsewhere.
+            self.news.notify(usize::MAX);
         }
-        log_news(peer, notice, source);
-        // Requests that wait there for an adapter go elsewhere.
-        self.news.notify(usize::MAX);
     }
 
     /// Endpoints of a hall whose agents were heard a moment ago.
@@ -247,7 +246,7 @@
                 }
             };
             if peer.leaves_by_agent() {
-                self.hear(&peer, Notice::LEAVING, Source::Agent);
+                self.hear(&peer, Instant::now(), Notice::LEAVING, Source::Agent);
             }
             now.by_id.insert(endpoint.id.clone(), peer.clone());
             now.by_service.entry(endpoint.service.clone()).or_default().push(peer);
@@ -346,20 +345,27 @@
     Agent,
 }
 
-fn log_news(peer: &Peer, notice: Notice, source: Source<'_>) {
-    if !logs::allows(Line::Belief) {
+fn log_news(peer: &Peer, notice: Notice, news: News, source: Source<'_>) {
+    if !news.is_any() || !logs::allows(Line::Belief) {
         return;
     }
     let (request, status) = match source {
         Source::Answer { request, status } => (Some(request), Some(status)),
         Source::Agent => (None, None),
     };
+    let rate = peer.availability().lock().rate_named();
     tracing::info!(
-        event = if notice.leaving { "endpoint leaves" } else { "endpoint rests" },
+        event = match news {
+            News { leaves: true, .. } => "endpoint leaves",
+            News { rests: true, .. } => "endpoint rests",
+            News { .. } if rate.is_some() => "endpoint names a rate",
+            News { .. } => "endpoint names no rate any more",
+        },
         endpoint = %peer.endpoint().id,
         request,
         status,
         rest_ms = notice.rest.map(|rest| rest.as_millis() as u64),
+        rate_per_sec = rate.map(|rate| rate.as_per_sec()),
     );
 }
 
--- a/crates/larkspring/src/direct/entry/peer.rs
+++ b/crates/larkspring/src/direct/entry/peer.rs
@@ -10,6 +10,7 @@
 use larkspring_core::fleet::availability::{Availability, News, Notice};
 use larkspring_core::fleet::members::Endpoint;
 use larkspring_core::fleet::quality::Quality;
+use larkspring_core::fleet::rate::RateLimit;
 use larkspring_core::ids::{ContentHash, TargetHash};
 use parking_lot::Mutex;
 
@@ -131,9 +132,15 @@
         !gone && !self.endpoint.load().leaving && self.followed_by().is_none()
     }
 
-    /// Takes in what it says of itself, or its agent of it, and returns what is news.
-    pub fn hear(&self, notice: Notice) -> News {
-        self.availability.lock().hear(Instant::now(), notice, fastrand::f64())
+    /// Takes in what it says of itself in an answer that was asked for at `asked`, or its
+    /// agent of it, and returns what is news.
+    pub fn hear(&self, asked: Instant, notice: Notice) -> News {
+        self.availability.lock().hear(Instant::now(), asked, notice, fastrand::f64())
+    }
+
+    /// What it says of the rate of requests that it takes, while that bounds it.
+    pub fn rate_limit(&self) -> Option<RateLimit> {
+        self.said()?.rate_limit(Instant::now())
     }
 
     /// Whether the agent beside it says that it leaves.
--- a/crates/larkspring/src/direct/stats.rs
+++ b/crates/larkspring/src/direct/stats.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use larkspring_core::fleet::availability::Notice;
+use larkspring_core::fleet::rate::RateWord;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
     TextEncoder,
@@ -31,6 +32,7 @@
     quarantine: IntCounterVec,
     looks: IntCounterVec,
     notices: IntCounterVec,
+    rated_sends: IntCounterVec,
     left_out: IntGaugeVec,
     state: IntGaugeVec,
 }
@@ -139,9 +141,14 @@
             ),
             notices: counter(
                 "larkspring_endpoint_notices_total",
-                "Answers in which endpoints said that they leave or want no requests.",
+                "Answers in which endpoints said what they take no more, or how much.",
                 &["said"],
             ),
+            rated_sends: counter(
+                "larkspring_rated_sends_total",
+                "Requests sent to endpoints that name a rate: first, again or going on.",
+                &["kind"],
+            ),
             reserved: gauge(
                 "larkspring_workspace_reserved",
                 "Units that the entry holds in reserve for a workspace.",
@@ -248,6 +255,15 @@
         if notice.rest.is_some() {
             self.notices.with_label_values(&["rest"]).inc();
         }
+        match notice.rate {
+            RateWord::Named(_) => self.notices.with_label_values(&["rate"]).inc(),
+            RateWord::Unreadable | RateWord::Silent => {}
+        }
+    }
+
+    /// Counts a request that is sent to an endpoint while its rate is limited.
+    pub fn rated_send(&self, kind: &str) {
+        self.rated_sends.with_label_values(&[kind]).inc();
     }
 
     /// Sets the units in reserve for a workspace.
