--- a/crates/larkspring-cli/src/quarantine.rs
+++ b/crates/larkspring-cli/src/quarantine.rs
@@ -23,8 +23,11 @@
                     println!("{content:016x}");
                 }
             }
-            QuarantineStep::Lift { content } => store.remove(*content).await?,
-            QuarantineStep::Forbid { content } => store.add(*content).await?,
+            QuarantineStep::Lift { content } => store.lift(*content).await?,
+            QuarantineStep::Forbid { content } => {
+                store.forget_lift(*content).await?;
+                store.add(*content).await?;
+            }
         }
         Ok(())
     })
--- a/crates/larkspring/src/direct/agent/lasting.rs
+++ b/crates/larkspring/src/direct/agent/lasting.rs
@@ -4,8 +4,12 @@
 //! store is read once at the start; it is written once for each content, and read again only
 //! while there are any, so that an operator lifts one by removing its object, and forbids
 //! another by making one.
+//!
+//! Several agents may count one content, and each stores it when it comes to that. So what an
+//! operator lifts is noted beside it, and an agent that has not taken the note in counted
+//! before it: that is cleared, and not stored.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -26,6 +30,8 @@
     findings: Arc<Findings>,
     events: Sender<Event>,
     stored: BTreeSet<ContentHash>,
+    /// What operators lifted, and since when this agent knows.
+    lifted: BTreeMap<ContentHash, Instant>,
     listed_at: Instant,
 }
 
@@ -35,6 +41,9 @@
 const LIST_EVERY: Duration = Duration::from_secs(30);
 /// Pause after a call that failed.
 const FAILURE_PAUSE: Duration = Duration::from_secs(2);
+/// How long it is noted that a content was lifted: what another process counted before is
+/// forgotten by then.
+const LIFT_KEPT: Duration = Duration::from_secs(3600);
 /// Contents that one agent keeps in the store, so that a caller with ever new fatal requests
 /// does not fill it.
 const MAX_STORED: usize = 512;
@@ -46,7 +55,8 @@
     events: Sender<Event>,
 ) {
     let (stored, listed_at) = (BTreeSet::new(), Instant::now());
-    let mut lasting = Lasting { store, findings, events, stored, listed_at };
+    let lifted = BTreeMap::new();
+    let mut lasting = Lasting { store, findings, events, stored, lifted, listed_at };
     let mut began = false;
     loop {
         let step = match began {
@@ -71,7 +81,7 @@
         let news = self.findings.quarantine(&listed);
         self.stored.extend(listed);
         self.tell(news).await;
-        Ok(())
+        self.take_in_lifts().await
     }
 
     async fn step(&mut self) -> Result<(), PlatformError> {
@@ -80,23 +90,21 @@
             if self.stored.len() >= MAX_STORED {
                 break;
             }
-            self.store.add(*content).await?;
-            self.stored.insert(*content);
+            self.keep(*content).await?;
         }
         for content in self.stored.clone().difference(&refused) {
             self.store.remove(*content).await?;
             self.stored.remove(content);
         }
+        self.forget_old_lifts().await?;
         if self.stored.is_empty() || self.listed_at.elapsed() < LIST_EVERY {
             return Ok(());
         }
         self.listed_at = Instant::now();
+        self.take_in_lifts().await?;
         let listed: BTreeSet<_> = self.store.list().await?.into_iter().collect();
         for content in self.stored.clone().difference(&listed) {
-            tracing::warn!(event = "request lifted", content = logs::hash(*content));
-            self.stored.remove(content);
-            let lifted = self.findings.answered(*content);
-            self.tell(lifted.into_iter().collect()).await;
+            self.lift(*content).await;
         }
         let forbidden: Vec<_> = listed.difference(&self.stored).copied().collect();
         let news = self.findings.quarantine(&forbidden);
@@ -105,6 +113,57 @@
         Ok(())
     }
 
+    /// Stores a content that is refused, unless an operator has lifted it since it was
+    /// counted.
+    async fn keep(&mut self, content: ContentHash) -> Result<(), PlatformError> {
+        if self.lifted.contains_key(&content) {
+            // It ended endpoints again after it was lifted.
+            self.store.forget_lift(content).await?;
+            self.lifted.remove(&content);
+        }
+        self.take_in_lifts().await?;
+        if self.lifted.contains_key(&content) {
+            return Ok(());
+        }
+        self.store.add(content).await?;
+        self.stored.insert(content);
+        // One that was lifted in between is removed again.
+        self.take_in_lifts().await
+    }
+
+    /// Takes in what operators lifted: what was counted before is not held against it.
+    async fn take_in_lifts(&mut self) -> Result<(), PlatformError> {
+        for content in self.store.lifted().await? {
+            if self.lifted.contains_key(&content) {
+                continue;
+            }
+            if self.stored.contains(&content) {
+                self.store.remove(content).await?;
+            }
+            self.lift(content).await;
+        }
+        Ok(())
+    }
+
+    async fn lift(&mut self, content: ContentHash) {
+        tracing::warn!(event = "request lifted", content = logs::hash(content));
+        self.stored.remove(&content);
+        self.lifted.insert(content, Instant::now());
+        let cleared = self.findings.answered(content);
+        self.tell(cleared.into_iter().collect()).await;
+    }
+
+    async fn forget_old_lifts(&mut self) -> Result<(), PlatformError> {
+        let is_old = |at: &Instant| at.elapsed() >= LIFT_KEPT;
+        let old: Vec<_> =
+            self.lifted.iter().filter(|(_, at)| is_old(at)).map(|(c, _)| *c).collect();
+        for content in old {
+            self.store.forget_lift(content).await?;
+            self.lifted.remove(&content);
+        }
+        Ok(())
+    }
+
     async fn tell(&self, news: Vec<wire::Finding>) {
         if !news.is_empty() {
             // The keeper is gone only if the whole process ends.
--- a/crates/larkspring/src/direct/edge.rs
+++ b/crates/larkspring/src/direct/edge.rs
@@ -42,6 +42,16 @@
 
     /// Removes one, if it is there.
     fn remove(&self, content: ContentHash) -> Answer<'_, ()>;
+
+    /// Removes one for an operator, and notes that, so that nobody adds it again by what was
+    /// counted before.
+    fn lift(&self, content: ContentHash) -> Answer<'_, ()>;
+
+    /// Reads what operators lifted.
+    fn lifted(&self) -> Answer<'_, Vec<ContentHash>>;
+
+    /// Forgets that one was lifted.
+    fn forget_lift(&self, content: ContentHash) -> Answer<'_, ()>;
 }
 
 /// What is read of the declared state.
