--- a/crates/larkspring-cli/src/summary.rs
+++ b/crates/larkspring-cli/src/summary.rs
@@ -27,6 +27,7 @@
     let mut by_size = BTreeMap::new();
     let mut by_holding = BTreeMap::new();
     let mut refused: BTreeMap<&str, u64> = BTreeMap::new();
+    let mut unknown: BTreeMap<(&str, &str), u64> = BTreeMap::new();
     let mut loads = Loads::default();
     let mut seconds: BTreeMap<&str, Second> = BTreeMap::new();
     for line in &lines {
@@ -43,6 +44,10 @@
                 by_holding.entry(holding).or_insert_with(Times::new).add(line);
             }
             "unserved" => *refused.entry(line.field("reason")).or_default() += 1,
+            "unknown word" => {
+                let word = (line.field("place"), line.field("name"));
+                *unknown.entry(word).or_default() += 1;
+            }
             "order" => second.fetches += u64::from(loads.order(line)),
             "engine restarted" => loads.restarted(&line.vm),
             _ => {}
@@ -59,6 +64,10 @@
     for (reason, count) in refused {
         println!("{count:>7}  {reason}");
     }
+    println!("\nunknown words, by the processes that met them");
+    for ((place, name), count) in unknown {
+        println!("{count:>7}  {place} {name}");
+    }
     println!("\nloads of adapters");
     for (reason, count) in &loads.counts {
         println!("{count:>7}  {reason}");
--- a/crates/larkspring/src/direct/agent/driver.rs
+++ b/crates/larkspring/src/direct/agent/driver.rs
@@ -15,6 +15,8 @@
 use super::keeper::Event;
 use crate::direct::conn::Conn;
 use crate::direct::edge::{Order, OrderEnd, Protocol, Report};
+use crate::direct::stats::Stats;
+use crate::direct::unknown::Place;
 use crate::exec::{self, within};
 
 /// What the driver is asked to do.
@@ -50,6 +52,7 @@
 struct Driver {
     engine: SocketAddr,
     protocol: Arc<dyn Protocol>,
+    stats: Arc<Stats>,
     conn: Option<Conn>,
     time: CallTime,
     events: Sender<Event>,
@@ -70,12 +73,13 @@
 pub(super) fn start(
     engine: SocketAddr,
     protocol: Arc<dyn Protocol>,
+    stats: Arc<Stats>,
     events: Sender<Event>,
 ) -> Sender<Command> {
     let (tx, rx) = channel::bounded(1);
     let time = CallTime::new(ANSWER);
     let driver =
-        Driver { engine, protocol, conn: None, time, events, rate_named_by: None };
+        Driver { engine, protocol, stats, conn: None, time, events, rate_named_by: None };
     exec::spawn(driver.run(rx)).detach();
     tx
 }
@@ -155,6 +159,8 @@
 
     /// Tells the keeper what an answer says of the engine.
     fn notice(&mut self, kind: Call, asked: Instant, res: &Response<Bytes>) {
+        let unknown = self.protocol.unknown_words(res.headers());
+        self.stats.unknown_words(Place::Answer, &unknown);
         let mut notice = self.protocol.notice(res.status(), res.headers());
         match notice.rate {
             RateWord::Named(_) => self.rate_named_by = Some(kind),
--- a/crates/larkspring/src/direct/agent/mod.rs
+++ b/crates/larkspring/src/direct/agent/mod.rs
@@ -60,7 +60,7 @@
         let addr = listener.local_addr().unwrap_or(cfg.listen);
         let stats = Arc::new(Stats::new());
         let (tx, rx) = channel::unbounded();
-        let commands = driver::start(cfg.engine, protocol, tx.clone());
+        let commands = driver::start(cfg.engine, protocol, stats.clone(), tx.clone());
         let metrics = cfg.process.metrics;
         let findings = Arc::new(Findings::new(stats.clone()));
         let (shown, known) = (stats.clone(), findings.clone());
--- a/crates/larkspring/src/direct/agent/orders.rs
+++ b/crates/larkspring/src/direct/agent/orders.rs
@@ -10,6 +10,7 @@
 use super::keeper::{Keeper, MAX_FAILURES};
 use crate::direct::edge::{Change, Order, OrderEnd, Report};
 use crate::direct::logs::{self, Line};
+use crate::direct::unknown::Place;
 
 /// What is known of the engine.
 #[derive(Default)]
@@ -160,6 +161,7 @@
 
     pub(super) fn reported(&mut self, now: Instant, report: Report) {
         self.stats.report(true);
+        self.stats.unknown_words(Place::Report, &report.unknown);
         self.put_places(now);
         let run = self.run_of(&report);
         if self.engine.failures >= MAX_FAILURES {
--- a/crates/larkspring/src/direct/edge.rs
+++ b/crates/larkspring/src/direct/edge.rs
@@ -1,6 +1,7 @@
 //! What larkspring asks of a platform: its declared state, and how its requests, reports
 //! and orders are written.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -140,6 +141,8 @@
     pub revision: ListRevision,
     /// The items.
     pub items: Vec<Item>,
+    /// Names of fields that nothing knows.
+    pub unknown: BTreeSet<String>,
 }
 
 /// One item of declared state.
@@ -185,6 +188,9 @@
     /// Reads what an answer of any kind says of the endpoint that gives it.
     fn notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice;
 
+    /// Names in an answer of any kind that nothing knows.
+    fn unknown_words(&self, headers: &HeaderMap) -> Vec<String>;
+
     /// Adds what a caller finds in an answer of larkspring's own.
     fn own_answer(&self, headers: &mut HeaderMap, id: &str);
 
@@ -339,6 +345,8 @@
     pub running: u32,
     /// Requests that wait for the batch.
     pub queued: u32,
+    /// Names of fields that nothing knows.
+    pub unknown: Vec<String>,
 }
 
 /// An order to an engine.
--- a/crates/larkspring/src/direct/entry/notices.rs
+++ b/crates/larkspring/src/direct/entry/notices.rs
@@ -9,6 +9,7 @@
 use super::job::Job;
 use super::peer::Peer;
 use crate::direct::edge::{AnswerHead, Echo};
+use crate::direct::unknown::Place;
 
 impl Job {
     /// Takes in what an answer says of its endpoint.
@@ -23,6 +24,8 @@
         peer: &Arc<Peer>,
         asked: Instant,
     ) {
+        let unknown = self.entry.protocol.unknown_words(&head.headers);
+        self.entry.stats.unknown_words(Place::Answer, &unknown);
         let notice = self.entry.protocol.notice(head.status, &head.headers);
         let of_run = said.incarnation.as_ref().is_none_or(|id| *id == peer.endpoint().id);
         if said.echo == Echo::Other || !of_run {
--- a/crates/larkspring/src/direct/mod.rs
+++ b/crates/larkspring/src/direct/mod.rs
@@ -20,4 +20,5 @@
 mod quarantine;
 mod side;
 mod stats;
+mod unknown;
 pub mod watch;
--- a/crates/larkspring/src/direct/stats.rs
+++ b/crates/larkspring/src/direct/stats.rs
@@ -10,6 +10,7 @@
 };
 
 use super::logs;
+use super::unknown::{Place, UnknownWords};
 
 /// The figures of one process.
 #[derive(Debug)]
@@ -32,6 +33,7 @@
     quarantine: IntCounterVec,
     looks: IntCounterVec,
     notices: IntCounterVec,
+    unknown: UnknownWords,
     permits: IntCounterVec,
     rated_sends: IntCounterVec,
     left_out: IntGaugeVec,
@@ -145,6 +147,11 @@
                 "Answers in which endpoints said what they take no more, or how much.",
                 &["said"],
             ),
+            unknown: UnknownWords::new(counter(
+                "larkspring_unknown_words_total",
+                "Words of the platform and its endpoints that nothing reads.",
+                &["place", "name"],
+            )),
             permits: counter(
                 "larkspring_permits_total",
                 "Asks for leave to send to an endpoint that names a rate, by their end.",
@@ -267,6 +274,15 @@
         }
     }
 
+    /// Counts words that nothing reads.
+    pub(super) fn unknown_words<'a>(
+        &self,
+        place: Place,
+        names: impl IntoIterator<Item = &'a String>,
+    ) {
+        names.into_iter().for_each(|name| self.unknown.met(place, name));
+    }
+
     /// Counts an ask for leave to send to an endpoint that names a rate.
     pub fn permit(&self, end: &str) {
         self.permits.with_label_values(&[end]).inc();
--- a/crates/larkspring/src/direct/watch.rs
+++ b/crates/larkspring/src/direct/watch.rs
@@ -12,6 +12,7 @@
 use super::cfg::ProcessCfg;
 use super::edge::{After, Ask, Directory, Kind, ListRevision, Read, State, Via};
 use super::stats::Stats;
+use super::unknown::Place;
 use crate::exec::{self, within};
 use crate::platform::PlatformError;
 
@@ -141,6 +142,7 @@
         }
         self.beliefs.store_answered(now.checked_sub(state.age).unwrap_or(now));
         let revision = listed.revision;
+        self.stats.unknown_words(Place::Listed, &listed.unknown);
         let left_out = listed.items.iter().filter(|item| item.is_unreadable()).count();
         self.stats.left_out(self.kind.name(), left_out as u64);
         let unreadable = left_out > 0;
