--- a/crates/larkspring-core/src/fleet/choose.rs
+++ b/crates/larkspring-core/src/fleet/choose.rs
@@ -184,11 +184,15 @@
     mut endpoints: Vec<T>,
     id: impl Fn(&T) -> &Incarnation,
 ) -> Vec<T> {
-    let weight = |e: &T| Reverse(xxh3_64_with_seed(id(e).as_bytes(), target));
-    endpoints.sort_by_cached_key(weight);
+    endpoints.sort_by_cached_key(|e| Reverse(weight(id(e).as_bytes(), target)));
     endpoints
 }
 
+/// Rendezvous weight of what `id` names for a target; the heaviest ranks first.
+pub fn weight(id: &[u8], target: TargetHash) -> u64 {
+    xxh3_64_with_seed(id, target)
+}
+
 /// Whether an adapter that is held in other halls only deserves a copy in this one.
 ///
 /// A copy costs a load, which is worth about thirteen crossings, and it lasts for about ten
--- a/crates/larkspring/src/direct/entry/fleet.rs
+++ b/crates/larkspring/src/direct/entry/fleet.rs
@@ -1,7 +1,7 @@
 //! The endpoints of each service, kept in step with what the platform lists.
 
 use std::collections::{BTreeSet, HashMap, HashSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -9,7 +9,9 @@
 use event_listener::{Event, EventListener};
 use futures_lite::future;
 use larkspring_core::fleet::availability::{Availability, News, Notice};
+use larkspring_core::fleet::choose::weight;
 use larkspring_core::fleet::members::Endpoint;
+use larkspring_core::fleet::permits::RunHash;
 use larkspring_core::ids::{HallId, Incarnation, ServiceId};
 use parking_lot::Mutex;
 use smol::{Task, Timer};
@@ -146,10 +148,23 @@
         in_hall.filter(live).filter(|p| p.is_staying()).cloned().collect()
     }
 
-    /// Connections to the agents beside all engines, by their address, whether heard or not.
-    pub fn links(&self) -> Vec<(SocketAddr, Arc<Link>)> {
+    /// Connection to the agent that ranks first for a run, whether heard or not: what the
+    /// platform lists is the same for all entries, what each of them hears is not.
+    pub fn ranked_link(
+        &self,
+        run: RunHash,
+        without: Option<&Arc<Link>>,
+    ) -> Option<Arc<Link>> {
         let links = self.links.lock();
-        links.iter().map(|(addr, kept)| (*addr, kept.link.clone())).collect()
+        let weighed = |addr: &SocketAddr| match addr.ip() {
+            IpAddr::V4(ip) => weight(&ip.octets(), run),
+            IpAddr::V6(ip) => weight(&ip.octets(), run),
+        };
+        let is_left_out =
+            |link: &Arc<Link>| without.is_some_and(|w| Arc::ptr_eq(w, link));
+        let ranked = links.iter().filter(|(_, kept)| !is_left_out(&kept.link));
+        let first = ranked.max_by_key(|(addr, _)| weighed(addr));
+        first.map(|(_, kept)| kept.link.clone())
     }
 
     /// Halls in which endpoints stand, sorted.
--- a/crates/larkspring/src/direct/entry/permits.rs
+++ b/crates/larkspring/src/direct/entry/permits.rs
@@ -1,10 +1,8 @@
 //! Permits to send to endpoints that name a rate which they take from all VMs together.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use larkspring_core::fleet::choose::ranked;
 use larkspring_core::fleet::permits::{self, run_hash, Ask, Home, Verdict, UNUSED};
 use parking_lot::Mutex;
 
@@ -18,7 +16,7 @@
     fleet: Arc<Fleet>,
     stats: Arc<Stats>,
     /// Homes that did not answer, and until when others are asked in their place.
-    passed_over: Mutex<Vec<(SocketAddr, Instant)>>,
+    passed_over: Mutex<Vec<(String, Instant)>>,
     /// Grants a part of each rate while no agent is known.
     own: Mutex<permits::Permits>,
 }
@@ -77,45 +75,37 @@
 
     /// Asks the home of a run, and the process that ranks second if that does not answer.
     async fn verdict(&self, peer: &Peer, ask: Ask) -> Option<Verdict> {
-        let homes = self.homes(peer, ask.run);
-        if homes.is_empty() {
+        let beside = peer.link.clone();
+        let first = beside.or_else(|| self.fleet.ranked_link(ask.run, None));
+        let Some(first) = first else {
             let ask = Ask { home: Home::Alone, ..ask };
             return Some(self.own.lock().ask(Instant::now(), &ask));
+        };
+        if let Some(verdict) = self.ask_agent(&first, &ask).await {
+            return Some(verdict);
         }
-        for ((addr, link), home) in homes.into_iter().zip([Home::First, Home::Second]) {
-            if self.is_passed_over(addr) {
-                continue;
-            }
-            match link.permit(&Ask { home, ..ask }).await {
-                Some(verdict) => return Some(verdict),
-                None => {
-                    let until = Instant::now() + PASSED_OVER;
-                    self.passed_over.lock().push((addr, until));
-                }
-            }
-        }
-        None
+        let second = self.fleet.ranked_link(ask.run, Some(&first))?;
+        self.ask_agent(&second, &Ask { home: Home::Second, ..ask }).await
     }
 
-    /// Agents in the order in which they are asked for a run: the one beside it first, then
-    /// by rank among all, so that entries agree on them without talking.
-    fn homes(&self, peer: &Peer, run: permits::RunHash) -> Vec<(SocketAddr, Arc<Link>)> {
-        let links = self.fleet.links().into_iter();
-        let named = links.map(|(addr, link)| (addr.to_string().into(), (addr, link)));
-        let ranked = ranked(run, named.collect(), |(name, _)| name);
-        let mut homes: Vec<_> = ranked.into_iter().map(|(_, home)| home).collect();
-        if let Some(own) = &peer.link {
-            // A stable sort, so that the others keep their rank.
-            homes.sort_by_key(|(_, link)| !Arc::ptr_eq(link, own));
+    /// Asks an agent, unless it left an ask unanswered a moment ago.
+    async fn ask_agent(&self, link: &Link, ask: &Ask) -> Option<Verdict> {
+        if self.is_passed_over(link.addr()) {
+            return None;
+        }
+        let verdict = link.permit(ask).await;
+        if verdict.is_none() {
+            let until = Instant::now() + PASSED_OVER;
+            self.passed_over.lock().push((link.addr().into(), until));
         }
-        homes
+        verdict
     }
 
-    fn is_passed_over(&self, addr: SocketAddr) -> bool {
+    fn is_passed_over(&self, addr: &str) -> bool {
         let now = Instant::now();
         let mut passed_over = self.passed_over.lock();
         passed_over.retain(|(_, until)| *until > now);
-        passed_over.iter().any(|(out, _)| *out == addr)
+        passed_over.iter().any(|(out, _)| out == addr)
     }
 }
 
