--- a/crates/larkspring-core/src/fleet/choose.rs
+++ b/crates/larkspring-core/src/fleet/choose.rs
@@ -39,6 +39,8 @@
     pub quality: Duration,
     /// Whether no connection to it came up a moment ago.
     pub avoided: bool,
+    /// Whether it takes a limited rate of requests.
+    pub rated: bool,
 }
 
 /// Whether an endpoint holds an adapter.
@@ -101,6 +103,9 @@
 const ANSWER_MS: f64 = 450.0;
 /// Time to read a token of a prompt.
 const TOKEN_MS: f64 = 1.0 / TOKENS_PER_MS;
+/// Cost of a load at an endpoint that takes a limited rate: the adapter may be of no use
+/// there, and is then fetched once more elsewhere.
+const RATED_LOAD_MS: f64 = 1_000.0;
 /// Cost of an endpoint that no connection came up to: only taken if all are like it.
 const AVOIDED_MS: f64 = 10_000.0;
 /// Ranks that are told apart; far ones are alike.
@@ -134,7 +139,12 @@
         Holding::Copied => COPIED_MS + turn_cost(v),
         Holding::Absent => LOAD_MS + fetch_cost(v) + home + turn_cost(v),
     };
-    common_cost(v) + load + batch_cost(v)
+    let rated = match v.holding {
+        Holding::Resident => 0.0,
+        _ if v.rated => RATED_LOAD_MS,
+        _ => 0.0,
+    };
+    common_cost(v) + load + rated + batch_cost(v)
 }
 
 /// Price of a fetch, which weighs less against the answer to a longer prompt.
--- a/crates/larkspring-core/tests/fleet_choose.rs
+++ b/crates/larkspring-core/tests/fleet_choose.rs
@@ -24,6 +24,7 @@
     reading: 0,
     quality: Duration::ZERO,
     avoided: false,
+    rated: false,
 };
 const FAR: View = View { same_hall: false, ..VIEW };
 const COPIED: View = View { holding: Holding::Copied, ..VIEW };
@@ -96,6 +97,24 @@
             views: vec![View { avoided: true, ..VIEW }, ABSENT],
             chosen: Some(1),
         },
+        Case {
+            name: "no load where the rate is limited",
+            views: vec![
+                View { rated: true, ..ABSENT },
+                View { loads_ahead: 4, ..ABSENT },
+            ],
+            chosen: Some(1),
+        },
+        Case {
+            name: "a load there if all are so",
+            views: vec![View { rated: true, ..ABSENT }, View { rated: true, ..ABSENT }],
+            chosen: Some(0),
+        },
+        Case {
+            name: "a holder whose rate is limited",
+            views: vec![ABSENT, View { rated: true, ..VIEW }],
+            chosen: Some(1),
+        },
         Case {
             name: "a copy on the VM before a fetch at the home",
             views: vec![ABSENT, COPIED],
--- a/crates/larkspring-core/tests/load/mod.rs
+++ b/crates/larkspring-core/tests/load/mod.rs
@@ -306,6 +306,7 @@
             reading: 0,
             quality: Duration::ZERO,
             avoided: false,
+            rated: false,
         }
     }
 
--- a/crates/larkspring/src/direct/entry/known.rs
+++ b/crates/larkspring/src/direct/entry/known.rs
@@ -108,6 +108,11 @@
         Some((run, self.rate_word.take()?))
     }
 
+    /// Whether the agent, heard a moment ago, says that the engine names a rate.
+    pub fn names_rate(&self) -> bool {
+        self.live && self.state.rate_millis.is_some()
+    }
+
     /// Takes in the rate that a state tells; whether it is news.
     ///
     /// The first state on a connection may come before the agent has a report: that it names
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -256,6 +256,11 @@
         self.known.lock().take_rate_word()
     }
 
+    /// Whether the agent, heard a moment ago, says that the engine names a rate.
+    pub fn names_rate(&self) -> bool {
+        self.known.lock().names_rate()
+    }
+
     /// Records that the engine turned out not to hold an adapter.
     pub fn lacks(&self, target: TargetHash) {
         self.known.lock().lacks(target);
--- a/crates/larkspring/src/direct/entry/peer.rs
+++ b/crates/larkspring/src/direct/entry/peer.rs
@@ -80,6 +80,8 @@
 /// How long an endpoint counts as gone once another run answered at its address; the
 /// platform lists the other one by then.
 const GONE_FOR: Duration = Duration::from_secs(4);
+/// How long a rate is taken to hold that no answer names again.
+const SURELY_RATED: Duration = Duration::from_secs(5);
 /// How long after a surplus answer requests that must not run twice get new connections.
 const GARBLES_FOR: Duration = Duration::from_secs(3);
 
@@ -141,6 +143,14 @@
         self.said()?.rate_limit(Instant::now())
     }
 
+    /// Whether it takes a limited rate by a word that is not old: one that nobody heard again
+    /// may be over, which only a request shows where no agent tells.
+    pub fn is_surely_rated(&self) -> bool {
+        let Some(limit) = self.rate_limit() else { return false };
+        let by_agent = self.link.as_ref().is_some_and(|link| link.names_rate());
+        by_agent || limit.told_at().elapsed() < SURELY_RATED
+    }
+
     /// Records that its rate is used up for a time.
     pub fn is_used_up(&self, wait: Duration) {
         *self.used_up_until.lock() = Some(Instant::now() + wait);
--- a/crates/larkspring/src/direct/entry/permits.rs
+++ b/crates/larkspring/src/direct/entry/permits.rs
@@ -50,7 +50,7 @@
     }
 
     /// Asks for leave to send a request to an endpoint.
-    pub async fn ask(&self, peer: &Arc<Peer>) -> Leave {
+    pub async fn ask(&self, peer: &Peer) -> Leave {
         let now = Instant::now();
         let Some(limit) = peer.rate_limit() else { return Leave::Free };
         let Some(rate) = limit.in_force(now) else { return Leave::Free };
--- a/crates/larkspring/src/direct/entry/place.rs
+++ b/crates/larkspring/src/direct/entry/place.rs
@@ -19,7 +19,7 @@
 use super::job::Job;
 use super::link::{HoldEnd, Need};
 use super::peer::Peer;
-use super::permits::Leave;
+use super::permits::{Leave, Permit};
 use super::view::{holding_name, Why};
 use crate::direct::edge::ModelRequest;
 use crate::direct::logs::{self, Line};
@@ -84,14 +84,19 @@
     }
 
     /// Gets leave to send it where it is placed, if the endpoint takes a limited rate.
-    async fn permitted(&self, mut placed: Placed) -> Result<Placed, NotPlaced> {
-        let peer = placed.open.peer.clone();
-        match self.entry.permits.ask(&peer).await {
-            Leave::Free => Ok(placed),
-            Leave::With(permit) => {
-                placed.permit = Some(permit);
-                Ok(placed)
-            }
+    async fn permitted(&self, placed: Placed) -> Result<Placed, NotPlaced> {
+        if placed.permit.is_some_and(|permit| permit.holds()) {
+            return Ok(placed);
+        }
+        let permit = self.permit(&placed.open.peer).await?;
+        Ok(Placed { permit, ..placed })
+    }
+
+    /// Gets a permit to send to an endpoint; `None` if it takes what comes.
+    async fn permit(&self, peer: &Peer) -> Result<Option<Permit>, NotPlaced> {
+        match self.entry.permits.ask(peer).await {
+            Leave::Free => Ok(None),
+            Leave::With(permit) => Ok(Some(permit)),
             Leave::UsedUp(wait) => {
                 peer.is_used_up(wait);
                 Err((Reason::UsedUp, Some(after_rest(wait))))
@@ -171,18 +176,25 @@
     ) -> Result<Placed, NotPlaced> {
         let mut last: NotPlaced = (Reason::NoEndpoint, None);
         let mut passed_over = Vec::new();
-        for _ in 0..MAX_HOLDS {
+        let mut holds = 0;
+        while holds < MAX_HOLDS {
             let Some(choice) = self.choose(model, adapter, engine, &passed_over) else {
                 break;
             };
             self.why = Some(choice.why.clone());
-            let id = choice.peer.endpoint().id.clone();
-            match self.hold(choice, model).await {
-                Ok(placed) => return Ok(placed),
-                Err(Some(refused)) => last = refused,
-                Err(None) => {}
+            passed_over.push(choice.peer.endpoint().id.clone());
+            // Before its adapter is asked for, which may be loaded for nothing otherwise.
+            match self.permit(&choice.peer).await {
+                Ok(permit) => {
+                    holds += 1;
+                    match self.hold(choice, model).await {
+                        Ok(placed) => return Ok(Placed { permit, ..placed }),
+                        Err(Some(refused)) => last = refused,
+                        Err(None) => {}
+                    }
+                }
+                Err(refused) => last = refused,
             }
-            passed_over.push(id);
             if self.left() < LEAST_LEFT {
                 break;
             }
@@ -386,7 +398,8 @@
         }
         // A copy is only worth it where it delays nobody.
         let fit = |v: &View| {
-            v.same_hall && v.can_load && v.free_places > 0 && v.loads_ahead == 0
+            let is_free = v.free_places > 0 && v.loads_ahead == 0;
+            v.same_hall && v.can_load && !v.rated && is_free
         };
         let copied = |v: &View| v.holding == Holding::Copied && fit(v);
         let at = views.iter().position(copied).or_else(|| views.iter().position(fit));
--- a/crates/larkspring/src/direct/entry/view.rs
+++ b/crates/larkspring/src/direct/entry/view.rs
@@ -36,6 +36,7 @@
                 Duration::ZERO
             },
             avoided: peer.quality(|q| q.avoided(now)),
+            rated: peer.is_surely_rated(),
         }
     }
 
