Log failed reads of the declared state, and show how old each kind is

An entry showed the age of its routing only, and only where callers have keys did anything go by it; a read that was given up left a line for the first failure alone. Now each failed read is a line with its kind, cause and the age of what is known, and entries and agents show `routing_proof_age_ms`, `endpoints_proof_age_ms` and `versions_proof_age_ms`. With these the hypotheses of the incident of stale routing can be told apart: a lost watch is an age that grows for one kind alone, steps that add up are ages near the bound everywhere.

No decision changes.

--- a/crates/larkspring/src/direct/agent/mod.rs
+++ b/crates/larkspring/src/direct/agent/mod.rs
@@ -63,9 +63,12 @@
         let commands = driver::start(cfg.engine, protocol, stats.clone(), tx.clone());
         let metrics = cfg.process.metrics;
         let findings = Arc::new(Findings::new(stats.clone()));
-        let (shown, known) = (stats.clone(), findings.clone());
+        let (bound, routing_wait) = (cfg.process.bound(), cfg.process.routing_wait());
+        let state = KeptState::new(directory, stats.clone(), bound, routing_wait);
+        let (shown, known, kept) = (stats.clone(), findings.clone(), state.clone());
         let answer = move |_: &str| {
             known.show();
+            kept.show();
             (StatusCode::OK, shown.text())
         };
         let served = side::serve(metrics, Arc::new(answer)).await;
@@ -77,8 +80,6 @@
             addr = %addr,
             engine = %cfg.engine,
         );
-        let (bound, routing_wait) = (cfg.process.bound(), cfg.process.routing_wait());
-        let state = KeptState::new(directory, stats.clone(), bound, routing_wait);
         let keeper = Keeper::new(&cfg, commands, stats, findings.clone());
         let tasks = vec![
             served,
--- a/crates/larkspring/src/direct/agent/state.rs
+++ b/crates/larkspring/src/direct/agent/state.rs
@@ -17,6 +17,7 @@
 
 use crate::clock::Moment;
 use crate::direct::edge::{After, Ask, Directory, Kind, ListRevision, Read, State};
+use crate::direct::logs;
 use crate::direct::stats::Stats;
 use crate::exec::{self, within};
 use crate::platform::PlatformError;
@@ -31,7 +32,7 @@
     routing_wait: Duration,
     /// When the store last answered a read of any kind.
     heard: Mutex<Option<Instant>>,
-    kinds: [Feed; KINDS],
+    kinds: [Feed; Kind::ALL.len()],
 }
 
 /// One kind of items.
@@ -65,7 +66,6 @@
     body: Bytes,
 }
 
-const KINDS: usize = 3;
 /// How long the store is asked to wait for a change of what seldom changes. A call that is
 /// cut off without a word is noticed this much later.
 const WAIT: Duration = Duration::from_secs(2);
@@ -137,6 +137,14 @@
         wire::ReadReply { held_ms, ..reply }
     }
 
+    /// Shows on the metrics how old what is kept of each kind is.
+    pub fn show(&self) {
+        for kind in Kind::ALL {
+            let proved = self.feed(kind).kept.lock().proved;
+            self.stats.proof_age(kind.name(), proved.map(|at| at.elapsed()));
+        }
+    }
+
     fn feed(&self, kind: Kind) -> &Feed {
         &self.kinds[kind as usize]
     }
@@ -173,7 +181,12 @@
                 return Duration::ZERO;
             }
             Err(e) => {
-                tracing::debug!(event = "store not read", kind = kind.name(), cause = %e);
+                if logs::allows(logs::Line::Belief) {
+                    let kept = feed.kept.lock().proved;
+                    let age = kept.map(|at| at.elapsed().as_millis() as u64);
+                    let kind = kind.name();
+                    tracing::info!(event = "read failed", kind, cause = %e, proof_age_ms = age);
+                }
                 feed.changed.notify(usize::MAX);
                 return FAILURE_PAUSE;
             }
--- a/crates/larkspring/src/direct/beliefs.rs
+++ b/crates/larkspring/src/direct/beliefs.rs
@@ -20,7 +20,7 @@
 #[derive(Debug)]
 pub struct Beliefs {
     routing: ArcSwapOption<Routing>,
-    proof: Mutex<Proof>,
+    proofs: [Mutex<Proof>; Kind::ALL.len()],
     versions: ArcSwap<Versions>,
     members: Mutex<Members>,
     store: Mutex<StoreHealth>,
@@ -29,7 +29,7 @@
     store_lost: Event,
 }
 
-/// What shows that the routing in force is the newest.
+/// What shows that the state of a kind is the newest.
 #[derive(Debug, Clone, Copy, Default)]
 struct Proof {
     /// A moment at which the store held nothing newer.
@@ -53,7 +53,7 @@
     fn default() -> Self {
         Self {
             routing: ArcSwapOption::empty(),
-            proof: Mutex::default(),
+            proofs: Default::default(),
             versions: ArcSwap::default(),
             members: Mutex::default(),
             store: Mutex::default(),
@@ -70,14 +70,16 @@
         self.routing.load_full()
     }
 
-    /// Time since the store is proved to have held no newer routing; `None` if it never was.
-    pub fn routing_age(&self) -> Option<Duration> {
-        self.proof.lock().at.map(|at| at.elapsed())
+    /// Time since the store is proved to have held nothing newer of a kind; `None` if it
+    /// never was.
+    pub fn proof_age(&self, kind: Kind) -> Option<Duration> {
+        self.proof(kind).lock().at.map(|at| at.elapsed())
     }
 
-    /// Records that the store held no newer routing than what was taken in, at a moment.
-    pub fn routing_proved(&self, at: Moment) {
-        let mut proof = self.proof.lock();
+    /// Records that the store held nothing newer of a kind than what was taken in, at a
+    /// moment.
+    pub fn proved(&self, kind: Kind, at: Moment) {
+        let mut proof = self.proof(kind).lock();
         if !proof.in_doubt {
             proof.at = proof.at.max(Some(at));
         }
@@ -85,7 +87,11 @@
 
     /// Records whether the newest routing that was read makes no sense.
     pub fn routing_in_doubt(&self, in_doubt: bool) {
-        self.proof.lock().in_doubt = in_doubt;
+        self.proof(Kind::Routing).lock().in_doubt = in_doubt;
+    }
+
+    fn proof(&self, kind: Kind) -> &Mutex<Proof> {
+        &self.proofs[kind as usize]
     }
 
     /// The newest versions of adapters.
--- a/crates/larkspring/src/direct/edge.rs
+++ b/crates/larkspring/src/direct/edge.rs
@@ -124,6 +124,9 @@
 }
 
 impl Kind {
+    /// All kinds, in the order of their discriminants.
+    pub const ALL: [Self; 3] = [Self::Routing, Self::Endpoints, Self::Versions];
+
     /// Returns the word used in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/larkspring/src/direct/entry/admit.rs
+++ b/crates/larkspring/src/direct/entry/admit.rs
@@ -10,7 +10,7 @@
 use super::answer::Reason;
 use super::limits::Limits;
 use super::Inner;
-use crate::direct::edge::CallerRequest;
+use crate::direct::edge::{CallerRequest, Kind};
 use crate::direct::logs::{self, Line};
 
 /// Units that a request took from its workspace's limit; given back when dropped, unless it
@@ -60,13 +60,13 @@
     /// Whether the view of the keys is new enough to serve by.
     pub(super) fn trusts_keys(&self) -> bool {
         let Some(trusted) = self.cfg().process.trusted() else { return true };
-        self.beliefs.routing_age().is_some_and(|age| age <= trusted)
+        self.beliefs.proof_age(Kind::Routing).is_some_and(|age| age <= trusted)
     }
 
     /// Whether a key that the view lacks is in none that may be in force.
     fn trusts_absence(&self) -> bool {
         let in_force = self.cfg().process.in_force;
-        self.beliefs.routing_age().is_some_and(|age| age <= in_force)
+        self.beliefs.proof_age(Kind::Routing).is_some_and(|age| age <= in_force)
     }
 
     /// Charges a request to its workspace's limit; an error tells when to come back.
--- a/crates/larkspring/src/direct/entry/log.rs
+++ b/crates/larkspring/src/direct/entry/log.rs
@@ -8,7 +8,7 @@
 use super::job::Job;
 use super::view::Why;
 use super::Inner;
-use crate::direct::edge::CallerRequest;
+use crate::direct::edge::{CallerRequest, Kind};
 use crate::direct::logs::{self, Line};
 
 /// Logs that larkspring answered a request itself.
@@ -32,7 +32,7 @@
             took_ms = since.elapsed().as_millis() as u64,
             routing = entry.beliefs.routing().map(|r| r.version),
             routing_proof_age_ms =
-                entry.beliefs.routing_age().map(|age| age.as_millis() as u64),
+                entry.beliefs.proof_age(Kind::Routing).map(|age| age.as_millis() as u64),
             store_age_ms = entry.beliefs.store_age().map(|age| age.as_millis() as u64),
             endpoint = why.map(|w| &*w.endpoint),
             holding = why.map(|w| w.holding),
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -57,7 +57,7 @@
 use self::permits::Permits;
 use super::beliefs::Beliefs;
 use super::cfg::EntryCfg;
-use super::edge::{Directory, Protocol};
+use super::edge::{Directory, Kind, Protocol};
 use super::quarantine::Findings;
 use super::stats::Stats;
 use super::{logs, side, watch};
@@ -254,8 +254,9 @@
         let version = self.beliefs.routing().map_or(0, |r| r.version);
         self.stats.state("routing_version", version as i64);
         self.stats.state("store_away_ms", away as i64);
-        let age = self.beliefs.routing_age().map_or(-1, |age| age.as_millis() as i64);
-        self.stats.state("routing_proof_age_ms", age);
+        for kind in Kind::ALL {
+            self.stats.proof_age(kind.name(), self.beliefs.proof_age(kind));
+        }
         for (workspace, units) in self.limits.reserved() {
             self.stats.reserved(&workspace, units as i64);
         }
--- a/crates/larkspring/src/direct/stats.rs
+++ b/crates/larkspring/src/direct/stats.rs
@@ -303,6 +303,13 @@
         self.state.with_label_values(&[of]).set(value);
     }
 
+    /// Sets the time since the store is proved to have held nothing newer of a kind; -1 if
+    /// it never was.
+    pub fn proof_age(&self, kind: &str, age: Option<Duration>) {
+        let age = age.map_or(-1, |age| age.as_millis() as i64);
+        self.state(&format!("{kind}_proof_age_ms"), age);
+    }
+
     /// Writes all figures as text.
     pub fn text(&self) -> Vec<u8> {
         for (kind, count) in logs::left_out() {
--- a/crates/larkspring/src/direct/watch.rs
+++ b/crates/larkspring/src/direct/watch.rs
@@ -11,6 +11,7 @@
 use super::beliefs::Beliefs;
 use super::cfg::ProcessCfg;
 use super::edge::{After, Ask, Directory, Kind, ListRevision, Read, State, Via};
+use super::logs::{self, Line};
 use super::stats::Stats;
 use super::unknown::Place;
 use crate::exec::{self, within};
@@ -43,7 +44,6 @@
     stats: Arc<Stats>,
     pace: Pace,
 ) -> Vec<smol::Task<()>> {
-    let kinds = [Kind::Routing, Kind::Endpoints, Kind::Versions];
     let start = |kind| {
         let follower = Follower {
             kind,
@@ -55,7 +55,7 @@
         };
         exec::spawn(follower.run())
     };
-    let mut tasks: Vec<_> = kinds.into_iter().map(start).collect();
+    let mut tasks: Vec<_> = Kind::ALL.into_iter().map(start).collect();
     tasks.push(exec::spawn(expire(beliefs)));
     tasks
 }
@@ -151,20 +151,13 @@
             true => self.beliefs.replace(now, self.kind, listed),
             false => self.beliefs.update(now, listed),
         }
-        if self.kind == Kind::Routing {
-            self.prove(state, unreadable, readable);
-        }
-        Ok((revision, state.via))
-    }
-
-    /// Records how new the routing is that was just taken in.
-    fn prove(&self, state: &State, unreadable: bool, readable: bool) {
-        if unreadable || readable {
+        if self.kind == Kind::Routing && (unreadable || readable) {
             self.beliefs.routing_in_doubt(unreadable);
         }
         if let Some(at) = state.proved {
-            self.beliefs.routing_proved(at);
+            self.beliefs.proved(self.kind, at);
         }
+        Ok((revision, state.via))
     }
 
     async fn watch(&self, after: After) -> Result<Read, PlatformError> {
@@ -195,6 +188,16 @@
 
     fn failed(&self, e: &PlatformError) {
         self.stats.store_call(self.kind.name(), false);
+        if logs::allows(Line::Belief) {
+            let age = self.beliefs.proof_age(self.kind).map(|age| age.as_millis() as u64);
+            tracing::info!(
+                event = "read failed",
+                kind = self.kind.name(),
+                cause = %e,
+                failures = self.failures,
+                proof_age_ms = age,
+            );
+        }
         self.beliefs.store_failed(Instant::now(), &e.to_string());
     }
 }
