Bound the time in which a lost read of the declared state is noticed

Callers got 404 from one entry for a route that the store had acknowledged 2,248 ms before (bound 2,000 ms), while all else was served.

Cause: nothing added up the waits between the store's word and the last entry. A watch of the routing waited 8 s and its call timed out one second later, whatever the bound; it was cut short only if another call of the same entry failed. When its connection alone went silent, the entry's reads of endpoints went on and hid that. An agent was believed by the age of its last answer of any kind, and a watch of it that was overdue by less than 2 s did not count, so that entries behind an agent could be 3.5 s late. Class: an answer to one question was taken as proof for another, and waits were bounded one by one.

Fix: core::fleet::reads gives each wait as a part of the bound of its kind, by the store and by agents, and either way adds up to less than the bound with a read lost on it. A watch without an answer in time is followed at once by a list on a new connection; how long an answer may take follows how long answers take. An agent is believed by the age of its last answer of the same kind. And where no route takes a request, a routing that may be out of date is no ground for a 404: the caller is told to come back (503), which is true.

--- a/crates/larkspring-core/src/fleet/mod.rs
+++ b/crates/larkspring-core/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 //! 12. [`availability`]: whether an endpoint takes requests, by what its answers say.
 //! 13. [`rate`]: how many requests it takes from all VMs together, by the same.
 //! 14. [`permits`]: which request that rate is spent on, over all VMs.
+//! 15. [`reads`]: how the declared state is read in time.
 //!
 //! [`mechanisms`] lists what can be switched off in a measurement.
 
@@ -28,6 +29,7 @@
 pub mod quality;
 pub mod rate;
 pub mod reading;
+pub mod reads;
 pub mod routes;
 pub mod urgency;
 pub mod versions;
--- /dev/null
+++ b/crates/larkspring-core/tests/fleet_reads.rs
@@ -0,0 +1,114 @@
+//! The waits of reads of the declared state, against the bound on a change.
+
+use std::time::Duration;
+
+use fastrand::Rng;
+use larkspring_core::fleet::reads::{AgentPace, Changes, StorePace, MAX_AGENTS};
+
+const BOUNDS_MS: [u64; 6] = [500, 1000, 2000, 3000, 4000, 10_000];
+const KINDS: [Changes; 2] = [Changes::Seldom, Changes::Often];
+
+/// Guards against waits that are each shorter than the bound on a change and add up to more.
+#[test]
+fn the_waits_of_each_way_add_up_to_less_than_the_bound() {
+    for bound in BOUNDS_MS.map(Duration::from_millis) {
+        for changes in KINDS {
+            let direct = StorePace::of_entry(bound, changes).worst();
+            assert!(direct < bound, "{changes:?}: {direct:?} of {bound:?} by the store");
+            let agent = StorePace::of_agent(bound, changes);
+            let healthy = agent.pause + agent.wait;
+            let oldest = AgentPace::of(bound).oldest;
+            assert!(
+                healthy < oldest,
+                "{changes:?}: {healthy:?} of {oldest:?} at an agent"
+            );
+        }
+        let relayed = AgentPace::of(bound).worst();
+        assert!(relayed < bound, "{relayed:?} of {bound:?} by agents");
+    }
+}
+
+/// One entry that follows agents and, where none answers well, the store. Times in ms.
+struct Follower {
+    pace: AgentPace,
+    /// When the store last answered whoever answered the entry.
+    heard: f64,
+    now: f64,
+}
+
+/// What an agent does from some moment on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Agent {
+    /// It reads the store as it should.
+    Well,
+    /// Its reads of this kind are not answered any more; it tells that nothing is new.
+    Deaf,
+    /// It does not answer.
+    Paused,
+}
+
+fn ms(time: Duration) -> f64 {
+    time.as_secs_f64() * 1e3
+}
+
+impl Follower {
+    /// Reads until the state of `change` or of later is known; returns that moment.
+    ///
+    /// Every answer takes as long as it may, and every fault begins at `fault`, when the
+    /// store last answered the agents.
+    fn follow(&mut self, agents: [Agent; MAX_AGENTS], fault: f64, change: f64) -> f64 {
+        loop {
+            let age = Duration::from_secs_f64((self.now - self.heard).max(0.0) / 1e3);
+            let mut wait = ms(self.pace.wait_at(age));
+            for agent in agents {
+                match agent {
+                    Agent::Paused => self.now += wait + ms(self.pace.answer),
+                    Agent::Well | Agent::Deaf => {
+                        self.now += wait;
+                        let heard = if agent == Agent::Well { self.now } else { fault };
+                        if self.now - heard <= ms(self.pace.oldest) {
+                            self.heard = heard;
+                            break;
+                        }
+                        self.now += ms(self.pace.answer);
+                    }
+                }
+                // Only the first agent is asked to wait.
+                wait = 0.0;
+            }
+            let is_told = self.now - self.heard <= ms(self.pace.oldest);
+            if !is_told {
+                self.now += ms(self.pace.again);
+                self.heard = self.now;
+            }
+            if self.heard >= change {
+                return self.now;
+            }
+            self.now += ms(self.pace.pause);
+        }
+    }
+}
+
+/// Guards against a chain of agents and reads that is on time link by link and late as a
+/// whole: faults of both agents and changes at drawn moments, with every link as late as it
+/// may be.
+#[test]
+fn drawn_faults_of_agents_never_delay_a_change_beyond_its_bound() {
+    let mut rng = Rng::with_seed(46);
+    let mut worst: f64 = 0.0;
+    for series in 0..20_000 {
+        let bound = BOUNDS_MS[rng.usize(..BOUNDS_MS.len())];
+        let pace = AgentPace::of(Duration::from_millis(bound));
+        let fault = rng.f64() * bound as f64;
+        let kinds = [Agent::Well, Agent::Deaf, Agent::Paused];
+        let agents = std::array::from_fn(|_| kinds[rng.usize(..kinds.len())]);
+        let lag = rng.f64() * ms(pace.oldest).min(fault);
+        let change = fault + rng.f64() * 2.0;
+        let mut entry = Follower { pace, heard: fault - lag, now: fault };
+        let known = entry.follow(agents, fault, change);
+        let part = (known - change) / bound as f64;
+        assert!(part < 1.0, "series {series}: {agents:?}: {part} of {bound} ms");
+        worst = worst.max(part);
+    }
+    println!("worst: {worst:.3} of the bound");
+}
--- a/crates/larkspring/src/direct/agent/mod.rs
+++ b/crates/larkspring/src/direct/agent/mod.rs
@@ -63,8 +63,7 @@
         let commands = driver::start(cfg.engine, protocol, stats.clone(), tx.clone());
         let metrics = cfg.process.metrics;
         let findings = Arc::new(Findings::new(stats.clone()));
-        let (bound, routing_wait) = (cfg.process.bound(), cfg.process.routing_wait());
-        let state = KeptState::new(directory, stats.clone(), bound, routing_wait);
+        let state = KeptState::new(directory, stats.clone(), &cfg.process);
         let (shown, known, kept) = (stats.clone(), findings.clone(), state.clone());
         let answer = move |_: &str| {
             known.show();
--- a/crates/larkspring/src/direct/agent/state.rs
+++ b/crates/larkspring/src/direct/agent/state.rs
@@ -11,27 +11,25 @@
 
 use bytes::Bytes;
 use event_listener::Event;
+use larkspring_core::fleet::reads::StorePace;
 use larkspring_proto::residency as wire;
 use parking_lot::Mutex;
 use smol::Timer;
 
 use crate::clock::Moment;
+use crate::direct::cfg::ProcessCfg;
 use crate::direct::edge::{After, Ask, Directory, Kind, ListRevision, Read, State};
 use crate::direct::logs;
+use crate::direct::reader::StoreReader;
 use crate::direct::stats::Stats;
 use crate::exec::{self, within};
 use crate::platform::PlatformError;
 
 /// What an agent keeps of the declared state.
 pub(super) struct KeptState {
-    directory: Arc<dyn Directory>,
+    store: StoreReader,
     stats: Arc<Stats>,
-    /// Pause between two reads of endpoints, and the longest wait of one.
-    beat: Duration,
-    /// How long a read of the routing waits for a change.
-    routing_wait: Duration,
-    /// When the store last answered a read of any kind.
-    heard: Mutex<Option<Instant>>,
+    paces: [StorePace; Kind::ALL.len()],
     kinds: [Feed; Kind::ALL.len()],
 }
 
@@ -66,20 +64,11 @@
     body: Bytes,
 }
 
-/// How long the store is asked to wait for a change of what seldom changes. A call that is
-/// cut off without a word is noticed this much later.
-const WAIT: Duration = Duration::from_secs(2);
-/// Least time between two reads of kinds that change seldom, so that a series of changes is
-/// read at once.
-const OTHERS_PAUSE: Duration = Duration::from_millis(50);
 /// Pause after a call that failed: entries ask the store themselves meanwhile, and pass an
 /// agent over for 3 s.
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
-/// Part of the shortest time within which declared changes have to be in force that goes by
-/// between two reads of endpoints, and that one of them waits. What is listed of endpoints
-/// changes all the time, and these reads show that the store is still heard: two fifths
-/// between them at most, where an entry allows half.
-const BEAT_PART: f64 = 0.2;
+/// Least time in which an agent that begins to read answers the first entry.
+const FIRST_LIST: Duration = Duration::from_millis(60);
 /// Time without a question after which the store is not read any more.
 const UNASKED: Duration = Duration::from_secs(5);
 /// Changes that are kept; one a second comes for endpoints. A reader that is further behind
@@ -87,22 +76,23 @@
 const MAX_CHANGES: usize = 64;
 
 impl KeptState {
-    /// Creates the state of an agent that nobody has asked; `bound` is the shortest time
-    /// within which declared changes have to be in force, `routing_wait` the longest wait of
-    /// a read of the routing.
+    /// Creates the state of an agent that nobody has asked.
     pub fn new(
         directory: Arc<dyn Directory>,
         stats: Arc<Stats>,
-        bound: Duration,
-        routing_wait: Option<Duration>,
+        cfg: &ProcessCfg,
     ) -> Arc<Self> {
-        let beat = bound.mul_f64(BEAT_PART);
+        let pace = |kind| {
+            let changes = ProcessCfg::changes(kind);
+            let pace = StorePace::of_agent(cfg.bound(kind), changes);
+            let keys = cfg.routing_wait().filter(|_| kind == Kind::Routing);
+            let wait = keys.map_or(pace.wait, |wait| wait.min(pace.wait));
+            StorePace { wait, ..pace }
+        };
         Arc::new(Self {
-            directory,
+            store: StoreReader::new(directory, stats.clone()),
             stats,
-            beat,
-            routing_wait: routing_wait.unwrap_or(WAIT).min(WAIT),
-            heard: Mutex::default(),
+            paces: Kind::ALL.map(pace),
             kinds: Default::default(),
         })
     }
@@ -126,13 +116,11 @@
             (kept.revision <= req.after, kept.heard.is_some())
         };
         if nothing_new || !knows {
-            within(Duration::from_millis(req.wait_ms), changed).await;
+            let least = if knows { Duration::ZERO } else { FIRST_LIST };
+            within(Duration::from_millis(req.wait_ms).max(least), changed).await;
         }
         let now = Instant::now();
-        let last = *self.heard.lock();
-        let since_any =
-            last.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
-        let reply = feed.kept.lock().reply(req.after, now, since_any);
+        let reply = feed.kept.lock().reply(req.after, now);
         let held_ms = now.saturating_duration_since(received).as_millis() as u64;
         wire::ReadReply { held_ms, ..reply }
     }
@@ -162,9 +150,9 @@
                 let revision = kept.revision;
                 let is_full = kept.changes.len() >= MAX_CHANGES;
                 let lists = kept.heard.is_none() || kept.lists || is_full;
-                (!lists).then_some(After { revision, wait: self.wait(kind) })
+                (!lists).then_some(After { revision, wait: self.pace(kind).wait })
             };
-            let read = self.directory.read(Ask { kind, after }).await;
+            let read = self.store.read(Ask { kind, after }, self.pace(kind)).await;
             self.stats.store_call(kind.name(), read.is_ok());
             let pause = self.take(kind, read);
             Timer::after(pause).await;
@@ -192,22 +180,14 @@
             }
         };
         let now = Instant::now();
-        *self.heard.lock() = Some(now);
         if feed.kept.lock().take(state, now) {
             feed.changed.notify(usize::MAX);
         }
-        match kind {
-            Kind::Endpoints => self.beat,
-            Kind::Routing | Kind::Versions => OTHERS_PAUSE,
-        }
+        self.pace(kind).pause
     }
 
-    fn wait(&self, kind: Kind) -> Duration {
-        match kind {
-            Kind::Endpoints => self.beat,
-            Kind::Routing => self.routing_wait,
-            Kind::Versions => WAIT,
-        }
+    fn pace(&self, kind: Kind) -> &StorePace {
+        &self.paces[kind as usize]
     }
 }
 
@@ -230,28 +210,20 @@
     }
 
     /// What an entry gets that knows the state at `after`.
-    ///
-    /// Its age is that of the store's last answer to any read, as a watch of what seldom
-    /// changes is answered late; but a watch that is overdue may be cut off.
-    fn reply(
-        &self,
-        after: ListRevision,
-        now: Instant,
-        since_any: Duration,
-    ) -> wire::ReadReply {
+    fn reply(&self, after: ListRevision, now: Instant) -> wire::ReadReply {
         let Some(heard) = self.heard else {
             // Revision 0 tells that nothing is known.
             return wire::ReadReply::default();
         };
         let whole = after < self.listed;
-        let overdue = now.saturating_duration_since(heard).saturating_sub(WAIT);
+        let age = now.saturating_duration_since(heard);
         let newer = self.changes.iter().filter(|c| whole || c.to > after);
         wire::ReadReply {
             revision: self.revision,
             whole,
             pages: if whole { self.pages.clone() } else { Vec::new() },
             changes: newer.map(|c| c.body.clone()).collect(),
-            age_ms: since_any.max(overdue).as_millis() as u64,
+            age_ms: age.as_millis() as u64,
             // A store that answered without a proof proves nothing.
             proof_age_ms: self
                 .proved
--- a/crates/larkspring/src/direct/cfg.rs
+++ b/crates/larkspring/src/direct/cfg.rs
@@ -7,10 +7,13 @@
 
 use larkspring_core::fleet::choose::Placement;
 use larkspring_core::fleet::mechanisms::Without;
+use larkspring_core::fleet::reads::Changes;
 use larkspring_core::ids::{HallId, VmId};
 use larkspring_core::limits::LimitTerms;
 use larkspring_core::retry::RepeatTerms;
 
+use super::edge::Kind;
+
 /// What every process knows of itself.
 #[derive(Debug, Clone)]
 pub struct ProcessCfg {
@@ -30,6 +33,8 @@
     pub drain: Duration,
     /// Time within which a declared routing has to be in force.
     pub in_force: Duration,
+    /// Time within which requests have to begin on a newly named version of an adapter.
+    pub replaced: Duration,
     /// Time within which a key that was taken away is refused, whether the store can be
     /// heard or not; `None` if that is not asked for.
     pub revocation: Option<Duration>,
@@ -43,11 +48,26 @@
 /// Part of that time for which a read of the routing waits for a change: two reads in a row
 /// and an entry's own pause have to fit into half of it.
 const READ_PART: f64 = 0.2;
+/// Part of the time to a new version's use in which it becomes known. The rest is left for
+/// loading it and for requests that still wait to begin on the one before.
+const KNOWN_PART: f64 = 0.8;
 
 impl ProcessCfg {
-    /// The shortest time within which declared changes have to be in force.
-    pub fn bound(&self) -> Duration {
-        self.drain.min(self.in_force)
+    /// Time within which a change of a kind of declared state has to be known to entries.
+    pub fn bound(&self, kind: Kind) -> Duration {
+        match kind {
+            Kind::Routing => self.in_force,
+            Kind::Endpoints => self.drain,
+            Kind::Versions => self.replaced.mul_f64(KNOWN_PART),
+        }
+    }
+
+    /// Whether reads of a kind wait for a change, or find one each time.
+    pub fn changes(kind: Kind) -> Changes {
+        match kind {
+            Kind::Routing | Kind::Versions => Changes::Seldom,
+            Kind::Endpoints => Changes::Often,
+        }
     }
 
     /// Oldest view of the keys by which requests are served; `None` for any.
--- a/crates/larkspring/src/direct/entry/admit.rs
+++ b/crates/larkspring/src/direct/entry/admit.rs
@@ -63,7 +63,16 @@
         self.beliefs.proof_age(Kind::Routing).is_some_and(|age| age <= trusted)
     }
 
-    /// Whether a key that the view lacks is in none that may be in force.
+    /// Why a request is refused that no route takes: one that was declared since the routing
+    /// was read is no reason to deny it.
+    pub(super) fn no_route(&self) -> Reason {
+        match self.trusts_absence() {
+            true => Reason::NoRoute,
+            false => Reason::OldRouting,
+        }
+    }
+
+    /// Whether a key or route that the routing lacks is in none that may be in force.
     fn trusts_absence(&self) -> bool {
         let in_force = self.cfg().process.in_force;
         self.beliefs.proof_age(Kind::Routing).is_some_and(|age| age <= in_force)
--- a/crates/larkspring/src/direct/entry/answer.rs
+++ b/crates/larkspring/src/direct/entry/answer.rs
@@ -47,6 +47,7 @@
     OldKeys,
     OverLimit,
     NoRoute,
+    OldRouting,
     BodyTooLarge,
     EndsEndpoints,
     Stopping,
@@ -72,6 +73,7 @@
             Self::OldKeys => "the view of the keys is too old",
             Self::OverLimit => "over the workspace's limit",
             Self::NoRoute => "no route",
+            Self::OldRouting => "no route, and the routing may be out of date",
             Self::BodyTooLarge => "body too large",
             Self::EndsEndpoints => "endpoints ended each time it ran",
             Self::Stopping => "the entry stops",
@@ -101,6 +103,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::EndsEndpoints => StatusCode::UNPROCESSABLE_ENTITY,
             Self::OldKeys
+            | Self::OldRouting
             | Self::Stopping
             | Self::NoRouting
             | Self::NoEndpoint
@@ -140,6 +143,7 @@
             Self::NoRouting => COME_BACK_FILLED,
             Self::NoEndpoint if needs_adapter => COME_BACK_FILLED,
             Self::NoEndpoint
+            | Self::OldRouting
             | Self::NoAdapterInTime
             | Self::Rejected
             | Self::Unsent
@@ -231,7 +235,7 @@
         }
     }
     match reason {
-        Reason::OldKeys => close(&mut res),
+        Reason::OldKeys | Reason::OldRouting => close(&mut res),
         _ => close_if_leaving(entry, &mut res),
     }
     res
--- a/crates/larkspring/src/direct/entry/directory.rs
+++ b/crates/larkspring/src/direct/entry/directory.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use larkspring_core::fleet::choose::ranked;
+use larkspring_core::fleet::reads::{AgentPace, StorePace, MAX_AGENTS};
 use larkspring_core::ids::{HallId, Incarnation};
 use larkspring_proto::residency as wire;
 use larkspring_proto::residency::residency_client::ResidencyClient;
@@ -18,22 +19,25 @@
 use crate::direct::cfg::ProcessCfg;
 use crate::direct::edge::{After, Ask, Directory, Kind, Listed, Read, State, Via};
 use crate::direct::logs;
+use crate::direct::reader::StoreReader;
 use crate::exec::within;
 use crate::platform::{Answer, PlatformError};
 use crate::rpc::channel::Pool;
 
 /// Reads from an agent of the hall, or from the store.
 pub(super) struct HallDirectory {
-    store: Arc<dyn Directory>,
+    store: StoreReader,
     fleet: Arc<Fleet>,
     hall: HallId,
     pool: Pool,
-    /// Oldest state that is gone by.
-    oldest: Duration,
+    store_paces: [StorePace; Kind::ALL.len()],
+    agent_paces: [AgentPace; Kind::ALL.len()],
     /// Oldest routing that requests are served by; `None` for any.
     trusted: Option<Duration>,
     /// When the store is proved to have held no newer routing.
     proved: Mutex<Option<Moment>>,
+    /// When the store last answered whoever answered this entry, by kind.
+    heard: Mutex<[Option<Moment>; Kind::ALL.len()]>,
     /// Agents that did not answer well, and until when they are not asked.
     passed_over: Mutex<Vec<(Incarnation, Instant)>>,
 }
@@ -41,12 +45,8 @@
 /// Entries in a hall from which on one of its agents reads for them: below it the agent's
 /// own calls are as many as it spares.
 const MIN_ENTRIES: u32 = 3;
-/// Part of the shortest time within which declared changes have to be in force that the
-/// state may be old, when the store was heard last. Half of it is left for a call of the
-/// entry's own and for the change itself.
-const OLDEST_PART: f64 = 0.5;
-/// Time for a connection to an agent of the hall, and for its answer beyond its waiting.
-const ANSWER: Duration = Duration::from_millis(150);
+/// Time for a connection to an agent.
+const CONNECT: Duration = Duration::from_millis(150);
 /// Part of the time for which a routing is trusted after which a newer proof is urgent: the
 /// next source is asked without waiting for a change. An agent's own reads take two fifths
 /// of that time; what is left covers two agents of the hall, the store and two far agents
@@ -61,8 +61,6 @@
 const URGENT_WAIT: Duration = Duration::from_millis(1);
 /// How long an agent that did not answer well is not asked.
 const PASSED_OVER: Duration = Duration::from_secs(3);
-/// Agents of the hall that read the store for its entries: one, and one to go to.
-const MAX_ASKED: usize = 2;
 /// Agents of other halls that are asked when nothing else answers.
 const MAX_FAR: usize = 2;
 /// Connections to agents.
@@ -70,21 +68,28 @@
 
 impl HallDirectory {
     /// Creates the directory of an entry.
-    pub fn new(store: Arc<dyn Directory>, fleet: Arc<Fleet>, cfg: &ProcessCfg) -> Self {
+    pub fn new(store: StoreReader, fleet: Arc<Fleet>, cfg: &ProcessCfg) -> Self {
         Self {
             store,
             fleet,
             hall: cfg.hall.clone(),
-            pool: Pool::new(MAX_CONNECTIONS, ANSWER),
-            oldest: cfg.bound().mul_f64(OLDEST_PART),
+            pool: Pool::new(MAX_CONNECTIONS, CONNECT),
+            store_paces: Kind::ALL.map(|kind| {
+                StorePace::of_entry(cfg.bound(kind), ProcessCfg::changes(kind))
+            }),
+            agent_paces: Kind::ALL.map(|kind| AgentPace::of(cfg.bound(kind))),
             trusted: cfg.trusted(),
             proved: Mutex::default(),
+            heard: Mutex::default(),
             passed_over: Mutex::default(),
         }
     }
 
     async fn read_any(&self, ask: Ask) -> Result<Read, PlatformError> {
         let read = self.read_in_turn(ask).await;
+        if let Ok(Read::State(state)) = &read {
+            self.heard.lock()[ask.kind as usize] = Moment::now().checked_sub(state.age);
+        }
         if let (Kind::Routing, Ok(Read::State(state))) = (ask.kind, &read) {
             let mut proved = self.proved.lock();
             *proved = (*proved).max(state.proved);
@@ -113,12 +118,14 @@
     }
 
     async fn read_store(&self, ask: Ask) -> Result<Read, PlatformError> {
+        let pace = &self.store_paces[ask.kind as usize];
         if ask.kind != Kind::Routing || self.trusted.is_none() {
-            return self.store.read(ask).await;
+            return self.store.read(self.paced(ask), pace).await;
         }
         let ask = self.paced(ask);
         let wait = ask.after.map_or(Duration::ZERO, |after| after.wait);
-        let read = within(wait + STORE_ANSWER, self.store.read(ask)).await;
+        let read = self.store.read(ask, pace);
+        let read = within(wait + pace.answer + STORE_ANSWER, read).await;
         let silent = || PlatformError::NoEffect("read objects", "no answer".into());
         read.unwrap_or_else(|| Err(silent()))
     }
@@ -133,9 +140,11 @@
         self.proved.lock().is_none_or(|at| at.elapsed() > urgent)
     }
 
-    /// Has an urgent read answered at once.
+    /// Has an urgent read answered at once, as well as one that no agent answered.
     fn paced(&self, ask: Ask) -> Ask {
-        let wait = match self.is_urgent(ask.kind) {
+        let oldest = self.agent_paces[ask.kind as usize].oldest;
+        let is_late = self.age(ask.kind).is_none_or(|age| age >= oldest);
+        let wait = match is_late || self.is_urgent(ask.kind) {
             true => URGENT_WAIT,
             false => Duration::MAX,
         };
@@ -143,6 +152,11 @@
         Ask { after, ..ask }
     }
 
+    /// Time since the store answered a read of a kind that this entry was told of.
+    fn age(&self, kind: Kind) -> Option<Duration> {
+        self.heard.lock()[kind as usize].map(|at| at.elapsed())
+    }
+
     /// The agents to ask, the one that all entries of the hall agree on first.
     ///
     /// Those that are passed over are not replaced by the next ones: each agent that is
@@ -151,7 +165,7 @@
         if self.fleet.entries().1 < MIN_ENTRIES {
             return Vec::new();
         }
-        self.first_of(&self.hall, MAX_ASKED)
+        self.first_of(&self.hall, MAX_AGENTS)
     }
 
     /// Of each other hall the agent that reads the store for its own entries.
@@ -175,11 +189,10 @@
 
     async fn read_from(&self, peer: &Peer, ask: Ask) -> Result<State, String> {
         let link = peer.link.as_ref().ok_or("no agent is beside it")?;
-        // An answer comes before the state that it tells of is too old.
-        let wait = match self.trusted.filter(|_| ask.kind == Kind::Routing) {
-            Some(trusted) => trusted.mul_f64(ROUTING_WAIT_PART).min(self.oldest / 2),
-            None => self.oldest / 2,
-        };
+        let pace = &self.agent_paces[ask.kind as usize];
+        let wait = pace.wait_at(self.age(ask.kind).unwrap_or_default());
+        let keys = self.trusted.filter(|_| ask.kind == Kind::Routing);
+        let wait = keys.map_or(wait, |age| wait.min(age.mul_f64(ROUTING_WAIT_PART)));
         let known = ask.after.map_or(0, |after| after.revision);
         let wait = ask.after.map_or(wait, |after| after.wait.min(wait));
         let req = wire::ReadRequest {
@@ -194,13 +207,14 @@
             client.read(req).await.map_err(|e| e.to_string())
         };
         let sent = Moment::now();
-        let reply = within(wait + ANSWER, call).await.ok_or("no answer in time")??;
+        let reply =
+            within(wait + pace.answer, call).await.ok_or("no answer in time")??;
         let reply = reply.into_inner();
         let age = Duration::from_millis(reply.age_ms);
         if reply.revision == 0 {
             return Err("it has not read the store yet".into());
         }
-        if age > self.oldest {
+        if age > pace.oldest {
             return Err(format!("its state is {} ms old", age.as_millis()));
         }
         let proof_age = Duration::from_millis(reply.proof_age_ms);
--- a/crates/larkspring/src/direct/entry/job.rs
+++ b/crates/larkspring/src/direct/entry/job.rs
@@ -120,7 +120,7 @@
     };
     let host = head.headers.get(HOST).and_then(|h| h.to_str().ok()).unwrap_or_default();
     let Some(route) = routing.find(host, head.uri.path()).cloned() else {
-        return refuse(Reason::NoRoute, Some(body), done);
+        return refuse(entry.no_route(), Some(body), done);
     };
     let workspace = match entry.authorize(&routing, &route, caller.credential) {
         Ok(workspace) => workspace,
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -59,6 +59,7 @@
 use super::cfg::EntryCfg;
 use super::edge::{Directory, Kind, Protocol};
 use super::quarantine::Findings;
+use super::reader::StoreReader;
 use super::stats::Stats;
 use super::{logs, side, watch};
 use crate::exec;
@@ -168,9 +169,9 @@
             kept_bytes: AtomicUsize::new(0),
         });
         let process = inner.cfg().process.clone();
-        let directory = HallDirectory::new(directory, fleet.clone(), &process);
-        let pace = watch::Pace::of(&process);
-        let mut tasks = watch::follow(Arc::new(directory), beliefs, stats.clone(), pace);
+        let store = StoreReader::new(directory, stats.clone());
+        let directory = Arc::new(HallDirectory::new(store, fleet.clone(), &process));
+        let mut tasks = watch::follow(directory, beliefs, stats.clone(), &process);
         tasks.push(exec::spawn(limits.run()));
         tasks.push(exec::spawn(ends.run()));
         tasks.push(exec::spawn(fleet.clone().follow()));
--- a/crates/larkspring/src/direct/mod.rs
+++ b/crates/larkspring/src/direct/mod.rs
@@ -18,6 +18,7 @@
 mod limits;
 mod logs;
 mod quarantine;
+mod reader;
 mod side;
 mod stats;
 mod unknown;
--- /dev/null
+++ b/crates/larkspring/src/direct/reader.rs
@@ -0,0 +1,90 @@
+//! Reads of the platform's store that notice when one of them is lost.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use larkspring_core::fleet::reads::StorePace;
+use parking_lot::Mutex;
+
+use super::edge::{Ask, Directory, Kind, Listed, Read, State};
+use super::logs::{self, Line};
+use super::stats::Stats;
+use crate::exec::within;
+use crate::platform::PlatformError;
+
+/// Reads the store; a watch that is not answered in time is followed by a list.
+///
+/// A connection may go silent while others work, so a lost watch says nothing of the store.
+pub(super) struct StoreReader {
+    directory: Arc<dyn Directory>,
+    stats: Arc<Stats>,
+    /// Time that the store takes for an answer, the slowest of the last ones.
+    slowest: Mutex<Duration>,
+}
+
+/// Longest time for an answer, however slow the store is.
+const MAX_ANSWER: Duration = Duration::from_secs(1);
+/// A watch is lost after so many times the time that answers take, if that is longer than
+/// its pace allows.
+const PATIENCE: f64 = 3.0;
+/// Part of the slowest answer that is remembered with each one that is faster.
+const FORGET: f64 = 0.8;
+
+impl StoreReader {
+    /// Creates a reader of a store.
+    pub fn new(directory: Arc<dyn Directory>, stats: Arc<Stats>) -> Self {
+        Self { directory, stats, slowest: Mutex::default() }
+    }
+
+    /// Reads items of a kind.
+    pub async fn read(&self, ask: Ask, pace: &StorePace) -> Result<Read, PlatformError> {
+        let Some(after) = ask.after else { return self.list(ask.kind).await };
+        let limit = after.wait + self.patience(pace);
+        let began = Instant::now();
+        match within(limit, self.directory.read(ask)).await {
+            Some(read) => {
+                if read.is_ok() {
+                    self.answered(began.elapsed().saturating_sub(after.wait));
+                }
+                read
+            }
+            None => {
+                self.lost(ask.kind, limit);
+                self.list(ask.kind).await
+            }
+        }
+    }
+
+    /// Decodes items that were read.
+    pub fn decode(&self, kind: Kind, state: &State) -> Result<Listed, PlatformError> {
+        self.directory.decode(kind, state)
+    }
+
+    async fn list(&self, kind: Kind) -> Result<Read, PlatformError> {
+        let began = Instant::now();
+        let read = self.directory.read(Ask { kind, after: None }).await;
+        if read.is_ok() {
+            self.answered(began.elapsed());
+        }
+        read
+    }
+
+    fn patience(&self, pace: &StorePace) -> Duration {
+        let slow = self.slowest.lock().mul_f64(PATIENCE);
+        pace.answer.max(slow).min(MAX_ANSWER)
+    }
+
+    fn answered(&self, took: Duration) {
+        let mut slowest = self.slowest.lock();
+        *slowest = took.max(slowest.mul_f64(FORGET));
+    }
+
+    fn lost(&self, kind: Kind, after: Duration) {
+        let kind = kind.name();
+        self.stats.store_call(kind, false);
+        if logs::allows(Line::Belief) {
+            let after_ms = after.as_millis() as u64;
+            tracing::info!(event = "watch lost", kind, after_ms);
+        }
+    }
+}
--- a/crates/larkspring/src/direct/watch.rs
+++ b/crates/larkspring/src/direct/watch.rs
@@ -5,6 +5,7 @@
 
 use fastrand::Rng;
 use futures_lite::future;
+use larkspring_core::fleet::reads::{AgentPace, StorePace};
 use larkspring_core::retry::backoff;
 use smol::Timer;
 
@@ -17,19 +18,6 @@
 use crate::exec::{self, within};
 use crate::platform::PlatformError;
 
-/// How long a watch of endpoints waits for a change. Their entries change all the time, so
-/// these watches also show that the store is there.
-const ENDPOINTS_WAIT: Duration = Duration::from_millis(2000);
-/// The same for kinds that change seldom; they are cut short once the store is away, so a
-/// connection that nothing comes through any more does not hold them up.
-const OTHERS_WAIT: Duration = Duration::from_secs(8);
-/// Least time between two watches of endpoints, as a part of the time within which a
-/// leaving endpoint has to be passed over: each call is charged.
-const ENDPOINTS_PAUSE_PART: f64 = 0.5;
-/// The same where an agent answers, which costs no call.
-const AGENT_PAUSE: Duration = Duration::from_millis(50);
-/// The same for other kinds, so that a series of changes is read at once.
-const OTHERS_PAUSE: Duration = Duration::from_millis(50);
 /// First and longest pause after a call that failed.
 const BACKOFF_FIRST: Duration = Duration::from_millis(150);
 const BACKOFF_MOST: Duration = Duration::from_millis(400);
@@ -42,7 +30,7 @@
     directory: Arc<dyn Directory>,
     beliefs: Arc<Beliefs>,
     stats: Arc<Stats>,
-    pace: Pace,
+    cfg: &ProcessCfg,
 ) -> Vec<smol::Task<()>> {
     let start = |kind| {
         let follower = Follower {
@@ -50,7 +38,7 @@
             directory: directory.clone(),
             beliefs: beliefs.clone(),
             stats: stats.clone(),
-            pace,
+            pace: Pace::of(cfg, kind),
             failures: 0,
         };
         exec::spawn(follower.run())
@@ -60,20 +48,22 @@
     tasks
 }
 
-/// How often the declared state is read.
+/// How often a kind of declared state is read.
 #[derive(Debug, Clone, Copy)]
-pub struct Pace {
-    /// Time within which a leaving endpoint has to be passed over.
-    drain: Duration,
-    /// How long a watch of the routing waits for a change.
-    routing_wait: Duration,
+struct Pace {
+    store: StorePace,
+    agent: AgentPace,
+    /// Longest wait of a read of the store.
+    wait: Duration,
 }
 
 impl Pace {
-    /// The pace that a process's settings ask for.
-    pub fn of(cfg: &ProcessCfg) -> Self {
-        let routing_wait = cfg.routing_wait().unwrap_or(OTHERS_WAIT);
-        Self { drain: cfg.drain, routing_wait }
+    fn of(cfg: &ProcessCfg, kind: Kind) -> Self {
+        let bound = cfg.bound(kind);
+        let store = StorePace::of_entry(bound, ProcessCfg::changes(kind));
+        let keys = cfg.routing_wait().filter(|_| kind == Kind::Routing);
+        let wait = keys.map_or(store.wait, |wait| wait.min(store.wait));
+        Self { store, agent: AgentPace::of(bound), wait }
     }
 }
 
@@ -126,7 +116,7 @@
                 Ok(taken) => taken,
                 Err(e) => return e,
             };
-            after = Some(After { revision, wait: self.wait() });
+            after = Some(After { revision, wait: self.pace.wait });
             Timer::after(self.pause(via)).await;
         }
     }
@@ -170,19 +160,10 @@
         future::or(self.directory.read(ask), away).await
     }
 
-    fn wait(&self) -> Duration {
-        match self.kind {
-            Kind::Endpoints => ENDPOINTS_WAIT,
-            Kind::Routing => self.pace.routing_wait,
-            Kind::Versions => OTHERS_WAIT,
-        }
-    }
-
     fn pause(&self, via: Via) -> Duration {
-        match self.kind {
-            _ if via == Via::Agent => AGENT_PAUSE,
-            Kind::Endpoints => self.pace.drain.mul_f64(ENDPOINTS_PAUSE_PART),
-            Kind::Routing | Kind::Versions => OTHERS_PAUSE,
+        match via {
+            Via::Agent => self.pace.agent.pause,
+            Via::Store => self.pace.store.pause,
         }
     }
 
