Show which history of the store a process reads

After a restore from a copy the store counts its revisions again from a lower one, and names that in a header that nothing read.

No decision changes.

--- a/crates/larkspring/src/direct/agent/state.rs
+++ b/crates/larkspring/src/direct/agent/state.rs
@@ -130,6 +130,8 @@
         for kind in Kind::ALL {
             let proved = self.feed(kind).kept.lock().proved;
             self.stats.proof_age(kind.name(), proved.map(|at| at.elapsed()));
+            let revision = self.feed(kind).kept.lock().revision;
+            self.stats.state(&format!("{}_revision", kind.name()), revision as i64);
         }
     }
 
@@ -165,7 +167,12 @@
         let state = match read {
             Ok(Read::State(state)) => state,
             Ok(Read::HistoryGone) => {
-                feed.kept.lock().lists = true;
+                let mut kept = feed.kept.lock();
+                kept.lists = true;
+                if logs::allows(logs::Line::Belief) {
+                    let revision = kept.revision;
+                    tracing::info!(event = "history gone", kind = kind.name(), revision);
+                }
                 return Duration::ZERO;
             }
             Err(e) => {
--- a/crates/larkspring/src/direct/watch.rs
+++ b/crates/larkspring/src/direct/watch.rs
@@ -132,6 +132,7 @@
         }
         self.beliefs.store_answered(now.checked_sub(state.age).unwrap_or(now));
         let revision = listed.revision;
+        self.stats.state(&format!("{}_revision", self.kind.name()), revision as i64);
         self.stats.unknown_words(Place::Listed, &listed.unknown);
         let left_out = listed.items.iter().filter(|item| item.is_unreadable()).count();
         self.stats.left_out(self.kind.name(), left_out as u64);
