Order the store's states by epoch and revision

Requests reached an endpoint 3.4 s after the store had acknowledged that it leaves, and entries answered 404 for a route acknowledged 3.2 s before (bound 3 s each), some seconds after the store had come back from a copy.

Cause: a revision was taken for a point in one history. A restored store counts on from a lower revision and gives revisions out again. An agent kept the higher of two revisions, so it asked for changes after one that the store did not have, got 410, listed, and so on (117 refused and 125 answered calls a second), until the new history had passed the old revision; what had changed in between was told to no entry, then or later. Entries kept the higher one as well. Class: numbers of two sequences are compared as if of one.

Fix: StorePoint holds epoch and revision and is ordered by the epoch first; there is no other way to name a state. Each answer's epoch is read, whatever its status: another one than the watch began in means a new list, an answer from before a restore that is known is none, and a list whose pages are of two epochs is read again. Agents and entries name the epoch to each other. What is known does not go back with the copy: a run that leaves or ended stays so until its entry is written again after the restore or another run has the name, endpoints that the copy lacks are kept for the two seconds in which entries lapse, a routing of a higher version stays in force, and a copy that lacks it proves nothing about keys. Agents store quarantined contents, and notes of lifted ones, again.

--- a/crates/larkspring-core/src/ids.rs
+++ b/crates/larkspring-core/src/ids.rs
@@ -71,3 +71,44 @@
         write!(f, "{}{}{}", self.adapter, VERSION_MARK, self.version)
     }
 }
+
+/// How often the platform's store was restored from a copy.
+pub type StoreEpoch = u64;
+
+/// A point in the history of the platform's store.
+///
+/// A restored store gives revisions out again, so a revision says nothing by itself; points
+/// are ordered by their epoch first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct StorePoint {
+    epoch: StoreEpoch,
+    revision: u64,
+}
+
+impl StorePoint {
+    /// Creates the point at a revision of an epoch.
+    pub fn new(epoch: StoreEpoch, revision: u64) -> Self {
+        Self { epoch, revision }
+    }
+
+    /// Which history the point is of.
+    pub fn epoch(self) -> StoreEpoch {
+        self.epoch
+    }
+
+    /// The store's count of changes in that history.
+    pub fn revision(self) -> u64 {
+        self.revision
+    }
+
+    /// A point just after this one.
+    pub fn next(self) -> Self {
+        Self { revision: self.revision + 1, ..self }
+    }
+}
+
+impl Display for StorePoint {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.epoch, self.revision)
+    }
+}
--- a/crates/larkspring-core/tests/fleet_members.rs
+++ b/crates/larkspring-core/tests/fleet_members.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
+use fastrand::Rng;
 use larkspring_core::fleet::members::{Endpoint, Members, LAPSE_GRACE};
+use larkspring_core::ids::{StartMs, StorePoint};
 
 fn endpoint(id: &str, leaving: bool) -> Endpoint {
     Endpoint {
@@ -12,7 +14,7 @@
         hall: "h".into(),
         slots: 1,
         leaving,
-        listed_since: 1,
+        listed_since: StorePoint::new(1, 1),
         start: None,
         holds: Vec::new(),
     }
@@ -94,10 +96,13 @@
         for step in c.steps {
             let keep = |outage: bool| outage.then_some(now + LAPSE_GRACE);
             match step {
-                Put(id, leaving) => drop(members.put(endpoint(id, *leaving))),
+                Put(id, leaving) => {
+                    _ = members.put(endpoint(id, *leaving), StorePoint::default());
+                }
                 Gone(id, outage) => members.remove(&(*id).into(), keep(*outage)),
                 List(ids, outage) => {
-                    let list = ids.iter().map(|id| endpoint(id, false)).collect();
+                    let listed = |id: &&str| (endpoint(id, false), StorePoint::default());
+                    let list = ids.iter().map(listed).collect();
                     members.replace(list, keep(*outage));
                 }
                 Pass(ms) => {
@@ -111,3 +116,176 @@
         assert_eq!(left, c.left, "{}", c.name);
     }
 }
+
+/// One endpoint as the store's list has it, written at a revision.
+#[derive(Clone, Copy, PartialEq)]
+struct Entry {
+    start: StartMs,
+    leaving: bool,
+    written: u64,
+}
+
+/// A store of a few endpoints that may be copied and restored, and what its writers wrote
+/// last, which is written again after a restore.
+#[derive(Default, Clone)]
+struct Store {
+    epoch: u64,
+    revision: u64,
+    listed: [Option<Entry>; RUNS],
+    /// What each endpoint says of itself; `None` if it ended.
+    said: [Option<(StartMs, bool)>; RUNS],
+    starts: StartMs,
+    /// Revision of the copy that it came back from.
+    copied: u64,
+}
+
+const RUNS: usize = 4;
+
+impl Store {
+    fn write(&mut self, n: usize) {
+        self.revision += 1;
+        let written = self.revision;
+        let entry = |(start, leaving)| Entry { start, leaving, written };
+        self.listed[n] = self.said[n].map(entry);
+    }
+
+    fn begin(&mut self, n: usize) {
+        self.starts += 1;
+        self.said[n] = Some((self.starts, false));
+    }
+
+    fn at(&self) -> StorePoint {
+        StorePoint::new(self.epoch, self.revision)
+    }
+
+    fn list(&self) -> Vec<(Endpoint, StorePoint)> {
+        let listed = self.listed.iter().enumerate();
+        let found = listed.filter_map(|(n, entry)| entry.map(|entry| (n, entry)));
+        found.map(|(n, entry)| self.item(n, entry)).collect()
+    }
+
+    fn item(&self, n: usize, entry: Entry) -> (Endpoint, StorePoint) {
+        let start = Some(entry.start);
+        let endpoint = Endpoint { start, ..endpoint(&n.to_string(), entry.leaving) };
+        (endpoint, StorePoint::new(self.epoch, entry.written))
+    }
+}
+
+/// Guards against using a run again that is known to leave or to have ended, whatever a
+/// restored store lists: drawn series of starts, words, ends, copies, restores and lists.
+#[test]
+fn drawn_restores_never_bring_back_what_left() {
+    let mut copied = 0;
+    for seed in 0..20_000 {
+        let mut rng = Rng::with_seed(seed);
+        let mut store = Store { epoch: 1, ..Store::default() };
+        let mut copy = store.clone();
+        let mut members = Members::default();
+        // Runs that were read as leaving or, after they had been known, as gone.
+        let mut left: Vec<(usize, StartMs)> = Vec::new();
+        let mut known: [Option<StartMs>; RUNS] = [None; RUNS];
+        for _ in 0..rng.usize(10..60) {
+            let n = rng.usize(..RUNS);
+            match rng.u32(..10) {
+                0 | 1 if store.said[n].is_none() => {
+                    store.begin(n);
+                    store.write(n);
+                }
+                0..=2 => {
+                    if let Some((start, _)) = store.said[n] {
+                        store.said[n] = Some((start, true));
+                        store.write(n);
+                    }
+                }
+                3 => {
+                    store.said[n] = None;
+                    store.write(n);
+                }
+                4 => copy = store.clone(),
+                5 => {
+                    let now = store.clone();
+                    store =
+                        Store { epoch: now.epoch + 1, said: now.said, ..copy.clone() };
+                    store.starts = now.starts;
+                    store.copied = store.revision;
+                    copy = store.clone();
+                    copied += 1;
+                }
+                // Writers write again what the copy lacks.
+                6 => store.write(n),
+                _ => {
+                    let restored = members.begin_epoch(store.at());
+                    let keep = restored.then(|| Instant::now() + LAPSE_GRACE);
+                    let list = store.list();
+                    for (n, known) in known.iter_mut().enumerate() {
+                        let is_listed = list.iter().any(|(e, _)| *e.id == *n.to_string());
+                        let ended = known.filter(|_| !is_listed && !restored);
+                        left.extend(ended.map(|start| (n, start)));
+                        if let Some(entry) = store.listed[n] {
+                            *known = Some(entry.start);
+                            let is_copied = entry.written <= store.copied;
+                            match entry.leaving {
+                                true => left.push((n, entry.start)),
+                                false if is_copied => {}
+                                // It was missing for longer than the grace, and lives.
+                                false => left.retain(|run| *run != (n, entry.start)),
+                            }
+                        } else if !restored {
+                            *known = None;
+                        }
+                    }
+                    members.replace(list, keep);
+                }
+            }
+            let used = members.endpoints().filter(|e| !e.leaving);
+            for endpoint in used {
+                let run = (endpoint.id.parse().expect("a number"), endpoint.start);
+                let is_left = left.iter().any(|(n, start)| (*n, Some(*start)) == run);
+                let is_said = store.said[run.0] == endpoint.start.map(|s| (s, false));
+                assert!(!is_left || is_said, "seed {seed}: {run:?} is used again");
+            }
+        }
+    }
+    assert!(copied > 10_000, "{copied} restores");
+}
+
+/// Guards against dropping endpoints that joined after the copy was taken, and against
+/// keeping them for ever.
+#[test]
+fn endpoints_that_a_copy_lacks_are_kept_for_the_grace() {
+    struct Row {
+        name: &'static str,
+        /// Whether it is written again, so long after the restore.
+        again_ms: Option<u64>,
+        pass_ms: u64,
+        is_kept: bool,
+    }
+    let rows = [
+        Row { name: "at once", again_ms: None, pass_ms: 10, is_kept: true },
+        Row { name: "not again", again_ms: None, pass_ms: 2100, is_kept: false },
+        Row { name: "again", again_ms: Some(1500), pass_ms: 9000, is_kept: true },
+    ];
+    for row in rows {
+        let now = Instant::now();
+        let after = |ms| now + Duration::from_millis(ms);
+        let mut members = Members::default();
+        assert!(!members.begin_epoch(StorePoint::new(1, 7)));
+        members.replace(vec![(endpoint("a", false), StorePoint::new(1, 7))], None);
+        assert!(members.begin_epoch(StorePoint::new(2, 5)));
+        members.replace(Vec::new(), Some(now + LAPSE_GRACE));
+        if let Some(ms) = row.again_ms {
+            members.expire(after(ms));
+            members.put(endpoint("a", false), StorePoint::new(2, 6));
+        }
+        members.expire(after(row.pass_ms));
+        assert_eq!(members.endpoints().count() == 1, row.is_kept, "{}", row.name);
+    }
+}
+
+/// Guards against comparing revisions of two histories of the store.
+#[test]
+fn points_are_ordered_by_their_epoch_first() {
+    let points = [(1, 9), (2, 1), (2, 8), (3, 0)].map(|(e, r)| StorePoint::new(e, r));
+    assert!(points.is_sorted());
+    assert_eq!(points[1].next(), StorePoint::new(2, 2));
+}
--- a/crates/larkspring-proto/src/gen/larkspring.residency.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.residency.rs
@@ -9,6 +9,9 @@
     /// How long to wait for a change.
     #[prost(uint64, tag = "3")]
     pub wait_ms: u64,
+    /// Epoch of the store's history that the revision is of; the reader's own if it is missing.
+    #[prost(uint64, optional, tag = "4")]
+    pub epoch: ::core::option::Option<u64>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ReadReply {
@@ -32,6 +35,9 @@
     /// Time between the agent's receiving the request and this reply.
     #[prost(uint64, tag = "7")]
     pub held_ms: u64,
+    /// Epoch of the store's history that the revision is of.
+    #[prost(uint64, tag = "8")]
+    pub epoch: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct FromEntry {
--- a/crates/larkspring/src/direct/agent/lasting.rs
+++ b/crates/larkspring/src/direct/agent/lasting.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use larkspring_core::ids::ContentHash;
+use larkspring_core::ids::{ContentHash, StoreEpoch};
 use larkspring_proto::residency as wire;
 use smol::channel::Sender;
 use smol::Timer;
@@ -30,6 +30,8 @@
     findings: Arc<Findings>,
     events: Sender<Event>,
     stored: BTreeSet<ContentHash>,
+    /// The store's history in which they were stored.
+    epoch: StoreEpoch,
     /// What operators lifted, and since when this agent knows.
     lifted: BTreeMap<ContentHash, Instant>,
     listed_at: Instant,
@@ -56,7 +58,9 @@
 ) {
     let (stored, listed_at) = (BTreeSet::new(), Instant::now());
     let lifted = BTreeMap::new();
-    let mut lasting = Lasting { store, findings, events, stored, lifted, listed_at };
+    let epoch = store.epoch();
+    let mut lasting =
+        Lasting { store, findings, events, stored, epoch, lifted, listed_at };
     let mut began = false;
     loop {
         let step = match began {
@@ -78,6 +82,7 @@
     /// Takes in what the store holds at the agent's start.
     async fn begin(&mut self) -> Result<(), PlatformError> {
         let listed = self.store.list().await?;
+        self.epoch = self.store.epoch();
         let news = self.findings.quarantine(&listed);
         self.stored.extend(listed);
         self.tell(news).await;
@@ -85,6 +90,9 @@
     }
 
     async fn step(&mut self) -> Result<(), PlatformError> {
+        if self.is_restored() {
+            self.store_again().await?;
+        }
         let refused: BTreeSet<_> = self.findings.refused().into_iter().collect();
         for content in refused.difference(&self.stored.clone()) {
             if self.stored.len() >= MAX_STORED {
@@ -103,6 +111,9 @@
         self.listed_at = Instant::now();
         self.take_in_lifts().await?;
         let listed: BTreeSet<_> = self.store.list().await?.into_iter().collect();
+        if self.is_restored() {
+            return self.store_again().await;
+        }
         for content in self.stored.clone().difference(&listed) {
             self.lift(*content).await;
         }
@@ -113,6 +124,22 @@
         Ok(())
     }
 
+    /// Whether the store was restored from a copy that may lack what this agent stored.
+    fn is_restored(&self) -> bool {
+        self.store.epoch() != self.epoch
+    }
+
+    /// Notes again what was lifted; what is refused follows as if it had not been stored.
+    async fn store_again(&mut self) -> Result<(), PlatformError> {
+        let epoch = self.store.epoch();
+        for content in self.lifted.keys() {
+            self.store.lift(*content).await?;
+        }
+        self.stored.clear();
+        self.epoch = epoch;
+        Ok(())
+    }
+
     /// Stores a content that is refused, unless an operator has lifted it since it was
     /// counted.
     async fn keep(&mut self, content: ContentHash) -> Result<(), PlatformError> {
--- a/crates/larkspring/src/direct/agent/state.rs
+++ b/crates/larkspring/src/direct/agent/state.rs
@@ -12,13 +12,14 @@
 use bytes::Bytes;
 use event_listener::Event;
 use larkspring_core::fleet::reads::StorePace;
+use larkspring_core::ids::StorePoint;
 use larkspring_proto::residency as wire;
 use parking_lot::Mutex;
 use smol::Timer;
 
 use crate::clock::Moment;
 use crate::direct::cfg::ProcessCfg;
-use crate::direct::edge::{After, Ask, Directory, Kind, ListRevision, Read, State};
+use crate::direct::edge::{After, Ask, Directory, Kind, Read, State};
 use crate::direct::logs;
 use crate::direct::reader::StoreReader;
 use crate::direct::stats::Stats;
@@ -44,9 +45,9 @@
 struct Kept {
     /// The last list, and the changes after it.
     pages: Vec<Bytes>,
-    listed: ListRevision,
+    listed: StorePoint,
     changes: VecDeque<Change>,
-    revision: ListRevision,
+    at: StorePoint,
     /// When the store last answered; `None` before the first list.
     heard: Option<Instant>,
     /// When the call that it answered then was sent.
@@ -59,8 +60,8 @@
 }
 
 struct Change {
-    /// Revision that it leads to.
-    to: ListRevision,
+    /// Point that it leads to.
+    to: StorePoint,
     body: Bytes,
 }
 
@@ -113,14 +114,14 @@
         let changed = feed.changed.listen();
         let (nothing_new, knows) = {
             let kept = feed.kept.lock();
-            (kept.revision <= req.after, kept.heard.is_some())
+            (kept.at <= kept.known_by(req), kept.heard.is_some())
         };
         if nothing_new || !knows {
             let least = if knows { Duration::ZERO } else { FIRST_LIST };
             within(Duration::from_millis(req.wait_ms).max(least), changed).await;
         }
         let now = Instant::now();
-        let reply = feed.kept.lock().reply(req.after, now);
+        let reply = feed.kept.lock().reply(req, now);
         let held_ms = now.saturating_duration_since(received).as_millis() as u64;
         wire::ReadReply { held_ms, ..reply }
     }
@@ -130,8 +131,8 @@
         for kind in Kind::ALL {
             let proved = self.feed(kind).kept.lock().proved;
             self.stats.proof_age(kind.name(), proved.map(|at| at.elapsed()));
-            let revision = self.feed(kind).kept.lock().revision;
-            self.stats.state(&format!("{}_revision", kind.name()), revision as i64);
+            let at = self.feed(kind).kept.lock().at;
+            self.stats.store_point(kind.name(), at);
         }
     }
 
@@ -149,10 +150,10 @@
                     *kept = Kept::default();
                     return;
                 }
-                let revision = kept.revision;
+                let at = kept.at;
                 let is_full = kept.changes.len() >= MAX_CHANGES;
                 let lists = kept.heard.is_none() || kept.lists || is_full;
-                (!lists).then_some(After { revision, wait: self.pace(kind).wait })
+                (!lists).then_some(After { at, wait: self.pace(kind).wait })
             };
             let read = self.store.read(Ask { kind, after }, self.pace(kind)).await;
             self.stats.store_call(kind.name(), read.is_ok());
@@ -170,8 +171,9 @@
                 let mut kept = feed.kept.lock();
                 kept.lists = true;
                 if logs::allows(logs::Line::Belief) {
-                    let revision = kept.revision;
-                    tracing::info!(event = "history gone", kind = kind.name(), revision);
+                    let (epoch, revision) = (kept.at.epoch(), kept.at.revision());
+                    let kind = kind.name();
+                    tracing::info!(event = "history gone", kind, epoch, revision);
                 }
                 return Duration::ZERO;
             }
@@ -206,18 +208,24 @@
         if state.whole {
             self.lists = false;
             self.pages = state.pages;
-            self.listed = state.revision;
+            self.listed = state.at;
             self.changes.clear();
         }
         let changed = first || !state.changes.is_empty();
-        let to = state.revision;
+        let to = state.at;
         self.changes.extend(state.changes.into_iter().map(|body| Change { to, body }));
-        self.revision = self.revision.max(state.revision);
+        self.at = state.at;
         changed
     }
 
-    /// What an entry gets that knows the state at `after`.
-    fn reply(&self, after: ListRevision, now: Instant) -> wire::ReadReply {
+    /// The point that an entry knows; one that names no epoch means the present one.
+    fn known_by(&self, req: &wire::ReadRequest) -> StorePoint {
+        StorePoint::new(req.epoch.unwrap_or(self.at.epoch()), req.after)
+    }
+
+    /// What an entry gets.
+    fn reply(&self, req: &wire::ReadRequest, now: Instant) -> wire::ReadReply {
+        let after = self.known_by(req);
         let Some(heard) = self.heard else {
             // Revision 0 tells that nothing is known.
             return wire::ReadReply::default();
@@ -226,7 +234,8 @@
         let age = now.saturating_duration_since(heard);
         let newer = self.changes.iter().filter(|c| whole || c.to > after);
         wire::ReadReply {
-            revision: self.revision,
+            epoch: self.at.epoch(),
+            revision: self.at.revision(),
             whole,
             pages: if whole { self.pages.clone() } else { Vec::new() },
             changes: newer.map(|c| c.body.clone()).collect(),
--- a/crates/larkspring/src/direct/beliefs.rs
+++ b/crates/larkspring/src/direct/beliefs.rs
@@ -8,7 +8,7 @@
 use larkspring_core::fleet::members::{Endpoint, Members, LAPSE_GRACE};
 use larkspring_core::fleet::routes::Routing;
 use larkspring_core::fleet::versions::Versions;
-use larkspring_core::ids::Target;
+use larkspring_core::ids::{StorePoint, Target};
 use parking_lot::Mutex;
 use smol::Timer;
 
@@ -36,6 +36,8 @@
     at: Option<Moment>,
     /// Whether a newer one was read that makes no sense, so that nothing is proved.
     in_doubt: bool,
+    /// Whether the store was restored from a copy that lacks what is in force.
+    is_behind: bool,
 }
 
 /// Whether the platform's store answers this process.
@@ -80,7 +82,7 @@
     /// moment.
     pub fn proved(&self, kind: Kind, at: Moment) {
         let mut proof = self.proof(kind).lock();
-        if !proof.in_doubt {
+        if !proof.in_doubt && !proof.is_behind {
             proof.at = proof.at.max(Some(at));
         }
     }
@@ -148,17 +150,21 @@
         if kind != Kind::Endpoints {
             return self.update(now, listed);
         }
+        if self.members.lock().begin_epoch(listed.at) {
+            // What joined since the copy is listed again soon, as after an outage.
+            self.store.lock().back_at = Some(now);
+        }
         let keep_until = self.keep_until(now);
         let mut endpoints = Vec::new();
         for item in listed.items {
             match item {
-                Item::Endpoint(endpoint) => endpoints.push(endpoint),
-                other => self.take(now, listed.revision, other),
+                Item::Endpoint(endpoint, written) => endpoints.push((endpoint, written)),
+                other => self.take(now, listed.at, other),
             }
         }
         let count = endpoints.len();
         self.members.lock().replace(endpoints, keep_until);
-        logs::belief("endpoints listed", listed.revision, count);
+        logs::belief("endpoints listed", listed.at, count);
         self.changed.notify(usize::MAX);
     }
 
@@ -168,7 +174,7 @@
             return;
         }
         for item in changes.items {
-            self.take(now, changes.revision, item);
+            self.take(now, changes.at, item);
         }
         self.changed.notify(usize::MAX);
     }
@@ -217,14 +223,15 @@
         store.back_at.map(|back| back + LAPSE_GRACE).filter(|until| *until > now)
     }
 
-    fn take(&self, now: Instant, revision: u64, item: Item) {
+    fn take(&self, now: Instant, at: StorePoint, item: Item) {
+        let (epoch, revision) = (at.epoch(), at.revision());
         match item {
             Item::Routing(routing) => self.take_routing(*routing),
-            Item::Endpoint(endpoint) => {
+            Item::Endpoint(endpoint, written) => {
                 let (id, leaving) = (endpoint.id.clone(), endpoint.leaving);
-                let changed = self.members.lock().put(endpoint);
+                let changed = self.members.lock().put(endpoint, written);
                 if changed && leaving && logs::allows(Line::Belief) {
-                    tracing::info!(event = "endpoint leaving", endpoint = %id, revision);
+                    tracing::info!(event = "endpoint leaving", endpoint = %id, epoch, revision);
                 }
             }
             Item::EndpointGone(id) => {
@@ -232,14 +239,26 @@
                 self.members.lock().remove(&id, keep_until);
                 if logs::allows(Line::Belief) {
                     let kept = keep_until.is_some();
-                    tracing::info!(event = "endpoint gone", endpoint = %id, revision, kept);
+                    tracing::info!(
+                        event = "endpoint gone",
+                        endpoint = %id,
+                        epoch,
+                        revision,
+                        kept,
+                    );
                 }
             }
             Item::Version(adapter, number) => {
                 let mut versions = Versions::clone(&self.versions.load());
                 if versions.name(now, &adapter, number) {
                     self.versions.store(Arc::new(versions));
-                    tracing::info!(event = "version named", adapter = %adapter, number, revision);
+                    tracing::info!(
+                        event = "version named",
+                        adapter = %adapter,
+                        number,
+                        epoch,
+                        revision,
+                    );
                 }
             }
             Item::Unreadable { kind, name, cause } => {
@@ -249,7 +268,14 @@
                 }
                 if logs::allows(Line::Belief) {
                     let kind = kind.name();
-                    tracing::warn!(event = "item left out", kind, name, cause, revision);
+                    tracing::warn!(
+                        event = "item left out",
+                        kind,
+                        name,
+                        cause,
+                        epoch,
+                        revision,
+                    );
                 }
             }
         }
@@ -257,6 +283,7 @@
 
     fn take_routing(&self, routing: Routing) {
         let known = self.routing.load().as_ref().map(|r| r.version);
+        self.proof(Kind::Routing).lock().is_behind = known > Some(routing.version);
         if known.is_some_and(|version| version >= routing.version) {
             return;
         }
--- a/crates/larkspring/src/direct/edge.rs
+++ b/crates/larkspring/src/direct/edge.rs
@@ -10,7 +10,7 @@
 use larkspring_core::fleet::members::Endpoint;
 use larkspring_core::fleet::routes::Routing;
 use larkspring_core::ids::{
-    AdapterId, BaseId, ContentHash, Incarnation, StartMs, Target,
+    AdapterId, BaseId, ContentHash, Incarnation, StartMs, StoreEpoch, StorePoint, Target,
 };
 use larkspring_core::workspaces::Credential;
 use quick_error::quick_error;
@@ -21,9 +21,6 @@
 /// Name that a caller gives to one attempt at a request.
 pub type RequestId = String;
 
-/// Number of a state of the platform's store; it rises with every change.
-pub type ListRevision = u64;
-
 /// The declared state of a platform.
 pub trait Directory: Send + Sync {
     /// Reads items of a kind, as they are written.
@@ -35,6 +32,10 @@
 
 /// Where contents of requests that end endpoints outlive all processes.
 pub trait QuarantineStore: Send + Sync {
+    /// Which history the store's last answer was of. What was added in an earlier one may be
+    /// lost.
+    fn epoch(&self) -> StoreEpoch;
+
     /// Reads all.
     fn list(&self) -> Answer<'_, Vec<ContentHash>>;
 
@@ -60,7 +61,7 @@
 pub struct Ask {
     /// The kind of items.
     pub kind: Kind,
-    /// What changed after a revision; everything if there is none.
+    /// What changed after a point; everything if there is none.
     pub after: Option<After>,
 }
 
@@ -68,7 +69,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct After {
     /// The state that is known.
-    pub revision: ListRevision,
+    pub at: StorePoint,
     /// How long a change is waited for.
     pub wait: Duration,
 }
@@ -78,15 +79,16 @@
 pub enum Read {
     /// Items.
     State(State),
-    /// The history since the revision is gone: everything has to be read anew.
+    /// The history since the point is gone, or the store was restored from a copy since:
+    /// everything has to be read anew.
     HistoryGone,
 }
 
-/// Items of a kind at a revision, as they are written.
+/// Items of a kind at a point, as they are written.
 #[derive(Debug, Clone, Default)]
 pub struct State {
     /// The state that was read.
-    pub revision: ListRevision,
+    pub at: StorePoint,
     /// Whether it is everything, and not only what changed.
     pub whole: bool,
     /// Pages of a list.
@@ -137,11 +139,11 @@
     }
 }
 
-/// Items of a kind at a revision.
+/// Items of a kind at a point.
 #[derive(Debug)]
 pub struct Listed {
     /// The state that was read.
-    pub revision: ListRevision,
+    pub at: StorePoint,
     /// The items.
     pub items: Vec<Item>,
     /// Names of fields that nothing knows.
@@ -153,8 +155,8 @@
 pub enum Item {
     /// The whole routing.
     Routing(Box<Routing>),
-    /// An endpoint that is listed.
-    Endpoint(Endpoint),
+    /// An endpoint that is listed, and when its entry was last written.
+    Endpoint(Endpoint, StorePoint),
     /// An endpoint that is listed no more.
     EndpointGone(Incarnation),
     /// The newest version of an adapter.
--- a/crates/larkspring/src/direct/entry/directory.rs
+++ b/crates/larkspring/src/direct/entry/directory.rs
@@ -7,7 +7,7 @@
 
 use larkspring_core::fleet::choose::ranked;
 use larkspring_core::fleet::reads::{AgentPace, StorePace, MAX_AGENTS};
-use larkspring_core::ids::{HallId, Incarnation};
+use larkspring_core::ids::{HallId, Incarnation, StorePoint};
 use larkspring_proto::residency as wire;
 use larkspring_proto::residency::residency_client::ResidencyClient;
 use parking_lot::Mutex;
@@ -193,11 +193,12 @@
         let wait = pace.wait_at(self.age(ask.kind).unwrap_or_default());
         let keys = self.trusted.filter(|_| ask.kind == Kind::Routing);
         let wait = keys.map_or(wait, |age| wait.min(age.mul_f64(ROUTING_WAIT_PART)));
-        let known = ask.after.map_or(0, |after| after.revision);
+        let known = ask.after.map_or(StorePoint::default(), |after| after.at);
         let wait = ask.after.map_or(wait, |after| after.wait.min(wait));
         let req = wire::ReadRequest {
             kind: kind_of(ask.kind).into(),
-            after: known,
+            after: known.revision(),
+            epoch: Some(known.epoch()),
             wait_ms: wait.as_millis() as u64,
         };
         let call = async {
@@ -217,6 +218,10 @@
         if age > pace.oldest {
             return Err(format!("its state is {} ms old", age.as_millis()));
         }
+        let at = StorePoint::new(reply.epoch, reply.revision);
+        if at.epoch() < known.epoch() {
+            return Err(format!("its state is of epoch {}", at.epoch()));
+        }
         let proof_age = Duration::from_millis(reply.proof_age_ms);
         if self.is_unproved(ask.kind, proof_age) {
             return Err(format!("its proof is {} ms old", proof_age.as_millis()));
@@ -225,7 +230,7 @@
         let made = sent + Duration::from_millis(reply.held_ms);
         Ok(State {
             // An agent that is behind has nothing new, and will have what comes after.
-            revision: reply.revision.max(known),
+            at: if at < known { known } else { at },
             whole: reply.whole,
             pages: reply.pages,
             changes: reply.changes,
--- a/crates/larkspring/src/direct/entry/fleet.rs
+++ b/crates/larkspring/src/direct/entry/fleet.rs
@@ -12,7 +12,7 @@
 use larkspring_core::fleet::choose::weight;
 use larkspring_core::fleet::members::Endpoint;
 use larkspring_core::fleet::permits::RunHash;
-use larkspring_core::ids::{HallId, Incarnation, ServiceId};
+use larkspring_core::ids::{HallId, Incarnation, ServiceId, StorePoint};
 use parking_lot::Mutex;
 use smol::{Task, Timer};
 
@@ -396,7 +396,7 @@
 
 /// Leaves out runs whose address a later run has: their entries outlive them for a while.
 fn latest_by_addr(endpoints: Vec<Arc<Endpoint>>) -> Vec<Arc<Endpoint>> {
-    let mut latest: HashMap<SocketAddr, u64> = HashMap::new();
+    let mut latest: HashMap<SocketAddr, StorePoint> = HashMap::new();
     for endpoint in &endpoints {
         let since = latest.entry(endpoint.addr).or_default();
         *since = endpoint.listed_since.max(*since);
--- a/crates/larkspring/src/direct/logs.rs
+++ b/crates/larkspring/src/direct/logs.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use larkspring_core::ids::StorePoint;
 use parking_lot::Mutex;
 use smol::Timer;
 
@@ -105,8 +106,9 @@
 }
 
 /// Logs a change of what the process believes.
-pub(crate) fn belief(event: &'static str, revision: u64, count: usize) {
+pub(crate) fn belief(event: &'static str, at: StorePoint, count: usize) {
     if allows(Line::Belief) {
-        tracing::info!(event, revision, count);
+        let (epoch, revision) = (at.epoch(), at.revision());
+        tracing::info!(event, epoch, revision, count);
     }
 }
--- a/crates/larkspring/src/direct/stats.rs
+++ b/crates/larkspring/src/direct/stats.rs
@@ -4,6 +4,7 @@
 
 use larkspring_core::fleet::availability::Notice;
 use larkspring_core::fleet::rate::RateWord;
+use larkspring_core::ids::StorePoint;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
     TextEncoder,
@@ -310,6 +311,12 @@
         self.state(&format!("{kind}_proof_age_ms"), age);
     }
 
+    /// Sets up to which point of the store's history a kind is known.
+    pub fn store_point(&self, kind: &str, at: StorePoint) {
+        self.state(&format!("{kind}_epoch"), at.epoch() as i64);
+        self.state(&format!("{kind}_revision"), at.revision() as i64);
+    }
+
     /// Writes all figures as text.
     pub fn text(&self) -> Vec<u8> {
         for (kind, count) in logs::left_out() {
--- a/crates/larkspring/src/direct/watch.rs
+++ b/crates/larkspring/src/direct/watch.rs
@@ -6,12 +6,13 @@
 use fastrand::Rng;
 use futures_lite::future;
 use larkspring_core::fleet::reads::{AgentPace, StorePace};
+use larkspring_core::ids::StorePoint;
 use larkspring_core::retry::backoff;
 use smol::Timer;
 
 use super::beliefs::Beliefs;
 use super::cfg::ProcessCfg;
-use super::edge::{After, Ask, Directory, Kind, ListRevision, Read, State, Via};
+use super::edge::{After, Ask, Directory, Kind, Read, State, Via};
 use super::logs::{self, Line};
 use super::stats::Stats;
 use super::unknown::Place;
@@ -112,17 +113,17 @@
                 }
                 Err(e) => Err(e),
             };
-            let (revision, via) = match taken {
+            let (at, via) = match taken {
                 Ok(taken) => taken,
                 Err(e) => return e,
             };
-            after = Some(After { revision, wait: self.pace.wait });
+            after = Some(After { at, wait: self.pace.wait });
             Timer::after(self.pause(via)).await;
         }
     }
 
-    /// Takes in what was read; returns its revision and who answered.
-    fn take(&mut self, state: &State) -> Result<(ListRevision, Via), PlatformError> {
+    /// Takes in what was read; returns its point and who answered.
+    fn take(&mut self, state: &State) -> Result<(StorePoint, Via), PlatformError> {
         let listed = self.directory.decode(self.kind, state)?;
         let now = Instant::now();
         self.failures = 0;
@@ -131,8 +132,8 @@
             Via::Agent => self.stats.agent_read(self.kind.name()),
         }
         self.beliefs.store_answered(now.checked_sub(state.age).unwrap_or(now));
-        let revision = listed.revision;
-        self.stats.state(&format!("{}_revision", self.kind.name()), revision as i64);
+        let at = listed.at;
+        self.stats.store_point(self.kind.name(), at);
         self.stats.unknown_words(Place::Listed, &listed.unknown);
         let left_out = listed.items.iter().filter(|item| item.is_unreadable()).count();
         self.stats.left_out(self.kind.name(), left_out as u64);
@@ -148,7 +149,7 @@
         if let Some(at) = state.proved {
             self.beliefs.proved(self.kind, at);
         }
-        Ok((revision, state.via))
+        Ok((at, state.via))
     }
 
     async fn watch(&self, after: After) -> Result<Read, PlatformError> {
