Count the time for an older version from when the newer one can have been named

Found by looking for the cause of the stale routing elsewhere; no caller is known to have seen it. A request could begin on the version before for 4 s after its entry learned of the newer one, of five that operators allow from its naming. One second was kept for the news; a lost watch made it up to nine, and still makes it three.

Now the time ends 4.7 s after the store last held nothing newer, if that is sooner, and requests are sent on the older version only while they have 1.5 s of it left.

late_news_of_a_version_leaves_less_time_for_the_one_before fails without the cap (at 1,000 ms late). With news in time nothing changes: the earlier rows stay as they were.

--- a/crates/larkspring-core/src/fleet/versions.rs
+++ b/crates/larkspring-core/src/fleet/versions.rs
@@ -15,8 +15,20 @@
 struct Named {
     number: u64,
     version: VersionId,
-    /// The version before, and when the newer one was learned of.
-    before: Option<(VersionId, Instant)>,
+    /// The version before, which is used for a while.
+    before: Option<Before>,
+}
+
+/// A version that a newer one has replaced.
+#[derive(Debug, Clone)]
+struct Before {
+    version: VersionId,
+    /// When the newer one was learned of.
+    replaced: Instant,
+    /// Until when requests may be sent on it.
+    send_by: Instant,
+    /// Until when those may begin.
+    begin_by: Instant,
 }
 
 /// The version of an adapter for which none was named.
@@ -25,21 +37,36 @@
 /// anywhere: half of the five seconds that the platform's operators allow.
 const REPLACE_WITHIN: Duration = Duration::from_millis(2500);
 /// How long a request that was sent on the version before may wait at its engine until it
-/// begins. A second of the five that the operators allow is kept for the time in which the
-/// newer version was learned of and for the way of the cancellation.
+/// begins.
 const BEGIN_WITHIN: Duration = Duration::from_millis(4000);
+/// The same from the earliest moment at which the newer version can have been named, as news
+/// of it may be late: of the five seconds, the way of the cancellation is kept.
+const LATEST_BEGIN: Duration = Duration::from_millis(4700);
+/// Time that a request is given to begin once it is sent.
+const TO_BEGIN: Duration = Duration::from_millis(1500);
 
 impl Versions {
-    /// Records a named version; one that is not newer changes nothing.
-    pub fn name(&mut self, now: Instant, adapter: &AdapterId, number: u64) -> bool {
+    /// Records a version that was named after `since`; one that is not newer changes nothing.
+    pub fn name(
+        &mut self,
+        now: Instant,
+        since: Instant,
+        adapter: &AdapterId,
+        number: u64,
+    ) -> bool {
         let old = self.named.get(adapter);
         let old_number = old.map_or(FIRST_VERSION, |n| n.number);
         if number <= old_number {
             return false;
         }
-        let before = old.map_or_else(|| version_id(FIRST_VERSION), |n| n.version.clone());
-        let named =
-            Named { number, version: version_id(number), before: Some((before, now)) };
+        let latest = since + LATEST_BEGIN;
+        let before = Before {
+            version: old.map_or_else(|| version_id(FIRST_VERSION), |n| n.version.clone()),
+            replaced: now,
+            send_by: (now + REPLACE_WITHIN).min(latest - TO_BEGIN),
+            begin_by: (now + BEGIN_WITHIN).min(latest),
+        };
+        let named = Named { number, version: version_id(number), before: Some(before) };
         self.named.insert(adapter.clone(), named);
         true
     }
@@ -53,19 +80,18 @@
 
     /// Returns the version before the newest one, while requests may still get it.
     pub fn still_allowed(&self, now: Instant, adapter: &AdapterId) -> Option<VersionId> {
-        let (before, since) = self.named.get(adapter)?.before.as_ref()?;
-        let age = now.saturating_duration_since(*since);
-        (age < REPLACE_WITHIN).then(|| before.clone())
+        let before = self.named.get(adapter)?.before.as_ref()?;
+        (now < before.send_by).then(|| before.version.clone())
     }
 
     /// Returns until when a request may begin on `version`; `None` if it is the newest.
     pub fn begin_by(&self, adapter: &AdapterId, version: &VersionId) -> Option<Instant> {
         let named = self.named.get(adapter)?;
-        let (before, since) = named.before.as_ref()?;
+        let before = named.before.as_ref()?;
         match version {
             v if *v == named.version => None,
-            v if v == before => Some(*since + BEGIN_WITHIN),
-            _ => Some(*since),
+            v if *v == before.version => Some(before.begin_by),
+            _ => Some(before.replaced),
         }
     }
 
--- a/crates/larkspring-core/tests/fleet_versions.rs
+++ b/crates/larkspring-core/tests/fleet_versions.rs
@@ -59,7 +59,7 @@
         let mut versions = Versions::default();
         let adapter = "m/a".into();
         for (number, ms) in c.named {
-            versions.name(at(*ms), &adapter, *number);
+            versions.name(at(*ms), at(*ms), &adapter, *number);
         }
         assert_eq!(&*versions.newest(&adapter), c.newest, "{}", c.name);
         let allowed = versions.still_allowed(at(c.at), &adapter);
@@ -84,8 +84,8 @@
     let mut versions = Versions::default();
     let adapter = "m/a".into();
     assert_eq!(versions.begin_by(&adapter, &"1".into()), None, "none was named");
-    versions.name(now, &adapter, 7);
-    versions.name(now, &adapter, 9);
+    versions.name(now, now, &adapter, 7);
+    versions.name(now, now, &adapter, 9);
     for c in cases {
         let begin_by = c.begin_by.map(|ms| now + Duration::from_millis(ms));
         assert_eq!(
@@ -96,3 +96,23 @@
         );
     }
 }
+
+/// Guards against requests that begin on an older version after the operators' bound, because
+/// news of the newer one was late.
+#[test]
+fn late_news_of_a_version_leaves_less_time_for_the_one_before() {
+    const BOUND_MS: u64 = 5000;
+    for late_ms in (0..6000).step_by(100) {
+        let named = Instant::now();
+        let learned = named + Duration::from_millis(late_ms);
+        let mut versions = Versions::default();
+        let adapter = "m/a".into();
+        versions.name(learned, named, &adapter, 2);
+        let begin_by = versions.begin_by(&adapter, &"1".into()).expect("a time");
+        let bound = named + Duration::from_millis(BOUND_MS);
+        assert!(begin_by < bound, "{late_ms} ms late");
+        if versions.still_allowed(learned, &adapter).is_some() {
+            assert!(begin_by > learned, "{late_ms} ms late: sent and not begun");
+        }
+    }
+}
--- a/crates/larkspring/src/direct/beliefs.rs
+++ b/crates/larkspring/src/direct/beliefs.rs
@@ -250,7 +250,10 @@
             }
             Item::Version(adapter, number) => {
                 let mut versions = Versions::clone(&self.versions.load());
-                if versions.name(now, &adapter, number) {
+                // It was named after the store last held nothing newer.
+                let age = self.proof_age(Kind::Versions).unwrap_or_default();
+                let since = now.checked_sub(age).unwrap_or(now);
+                if versions.name(now, since, &adapter, number) {
                     self.versions.store(Arc::new(versions));
                     tracing::info!(
                         event = "version named",
