Let an entry without agents wait for changes of endpoints

Its reads of endpoints were taken for late after each pause, and so asked for no wait: more calls to the store than needed where endpoints change seldom. Only a read that agents have not answered is asked for at once now. Tests of state and keys pass.

--- a/crates/larkspring/src/direct/entry/directory.rs
+++ b/crates/larkspring/src/direct/entry/directory.rs
@@ -98,18 +98,21 @@
     }
 
     async fn read_in_turn(&self, ask: Ask) -> Result<Read, PlatformError> {
-        for peer in self.agents() {
-            match self.read_from(&peer, self.paced(ask)).await {
+        let agents = self.agents();
+        for peer in &agents {
+            match self.read_from(peer, self.paced(ask)).await {
                 Ok(state) => return Ok(Read::State(state)),
-                Err(cause) => self.pass_over(&peer, ask.kind, &cause),
+                Err(cause) => self.pass_over(peer, ask.kind, &cause),
             }
         }
+        // Agents that did not answer have used up the time to wait for a change.
+        let ask = if agents.is_empty() { self.paced(ask) } else { at_once(ask) };
         let failure = match self.read_store(ask).await {
             Ok(read) => return Ok(read),
             Err(e) => e,
         };
         for peer in self.far_agents() {
-            match self.read_from(&peer, self.paced(ask)).await {
+            match self.read_from(&peer, at_once(ask)).await {
                 Ok(state) => return Ok(Read::State(state)),
                 Err(cause) => self.pass_over(&peer, ask.kind, &cause),
             }
@@ -120,9 +123,8 @@
     async fn read_store(&self, ask: Ask) -> Result<Read, PlatformError> {
         let pace = &self.store_paces[ask.kind as usize];
         if ask.kind != Kind::Routing || self.trusted.is_none() {
-            return self.store.read(self.paced(ask), pace).await;
+            return self.store.read(ask, pace).await;
         }
-        let ask = self.paced(ask);
         let wait = ask.after.map_or(Duration::ZERO, |after| after.wait);
         let read = self.store.read(ask, pace);
         let read = within(wait + pace.answer + STORE_ANSWER, read).await;
@@ -140,16 +142,12 @@
         self.proved.lock().is_none_or(|at| at.elapsed() > urgent)
     }
 
-    /// Has an urgent read answered at once, as well as one that no agent answered.
+    /// Has an urgent read answered at once.
     fn paced(&self, ask: Ask) -> Ask {
-        let oldest = self.agent_paces[ask.kind as usize].oldest;
-        let is_late = self.age(ask.kind).is_none_or(|age| age >= oldest);
-        let wait = match is_late || self.is_urgent(ask.kind) {
-            true => URGENT_WAIT,
-            false => Duration::MAX,
-        };
-        let after = ask.after.map(|a| After { wait: a.wait.min(wait), ..a });
-        Ask { after, ..ask }
+        match self.is_urgent(ask.kind) {
+            true => at_once(ask),
+            false => ask,
+        }
     }
 
     /// Time since the store answered a read of a kind that this entry was told of.
@@ -266,6 +264,12 @@
     }
 }
 
+/// Has a read wait for no change.
+fn at_once(ask: Ask) -> Ask {
+    let after = ask.after.map(|a| After { wait: a.wait.min(URGENT_WAIT), ..a });
+    Ask { after, ..ask }
+}
+
 fn kind_of(kind: Kind) -> wire::Kind {
     match kind {
         Kind::Routing => wire::Kind::Routing,
