Name the parts of the bound, and tell entries of a new list at once

An agent woke the entries that wait for a change when a watch brought one, not when it had to read everything anew; they learned of it at the end of their wait, a quarter of the bound later. The parts of the bound have names. Tests of state and of restores pass.

--- a/crates/larkspring-core/src/fleet/reads.rs
+++ b/crates/larkspring-core/src/fleet/reads.rs
@@ -46,21 +46,36 @@
 
 /// Agents of its hall that an entry asks, one after the other.
 pub const MAX_AGENTS: usize = 2;
+/// Parts of the bound. A short pause lets a series of changes be read at once.
+const SHORT_PAUSE: f64 = 0.025;
+/// How long an entry, an agent and an entry that asks an agent wait for what changes seldom.
+const ENTRY_WAIT: f64 = 0.5;
+const AGENT_WAIT: f64 = 0.4;
+const RELAY_WAIT: f64 = 0.25;
+/// Pause of an entry and of an agent where changes gather all the time, and the wait after it.
+const ENTRY_PAUSE: f64 = 0.5;
+const AGENT_PAUSE: f64 = 0.25;
+const GATHERED_WAIT: f64 = 0.1;
+/// Time for an answer, and for that of the read after a lost one, which is a whole list.
+const ANSWER: f64 = 0.1;
+const LIST_ANSWER: f64 = 0.15;
+/// Age of an agent's state at which others are asked: beyond its pause and wait.
+const OLDEST: f64 = 0.5;
 
 impl StorePace {
     /// The waits of an entry for changes that have to be in force within `bound`.
     pub fn of_entry(bound: Duration, changes: Changes) -> Self {
         match changes {
-            Changes::Seldom => Self::parts(bound, 0.025, 0.5),
-            Changes::Often => Self::parts(bound, 0.5, 0.1),
+            Changes::Seldom => Self::parts(bound, SHORT_PAUSE, ENTRY_WAIT),
+            Changes::Often => Self::parts(bound, ENTRY_PAUSE, GATHERED_WAIT),
         }
     }
 
     /// The waits of an agent that reads for the entries of its hall.
     pub fn of_agent(bound: Duration, changes: Changes) -> Self {
         match changes {
-            Changes::Seldom => Self::parts(bound, 0.025, 0.4),
-            Changes::Often => Self::parts(bound, 0.25, 0.1),
+            Changes::Seldom => Self::parts(bound, SHORT_PAUSE, AGENT_WAIT),
+            Changes::Often => Self::parts(bound, AGENT_PAUSE, GATHERED_WAIT),
         }
     }
 
@@ -73,8 +88,8 @@
         Self {
             pause: bound.mul_f64(pause),
             wait: bound.mul_f64(wait),
-            answer: bound.mul_f64(0.1),
-            again: bound.mul_f64(0.15),
+            answer: bound.mul_f64(ANSWER),
+            again: bound.mul_f64(LIST_ANSWER),
         }
     }
 }
@@ -83,11 +98,11 @@
     /// The waits for changes that have to be in force within `bound`.
     pub fn of(bound: Duration) -> Self {
         Self {
-            pause: bound.mul_f64(0.025),
-            wait: bound.mul_f64(0.25),
-            answer: bound.mul_f64(0.1),
-            oldest: bound.mul_f64(0.5),
-            again: bound.mul_f64(0.15),
+            pause: bound.mul_f64(SHORT_PAUSE),
+            wait: bound.mul_f64(RELAY_WAIT),
+            answer: bound.mul_f64(ANSWER),
+            oldest: bound.mul_f64(OLDEST),
+            again: bound.mul_f64(LIST_ANSWER),
         }
     }
 
--- a/crates/larkspring/src/direct/agent/state.rs
+++ b/crates/larkspring/src/direct/agent/state.rs
@@ -203,7 +203,7 @@
 impl Kept {
     /// Takes in what the store answered; whether anything changed.
     fn take(&mut self, state: State, now: Instant) -> bool {
-        let first = self.heard.replace(now).is_none();
+        self.heard = Some(now);
         self.proved = state.proved;
         if state.whole {
             self.lists = false;
@@ -211,7 +211,7 @@
             self.listed = state.at;
             self.changes.clear();
         }
-        let changed = first || !state.changes.is_empty();
+        let changed = state.whole || !state.changes.is_empty();
         let to = state.at;
         self.changes.extend(state.changes.into_iter().map(|body| Change { to, body }));
         self.at = state.at;
