Have test sites wait until each entry hears each agent

Cause: a site counted as started once one agent had an adapter loaded for an entry, although its comment said every agent. Where two of three were not heard yet, the engine that asks for rest was the only one. No check is weaker.

--- a/crates/larkspring-cli/tests/common/site.rs
+++ b/crates/larkspring-cli/tests/common/site.rs
@@ -174,9 +174,19 @@
         }
     }
 
-    /// Waits until every agent has adapters loaded for every entry.
+    /// Waits until every entry hears every agent, and is served an adapter by one of them.
     pub fn wait_agents(&self) {
+        let says_so = !matches!(self.shape.log_level, "error" | "off");
         for n in 0..self.entries.len() {
+            let agents = if says_so { self.agents.len() } else { 0 };
+            for agent in 0..agents {
+                let name = format!("agent {}", self.agent_addr(agent));
+                until("an entry hears an agent", || {
+                    let log = self.entries[n].log();
+                    let heard = |line: &Value| line["event"] == "dependency regained";
+                    log.iter().any(|line| heard(line) && line["name"] == name.as_str())
+                });
+            }
             until("an adapter is served", || {
                 let call = Call::post(HOST, "/stream/x", "warm-up", "warm").model("m0/w");
                 call.send(&self.front(n)).status == 200
