--- a/crates/larkspring-cli/tests/common/site.rs
+++ b/crates/larkspring-cli/tests/common/site.rs
@@ -58,6 +58,8 @@
     pub timeout_ms: u64,
     /// Time within which a revoked key is refused everywhere, in milliseconds.
     pub revoke_ms: Option<u64>,
+    /// Time within which an evacuated zone gets no more requests, in milliseconds.
+    pub evacuate_ms: Option<u64>,
     /// Minimum level of the log lines that are written.
     pub log_level: &'static str,
 }
@@ -71,6 +73,7 @@
             grace_s: 8,
             timeout_ms: TIMEOUT_MS,
             revoke_ms: None,
+            evacuate_ms: None,
             log_level: "info",
         }
     }
@@ -267,6 +270,7 @@
             worker,
             grace_s: self.shape.grace_s,
             revoke_ms: self.shape.revoke_ms,
+            evacuate_ms: self.shape.evacuate_ms,
         };
         let dir = self.dir.path().to_owned();
         std::fs::write(dir.join(format!("{name}.yaml")), node.yaml()).unwrap();
--- a/crates/larkspring-core/src/fleet/availability.rs
+++ b/crates/larkspring-core/src/fleet/availability.rs
@@ -19,6 +19,23 @@
     backoff: Option<Backoff>,
     /// The advertised rate limit, for all VMs together.
     rate: Option<RateLimit>,
+    cold: Option<ColdSpell>,
+}
+
+/// An interval during which an endpoint is cold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct ColdSpell {
+    known_since: Instant,
+    until: Instant,
+}
+
+/// The request rate that an endpoint takes at the moment, from all VMs together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RateInForce {
+    /// The rate.
+    pub rate: Rate,
+    /// When the endpoint advertised the rate or was known to be cold.
+    pub known_since: Instant,
 }
 
 /// An interval during which an endpoint asked this VM to send no requests.
@@ -37,6 +54,8 @@
     pub rest: Option<Duration>,
     /// The advertised rate limit, for all VMs together.
     pub rate: AdvertisedRate,
+    /// How much longer the endpoint is cold.
+    pub cold: Option<Duration>,
 }
 
 /// The changes that an answer caused.
@@ -48,12 +67,16 @@
     pub backoff: bool,
     /// The advertised rate changed or was removed.
     pub rate: bool,
+    /// The endpoint is now known to be cold.
+    pub cold: bool,
 }
 
 /// The longest backoff that is applied, so that an endpoint that asks for a year by
 /// mistake is tried again after an hour. During a longer backoff the endpoint gets one
 /// request an hour; up to two requests may reach an endpoint during any backoff.
 pub const MAX_BACKOFF: Duration = Duration::from_secs(3600);
+/// The longest time for which an endpoint is believed to be cold.
+const MAX_COLD: Duration = Duration::from_secs(60);
 /// Part of the backoff over which VMs spread their return. Otherwise all of them would
 /// send their withheld requests at once.
 const BACKOFF_SPREAD: f64 = 0.1;
@@ -61,7 +84,7 @@
 impl Notice {
     /// The notice of a draining endpoint.
     pub const DRAINING: Self =
-        Self { leaving: true, rest: None, rate: AdvertisedRate::Invalid };
+        Self { leaving: true, rest: None, rate: AdvertisedRate::Invalid, cold: None };
 
     /// Creates a notice about the rate only.
     pub fn from_rate(rate: AdvertisedRate) -> Self {
@@ -86,7 +109,7 @@
 impl AvailabilityChanges {
     /// Whether anything changed.
     pub fn is_any(self) -> bool {
-        self.draining || self.backoff || self.rate
+        self.draining || self.backoff || self.rate || self.cold
     }
 }
 
@@ -105,6 +128,9 @@
     ) -> AvailabilityChanges {
         let before = *self;
         self.rate = RateLimit::updated(self.rate, now, sent_at, notice.rate);
+        if let Some(left) = notice.cold {
+            self.record_cold(now, left);
+        }
         if notice.leaving {
             self.draining_since.get_or_insert(now);
         }
@@ -121,6 +147,7 @@
             backoff: self.remaining_backoff(now).is_some()
                 && before.remaining_backoff(now).is_none(),
             rate: self.advertised_rate() != before.advertised_rate(),
+            cold: self.is_cold(now) && !before.is_cold(now),
         }
     }
 
@@ -137,12 +164,49 @@
         }
     }
 
+    /// Records that the endpoint is cold for the time `left`. Another source may know
+    /// only of a shorter time, so the longest one counts.
+    pub fn record_cold(&mut self, now: Instant, left: Duration) {
+        let until = now + left.min(MAX_COLD);
+        if until > now && self.cold.is_none_or(|known| until > known.until) {
+            let known_since = self.cold_at(now).map_or(now, |known| known.known_since);
+            self.cold = Some(ColdSpell { known_since, until });
+        }
+    }
+
+    /// Whether the endpoint is cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.cold_at(now).is_some()
+    }
+
+    fn cold_at(&self, now: Instant) -> Option<ColdSpell> {
+        self.cold.filter(|spell| spell.until > now)
+    }
+
+    /// Returns the rate that the endpoint takes: the lower of its advertised rate and,
+    /// while it is cold, `cold_rate`. `None` for no limit.
+    pub fn rate_in_force(
+        &self,
+        now: Instant,
+        cold_rate: Option<Rate>,
+    ) -> Option<RateInForce> {
+        let advertised = self.rate.and_then(|limit| {
+            let known_since = limit.updated_at();
+            Some(RateInForce { rate: limit.in_force(now)?, known_since })
+        });
+        let cold = self.cold_at(now).and_then(|spell| {
+            Some(RateInForce { rate: cold_rate?, known_since: spell.known_since })
+        });
+        advertised.into_iter().chain(cold).min_by_key(|limit| limit.rate)
+    }
+
     /// Records that another run of the same name began no later than `since`. Notices
     /// received before do not apply to that run.
     pub fn clear_before(&mut self, since: Instant) {
         self.draining_since = self.draining_since.filter(|at| *at >= since);
         self.backoff = self.backoff.filter(|backoff| backoff.received_at >= since);
         self.rate = self.rate.filter(|rate| rate.updated_at() >= since);
+        self.cold = self.cold.filter(|spell| spell.known_since >= since);
     }
 
     /// Whether the run is draining.
@@ -173,6 +237,9 @@
 
     /// Whether no notice of the run is recorded.
     pub fn is_empty(&self) -> bool {
-        self.draining_since.is_none() && self.backoff.is_none() && self.rate.is_none()
+        self.draining_since.is_none()
+            && self.backoff.is_none()
+            && self.rate.is_none()
+            && self.cold.is_none()
     }
 }
--- a/crates/larkspring-core/src/fleet/choose.rs
+++ b/crates/larkspring-core/src/fleet/choose.rs
@@ -10,13 +10,14 @@
 
 use super::mechanisms::{DisabledMechanisms, Mechanism};
 use super::prefill::PREFILL_TOKENS_PER_MS;
+use super::routes::HallRegions;
 use crate::ids::{Incarnation, TargetHash};
 
 /// The state of one endpoint, as an entry knows it when it places a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EndpointView {
-    /// Whether the endpoint is in the entry's hall.
-    pub same_hall: bool,
+    /// Where the endpoint is, as seen from the entry.
+    pub distance: Distance,
     /// Whether the endpoint holds the adapter that the request names.
     pub adapter_location: AdapterLocation,
     /// Known requests at the endpoint, from all entries.
@@ -43,6 +44,38 @@
     pub is_rate_limited: bool,
 }
 
+/// How far an endpoint is from an entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Distance {
+    /// In the same hall.
+    SameHall,
+    /// In another hall of the same region.
+    SameRegion,
+    /// In another region.
+    OtherRegion,
+}
+
+impl Distance {
+    /// Returns the distance between two halls. Halls of unknown regions are assumed to be
+    /// in the same region.
+    pub fn between(hall: &str, other: &str, regions: &HallRegions) -> Self {
+        match (regions.get(hall), regions.get(other)) {
+            _ if hall == other => Self::SameHall,
+            (Some(region), Some(other)) if region != other => Self::OtherRegion,
+            _ => Self::SameRegion,
+        }
+    }
+
+    /// Expected cost of a request over this distance.
+    fn cost(self) -> f64 {
+        match self {
+            Self::SameHall => 0.0,
+            Self::SameRegion => OTHER_HALL_MS,
+            Self::OtherRegion => OTHER_REGION_MS,
+        }
+    }
+}
+
 /// Where an endpoint would get an adapter from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AdapterLocation {
@@ -75,6 +108,9 @@
 /// Cost of sending to another hall: traffic between halls is charged. By the deployments'
 /// price lists, a short request costs about a thirtieth of the value of its answer.
 const OTHER_HALL_MS: f64 = 25.0;
+/// Cost of sending to another region: the hold, the connection and the request take a
+/// round trip each, of about 24 ms, and the traffic is charged as between halls or more.
+const OTHER_REGION_MS: f64 = 100.0;
 /// Time to load an adapter from a weight store that is not busy: 250 to 270 ms.
 const LOAD_MS: f64 = 260.0;
 /// Price of a fetch: a little less than half of the value of a short answer. Waiting this
@@ -187,10 +223,9 @@
 }
 
 fn common_cost(v: &EndpointView) -> f64 {
-    let other_hall = if v.same_hall { 0.0 } else { OTHER_HALL_MS };
     let avoided = if v.avoided { AVOIDED_MS } else { 0.0 };
     let quality = v.failure_cost.as_secs_f64() * 1000.0;
-    other_hall
+    v.distance.cost()
         + avoided
         + quality
         + f64::from(v.uncached_prompt_tokens) * PREFILL_TOKEN_MS
@@ -226,10 +261,10 @@
 /// Returns whether an adapter that is resident only in other halls should also be loaded
 /// in this hall.
 ///
-/// A load costs about as much as thirteen requests to another hall, and demand for an
-/// adapter lasts about ten seconds.
-pub fn should_load_in_hall(rate_in_hall: f64) -> bool {
-    const CROSSINGS_PER_LOAD: f64 = 13.0;
+/// A load costs about as much as thirteen requests to another hall of the region, and
+/// demand for an adapter lasts about ten seconds. `distance` is that of the requests.
+pub fn should_load_in_hall(rate_in_hall: f64, distance: Distance) -> bool {
+    const LOAD_COST: f64 = 13.0 * OTHER_HALL_MS;
     const DEMAND_LIFETIME: Duration = Duration::from_secs(10);
-    rate_in_hall * DEMAND_LIFETIME.as_secs_f64() > CROSSINGS_PER_LOAD
+    rate_in_hall * DEMAND_LIFETIME.as_secs_f64() * distance.cost() > LOAD_COST
 }
--- a/crates/larkspring-core/src/fleet/endpoint_list.rs
+++ b/crates/larkspring-core/src/fleet/endpoint_list.rs
@@ -57,6 +57,9 @@
     pub start: Option<StartMs>,
     /// Adapters that the endpoint reported as resident.
     pub holds: Vec<Target>,
+    /// How much longer the endpoint was cold when it was last listed; zero if it was not
+    /// cold.
+    pub cold_left: Duration,
 }
 
 #[derive(Debug)]
@@ -77,6 +80,7 @@
             listed_since,
             start: None,
             holds: Vec::new(),
+            cold_left: Duration::ZERO,
             ..self.clone()
         }
     }
--- a/crates/larkspring-core/src/fleet/mod.rs
+++ b/crates/larkspring-core/src/fleet/mod.rs
@@ -15,14 +15,18 @@
 //! 13. [`rate`]: the request rate that an endpoint accepts from all VMs together,
 //!     according to its answers.
 //! 14. [`permits`]: the distribution of that rate over the requests of all VMs.
-//! 15. [`read_timing`]: the timing of reads of the declared state.
+//! 15. [`cold`]: the request rate that a cold endpoint takes.
+//! 16. [`evacuations`]: the halls whose endpoints get no requests.
+//! 17. [`read_timing`]: the timing of reads of the declared state.
 //!
 //! [`mechanisms`] lists the mechanisms that can be disabled in a benchmark.
 
 pub mod attempt;
 pub mod availability;
 pub mod choose;
+pub mod cold;
 pub mod endpoint_list;
+pub mod evacuations;
 pub mod host_copies;
 pub mod mechanisms;
 pub mod permits;
--- a/crates/larkspring-core/src/fleet/permits.rs
+++ b/crates/larkspring-core/src/fleet/permits.rs
@@ -81,6 +81,12 @@
 const OTHER_BUCKET_SIZE: f64 = 1.0;
 /// Part of the rate that the secondary issuer grants.
 const SECONDARY_RATE_FRACTION: f64 = 0.3;
+/// Upper bound of the requests that arrive in one second under permits of the primary and
+/// of the secondary issuer, as a multiple of the rate and in addition.
+pub const MAX_RATE_FACTOR: f64 =
+    (1.0 + SECONDARY_RATE_FRACTION) * (1.0 + PERMIT_LIFETIME.as_millis() as f64 / 1000.0);
+/// See [`MAX_RATE_FACTOR`].
+pub const MAX_WINDOW_EXCESS: f64 = PRIMARY_BUCKET_SIZE + OTHER_BUCKET_SIZE;
 /// Part of the rate that an entry grants itself, as it does not know the number of other
 /// entries.
 const SELF_ISSUED_RATE_FRACTION: f64 = 1.0 / 64.0;
--- a/crates/larkspring-core/src/fleet/routes.rs
+++ b/crates/larkspring-core/src/fleet/routes.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::ids::{BaseId, RouteId, ServiceId};
+use crate::ids::{BaseId, HallId, RegionId, RouteId, ServiceId};
 use crate::workspaces::Workspaces;
 
 /// One version of the declared routing, replaced as a whole.
@@ -48,6 +48,8 @@
     pub public: bool,
     /// Services that the requests go to, by weight.
     pub targets: Vec<RouteTarget>,
+    /// Where the requests may be served.
+    pub regions: AllowedRegions,
 }
 
 /// Whether a route's requests may be retried and how they are answered.
@@ -79,6 +81,31 @@
     }
 }
 
+/// The regions in which requests may be served, cached and stored.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct AllowedRegions(Vec<RegionId>);
+
+impl AllowedRegions {
+    /// Allows only these regions, or every region if there are none.
+    pub fn new(regions: Vec<RegionId>) -> Self {
+        Self(regions)
+    }
+
+    /// Returns whether every region is allowed.
+    pub fn is_any(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Returns whether a hall is allowed. A hall of an unknown region is allowed only if
+    /// every region is.
+    pub fn contains_hall(&self, hall: &str, regions: &HallRegions) -> bool {
+        self.is_any() || regions.get(hall).is_some_and(|region| self.0.contains(region))
+    }
+}
+
+/// The region of each hall.
+pub type HallRegions = HashMap<HallId, RegionId>;
+
 /// A service that receives requests of a route.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RouteTarget {
@@ -97,10 +124,21 @@
     pub health_path: String,
     /// Connections that each endpoint accepts from all callers together.
     pub max_connections: usize,
+    /// How endpoints behave after their start.
+    pub cold: ColdPhase,
     /// The engine that the endpoints run, if they are model engines.
     pub engine: Option<EngineCapacity>,
 }
 
+/// How long the endpoints of a service are cold after a start, and what they bear then.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct ColdPhase {
+    /// Time from the start.
+    pub duration: Duration,
+    /// Requests a second from all VMs together; 0 for no limit.
+    pub max_per_sec: f64,
+}
+
 /// Capacity of the model engines of a service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineCapacity {
--- a/crates/larkspring-core/src/ids.rs
+++ b/crates/larkspring-core/src/ids.rs
@@ -27,6 +27,8 @@
 pub type VmId = Arc<str>;
 /// Name of a hall.
 pub type HallId = Arc<str>;
+/// Name of a region, which contains halls.
+pub type RegionId = Arc<str>;
 /// Number of an attempt, unique within an agent.
 pub type AttemptId = u64;
 /// Revision of the declared state; a higher revision replaces a lower one.
--- a/crates/larkspring-core/src/workspaces.rs
+++ b/crates/larkspring-core/src/workspaces.rs
@@ -7,6 +7,7 @@
 use quick_error::quick_error;
 use sha2::{Digest, Sha256};
 
+use crate::fleet::routes::AllowedRegions;
 use crate::ids::WorkspaceId;
 
 /// All workspaces of one version of the declared state, indexed by their keys.
@@ -26,6 +27,8 @@
     pub priority: Option<u32>,
     /// Limit over all entries together; `None` for no limit.
     pub limit: Option<WorkspaceLimit>,
+    /// Where the workspace's requests may be served.
+    pub regions: AllowedRegions,
 }
 
 /// Rate limit of a workspace over all entries together.
--- a/crates/larkspring-core/tests/fleet_choose.rs
+++ b/crates/larkspring-core/tests/fleet_choose.rs
@@ -4,7 +4,7 @@
 
 use larkspring_core::fleet::choose::{
     choose_any, choose_for_adapter, rank_endpoints, should_load_in_hall, AdapterLocation,
-    EndpointView,
+    Distance, EndpointView,
 };
 use larkspring_core::fleet::host_copies::HostCopies;
 use larkspring_core::fleet::mechanisms::{DisabledMechanisms, Mechanism};
@@ -13,7 +13,7 @@
 use larkspring_core::ids::{AdapterId, Incarnation};
 
 const RESIDENT: EndpointView = EndpointView {
-    same_hall: true,
+    distance: Distance::SameHall,
     adapter_location: AdapterLocation::Resident,
     running: 0,
     max_concurrent: 8,
@@ -27,7 +27,8 @@
     avoided: false,
     is_rate_limited: false,
 };
-const OTHER_HALL: EndpointView = EndpointView { same_hall: false, ..RESIDENT };
+const OTHER_HALL: EndpointView =
+    EndpointView { distance: Distance::SameRegion, ..RESIDENT };
 const COPIED: EndpointView =
     EndpointView { adapter_location: AdapterLocation::HostMemory, ..RESIDENT };
 const ABSENT: EndpointView =
@@ -313,7 +314,10 @@
     let later = demand.rate(end + Duration::from_secs(30), &adapter);
     assert!(later < 0.1, "forgotten: {later}");
     assert_eq!(demand.rate(end, &"m/other".into()), 0.0);
-    assert!(should_load_in_hall(2.0) && !should_load_in_hall(1.0));
+    let pays = |rate| should_load_in_hall(rate, Distance::SameRegion);
+    assert!(pays(2.0) && !pays(1.0));
+    let pays_far = |rate| should_load_in_hall(rate, Distance::OtherRegion);
+    assert!(pays_far(0.5) && !pays_far(0.2));
 }
 
 #[test]
@@ -333,7 +337,7 @@
 
 #[test]
 fn without_home_ranks_an_endpoint_in_the_hall_is_preferred() {
-    let far_home = EndpointView { same_hall: false, ..ABSENT };
+    let far_home = EndpointView { distance: Distance::SameRegion, ..ABSENT };
     let near = EndpointView { loads_ahead: 0, ..ABSENT };
     // Two ranks cost more than another hall.
     let views = [far_home, far_home, near];
--- a/crates/larkspring-core/tests/fleet_routes.rs
+++ b/crates/larkspring-core/tests/fleet_routes.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use larkspring_core::fleet::routes::{
-    BaseModel, EngineCapacity, RequestLimits, Route, RouteClass, RouteTarget, Routing,
+    AllowedRegions, BaseModel, EngineCapacity, RequestLimits, Route, RouteClass,
+    RouteTarget, Routing,
 };
 
 fn route(host: &str, prefix: &str) -> Route {
@@ -19,6 +20,7 @@
         public: false,
         max_endpoints: 1,
         targets: vec![RouteTarget { service: "s".into(), weight: 1 }],
+        regions: AllowedRegions::default(),
     }
 }
 
--- a/crates/larkspring-core/tests/limited/mod.rs
+++ b/crates/larkspring-core/tests/limited/mod.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
+use larkspring_core::fleet::routes::AllowedRegions;
 use larkspring_core::limits::bucket_owner::{
     BucketOwner, Grant, RequestedUnits, UnitsRequest,
 };
@@ -406,6 +407,7 @@
             name: format!("workspace-{index}").into(),
             priority: None,
             limit: Some(limit),
+            regions: AllowedRegions::default(),
         };
         let reservations = &mut self.entries[entry].reservations;
         if let Some(verdict) = reservations.admit(now, &workspace, 1, cost, number) {
--- a/crates/larkspring-core/tests/limits.rs
+++ b/crates/larkspring-core/tests/limits.rs
@@ -11,6 +11,7 @@
 
 use std::time::{Duration, Instant};
 
+use larkspring_core::fleet::routes::AllowedRegions;
 use larkspring_core::limits::bucket_owner::{BucketOwner, UnitsRequest};
 use larkspring_core::limits::reservations::{LimitDecision, WorkspaceReservations};
 use larkspring_core::limits::serving_time::ServingTime;
@@ -140,7 +141,12 @@
         burst: 1000.0,
         unit: LimitUnit::Requests,
     };
-    let workspace = Workspace { name: "w".into(), priority: None, limit: Some(limit) };
+    let workspace = Workspace {
+        name: "w".into(),
+        priority: None,
+        limit: Some(limit),
+        regions: AllowedRegions::default(),
+    };
     let (mut owner, mut reservations) =
         (BucketOwner::new(terms), WorkspaceReservations::new(terms));
     let start = Instant::now();
--- a/crates/larkspring-core/tests/load/mod.rs
+++ b/crates/larkspring-core/tests/load/mod.rs
@@ -14,7 +14,7 @@
     Action, EngineLimits, EngineScheduler, EvictionPolicy, LoadOrder, QueuedRequest,
 };
 use larkspring_core::fleet::choose::{
-    choose_for_adapter, rank_endpoints, AdapterLocation, EndpointView,
+    choose_for_adapter, rank_endpoints, AdapterLocation, Distance, EndpointView,
 };
 use larkspring_core::fleet::host_copies::HostCopies;
 use larkspring_core::fleet::mechanisms::DisabledMechanisms;
@@ -304,7 +304,7 @@
             AdapterLocation::WeightStore
         };
         EndpointView {
-            same_hall: true,
+            distance: Distance::SameHall,
             adapter_location,
             running: reported.running,
             max_concurrent: BATCH_SLOTS,
--- a/crates/larkspring-core/tests/load_copies.rs
+++ b/crates/larkspring-core/tests/load_copies.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
-use larkspring_core::fleet::choose::should_load_in_hall;
+use larkspring_core::fleet::choose::{should_load_in_hall, Distance};
 use larkspring_core::fleet::request_rates::RequestRates;
 
 /// The largest known deployment: 13 entries in each of 5 halls, 713 requests a second for
@@ -66,7 +66,9 @@
             Counting::Agent => ((adapter, hall, 0), 1.0),
         };
         let rate = demand.record(now, &key) * factor;
-        if loaded.contains_key(&(adapter, hall)) || !should_load_in_hall(rate) {
+        if loaded.contains_key(&(adapter, hall))
+            || !should_load_in_hall(rate, Distance::SameRegion)
+        {
             continue;
         }
         loaded.insert((adapter, hall), n);
--- a/crates/larkspring-core/tests/workspaces.rs
+++ b/crates/larkspring-core/tests/workspaces.rs
@@ -1,11 +1,17 @@
 //! Validation of declared workspaces, lookups by key, and the secrecy of keys.
 
+use larkspring_core::fleet::routes::AllowedRegions;
 use larkspring_core::workspaces::{
     ApiKeyHash, LimitUnit, Workspace, WorkspaceError, WorkspaceLimit, Workspaces,
 };
 
 fn workspace(name: &str, limit: Option<WorkspaceLimit>) -> Workspace {
-    Workspace { name: name.into(), priority: None, limit }
+    Workspace {
+        name: name.into(),
+        priority: None,
+        limit,
+        regions: AllowedRegions::default(),
+    }
 }
 
 fn limit(units_per_sec: f64, burst: f64) -> Option<WorkspaceLimit> {
--- a/crates/larkspring-proto/src/gen/larkspring.residency.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.residency.rs
@@ -39,6 +39,10 @@
     /// Epoch of the store's history to which the revision belongs.
     #[prost(uint64, tag = "8")]
     pub epoch: u64,
+    /// The kind of the state. An agent that does not know the requested kind answers with
+    /// another one.
+    #[prost(enumeration = "Kind", tag = "9")]
+    pub kind: i32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct FromEntry {
@@ -353,6 +357,7 @@
     Routing = 0,
     Endpoints = 1,
     Versions = 2,
+    Evacuations = 3,
 }
 impl Kind {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -364,6 +369,7 @@
             Self::Routing => "KIND_ROUTING",
             Self::Endpoints => "KIND_ENDPOINTS",
             Self::Versions => "KIND_VERSIONS",
+            Self::Evacuations => "KIND_EVACUATIONS",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -372,6 +378,7 @@
             "KIND_ROUTING" => Some(Self::Routing),
             "KIND_ENDPOINTS" => Some(Self::Endpoints),
             "KIND_VERSIONS" => Some(Self::Versions),
+            "KIND_EVACUATIONS" => Some(Self::Evacuations),
             _ => None,
         }
     }
--- a/crates/larkspring/src/direct/agent/controller.rs
+++ b/crates/larkspring/src/direct/agent/controller.rs
@@ -10,12 +10,13 @@
     Action, EngineLimits, EngineScheduler, EvictionPolicy, LoadOrder, QueuedRequest,
 };
 use larkspring_core::fleet::availability::Notice;
-use larkspring_core::fleet::choose::should_load_in_hall;
+use larkspring_core::fleet::choose::{should_load_in_hall, Distance};
 use larkspring_core::fleet::mechanisms::Mechanism;
 use larkspring_core::fleet::permits::{self, PermitIssuer, PermitResponse};
 use larkspring_core::fleet::prefill::PrefillBacklog;
 use larkspring_core::fleet::rate::Rate;
 use larkspring_core::fleet::request_rates::RequestRates;
+use larkspring_core::fleet::routes::HallRegions;
 use larkspring_core::ids::{AttemptId, HallId, Target, TargetHash};
 use larkspring_core::limits::bucket_owner::{BucketOwner, UnitsRequest};
 use larkspring_core::limits::serving_time;
@@ -70,6 +71,7 @@
     /// Granted requests by hall and adapter.
     request_rates: RequestRates<(HallId, TargetHash)>,
     hall: HallId,
+    regions: HallRegions,
     next_attempt: AttemptId,
     /// The adapters and base models that the engine may hold, by the highest routing
     /// version that an entry sent.
@@ -172,6 +174,7 @@
             waiting: HashMap::new(),
             request_rates: RequestRates::default(),
             hall: cfg.process.hall.clone(),
+            regions: cfg.process.regions.clone(),
             bucket_owner: BucketOwner::new(cfg.process.limits),
             permit_issuer: PermitIssuer::default(),
             crash_reports,
@@ -436,12 +439,12 @@
         adapter: TargetHash,
     ) -> bool {
         let Some(entry) = self.entries.get(&number) else { return false };
-        if entry.hall == self.hall {
+        let distance = Distance::between(&self.hall, &entry.hall, &self.regions);
+        if distance == Distance::SameHall {
             return false;
         }
-        should_load_in_hall(
-            self.request_rates.record(now, &(entry.hall.clone(), adapter)),
-        )
+        let rate = self.request_rates.record(now, &(entry.hall.clone(), adapter));
+        should_load_in_hall(rate, distance)
     }
 
     fn refuse(&mut self, id: AttemptId, refusal: &Refusal, request: &str) {
--- a/crates/larkspring/src/direct/agent/state_cache.rs
+++ b/crates/larkspring/src/direct/agent/state_cache.rs
@@ -256,6 +256,7 @@
                 .proved_at
                 .map_or(u64::MAX, |at| at.elapsed().as_millis() as u64 + 1),
             held_ms: 0,
+            kind: req.kind,
         }
     }
 }
@@ -265,5 +266,6 @@
         wire::Kind::Routing => StateKind::Routing,
         wire::Kind::Endpoints => StateKind::Endpoints,
         wire::Kind::Versions => StateKind::Versions,
+        wire::Kind::Evacuations => StateKind::Evacuations,
     }
 }
--- a/crates/larkspring/src/direct/cfg.rs
+++ b/crates/larkspring/src/direct/cfg.rs
@@ -5,9 +5,11 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use larkspring_core::fleet::choose::PlacementPolicy;
+use larkspring_core::fleet::choose::{Distance, PlacementPolicy};
+use larkspring_core::fleet::cold::ColdTolerance;
 use larkspring_core::fleet::mechanisms::DisabledMechanisms;
 use larkspring_core::fleet::read_timing::ChangeFrequency;
+use larkspring_core::fleet::routes::HallRegions;
 use larkspring_core::ids::{HallId, VmId};
 use larkspring_core::limits::LimitTolerance;
 use larkspring_core::retry::RetryTerms;
@@ -40,6 +42,13 @@
     pub revocation_bound: Option<Duration>,
     /// Window of the workspaces' limits, and the excess that is allowed.
     pub limits: LimitTolerance,
+    /// Time within which the endpoints of an evacuated hall have to get no more requests;
+    /// `None` if the platform declares no evacuations.
+    pub evacuation_bound: Option<Duration>,
+    /// Excess that a cold endpoint's rate allows; `None` if none is declared.
+    pub cold_tolerance: Option<ColdTolerance>,
+    /// The region of each hall.
+    pub regions: HallRegions,
 }
 
 /// Fraction of the revocation time for which a copy of the keys is trusted. The rest
@@ -61,17 +70,35 @@
             StateKind::Routing => self.routing_bound,
             StateKind::Endpoints => self.drain_bound,
             StateKind::Versions => self.version_bound.mul_f64(VERSION_KNOWN_FRACTION),
+            StateKind::Evacuations => self.evacuation_bound.unwrap_or(self.drain_bound),
         }
     }
 
     /// Returns whether reads of a kind wait for a change, or find a change each time.
     pub fn change_frequency(kind: StateKind) -> ChangeFrequency {
         match kind {
-            StateKind::Routing | StateKind::Versions => ChangeFrequency::Rare,
+            StateKind::Routing | StateKind::Versions | StateKind::Evacuations => {
+                ChangeFrequency::Rare
+            }
             StateKind::Endpoints => ChangeFrequency::Continuous,
         }
     }
 
+    /// Returns the kinds of declared state that the platform declares.
+    pub fn declared_kinds(&self) -> impl Iterator<Item = StateKind> {
+        let evacuates = self.evacuation_bound.is_some();
+        let is_declared = move |kind: &StateKind| match kind {
+            StateKind::Evacuations => evacuates,
+            StateKind::Routing | StateKind::Endpoints | StateKind::Versions => true,
+        };
+        StateKind::ALL.into_iter().filter(is_declared)
+    }
+
+    /// Returns the distance of a hall from this process.
+    pub fn distance_to(&self, hall: &str) -> Distance {
+        Distance::between(&self.hall, hall, &self.regions)
+    }
+
     /// Returns the greatest age of the keys at which requests are served; `None` for any
     /// age.
     pub fn max_key_age(&self) -> Option<Duration> {
--- a/crates/larkspring/src/direct/entry/answer.rs
+++ b/crates/larkspring/src/direct/entry/answer.rs
@@ -55,6 +55,7 @@
     Stopping,
     NoRouting,
     NoEndpoint,
+    NoAllowedHall,
     InBackoff,
     RateUsedUp,
     NoAdapterInTime,
@@ -81,6 +82,7 @@
             Self::Stopping => "the entry stops",
             Self::NoRouting => "routing not known yet",
             Self::NoEndpoint => "no endpoint",
+            Self::NoAllowedHall => "no endpoint in a hall that may serve it",
             Self::InBackoff => "no endpoint wants requests now",
             Self::RateUsedUp => "the rate that endpoints take is used up",
             Self::NoAdapterInTime => "adapter not ready in time",
@@ -110,6 +112,7 @@
             | Self::Stopping
             | Self::NoRouting
             | Self::NoEndpoint
+            | Self::NoAllowedHall
             | Self::InBackoff
             | Self::RateUsedUp
             | Self::NoAdapterInTime
@@ -144,7 +147,7 @@
     pub fn retry_after(self, needs_adapter: bool) -> Option<Duration> {
         let after = match self {
             Self::Stopping | Self::StaleKeys => RETRY_ELSEWHERE,
-            Self::NoRouting => RETRY_AFTER_LOADING,
+            Self::NoRouting | Self::NoAllowedHall => RETRY_AFTER_LOADING,
             Self::NoEndpoint if needs_adapter => RETRY_AFTER_LOADING,
             Self::NoEndpoint
             | Self::StaleRouting
--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -142,9 +142,10 @@
     ) -> Result<(Response<Incoming>, EndpointConn), SendError> {
         let endpoint = peer.endpoint();
         // Last check before the first byte: since the selection, another answer may have
-        // reported that the endpoint drains, asks for a backoff, or has a rate limit.
+        // reported that the endpoint drains, asks for a backoff, or has a rate limit, or
+        // its hall was evacuated.
         if !peer.is_open() {
-            let cause = "the endpoint is draining or in backoff".into();
+            let cause = "the endpoint is draining, in backoff or evacuated".into();
             return Err(SendError::Unsent(endpoint.addr.to_string(), cause));
         }
         if peer.rate_limit().is_some() {
--- a/crates/larkspring/src/direct/entry/directory.rs
+++ b/crates/larkspring/src/direct/entry/directory.rs
@@ -241,6 +241,11 @@
             .ok_or("no answer in time")??;
         let reply = reply.into_inner();
         let age = Duration::from_millis(reply.age_ms);
+        // Agents of an earlier build name no kind, and know no evacuations.
+        let is_requested = reply.kind() == wire_kind(ask.kind);
+        if ask.kind == StateKind::Evacuations && !is_requested {
+            return Err("it does not know this kind of state".into());
+        }
         if reply.revision == 0 {
             return Err("it has not read the store yet".into());
         }
@@ -314,5 +319,6 @@
         StateKind::Routing => wire::Kind::Routing,
         StateKind::Endpoints => wire::Kind::Endpoints,
         StateKind::Versions => wire::Kind::Versions,
+        StateKind::Evacuations => wire::Kind::Evacuations,
     }
 }
--- a/crates/larkspring/src/direct/entry/fleet.rs
+++ b/crates/larkspring/src/direct/entry/fleet.rs
@@ -9,15 +9,18 @@
 use event_listener::{Event, EventListener};
 use futures_lite::future;
 use larkspring_core::fleet::availability::{Availability, AvailabilityChanges, Notice};
-use larkspring_core::fleet::choose::rendezvous_weight;
+use larkspring_core::fleet::choose::{rendezvous_weight, Distance};
+use larkspring_core::fleet::cold::{permit_rate, ColdTolerance};
 use larkspring_core::fleet::endpoint_list::Endpoint;
 use larkspring_core::fleet::permits::RunHash;
+use larkspring_core::fleet::routes::{HallRegions, Service};
 use larkspring_core::ids::{HallId, Incarnation, ServiceId, StorePoint};
 use parking_lot::Mutex;
 use smol::{Task, Timer};
 
 use super::link::{engine_declaration, EntryIdentity, Link, LinkEvents, MessageSinks};
-use super::peer::Peer;
+use super::peer::{Peer, PeerPlacement};
+use crate::direct::cfg::ProcessCfg;
 use crate::direct::logs::{self, LineKind};
 use crate::direct::replicated_state::ReplicatedState;
 use crate::exec;
@@ -27,6 +30,8 @@
     replicated_state: Arc<ReplicatedState>,
     identity: EntryIdentity,
     agent_port: u16,
+    regions: HallRegions,
+    cold_tolerance: Option<ColdTolerance>,
     peers: ArcSwap<Peers>,
     links: Mutex<HashMap<SocketAddr, MaintainedLink>>,
     availability_changed: Arc<Event>,
@@ -53,6 +58,17 @@
     by_service: HashMap<ServiceId, Vec<Arc<Peer>>>,
 }
 
+/// When an endpoint of a service may be sent a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ServiceAvailability {
+    /// No backoff or used-up rate is in the way, though there may be no endpoint at all.
+    Unlimited,
+    /// After this time; until then all endpoints are in backoff or their rates used up.
+    In(Duration),
+    /// Not for now: all endpoints are in halls that are evacuated or not allowed.
+    Excluded,
+}
+
 /// A connection to an agent and the task that keeps it open.
 struct MaintainedLink {
     link: Arc<Link>,
@@ -69,14 +85,15 @@
     /// Creates a fleet without endpoints.
     pub fn new(
         replicated_state: Arc<ReplicatedState>,
-        identity: EntryIdentity,
-        agent_port: u16,
+        cfg: &ProcessCfg,
         sinks: MessageSinks,
     ) -> Arc<Self> {
         Arc::new(Self {
             replicated_state,
-            identity,
-            agent_port,
+            identity: EntryIdentity { vm: cfg.vm.clone(), hall: cfg.hall.clone() },
+            agent_port: cfg.agent_port,
+            regions: cfg.regions.clone(),
+            cold_tolerance: cfg.cold_tolerance,
             peers: ArcSwap::default(),
             links: Mutex::default(),
             availability_changed: Arc::default(),
@@ -122,15 +139,27 @@
         all.iter().filter(|p| p.is_available()).cloned().collect()
     }
 
-    /// Returns the time until the first endpoint of a service may be sent a request
-    /// again. `None` if an endpoint that is not draining may be sent a request now.
-    pub fn next_available_in(&self, service: &str) -> Option<Duration> {
+    /// Returns when the endpoints of a service in `allowed` halls may be sent a request.
+    pub fn service_availability(
+        &self,
+        service: &str,
+        allowed: impl Fn(&str) -> bool,
+    ) -> ServiceAvailability {
         let peers = self.peers.load();
-        let all = peers.by_service.get(service)?;
-        let in_service = all.iter().filter(|p| p.stays_in_service());
+        let all = peers.by_service.get(service).map_or(&[][..], |all| all);
+        let in_service: Vec<_> = all.iter().filter(|p| p.stays_in_service()).collect();
+        let is_usable =
+            |p: &Peer| !p.placement().evacuated && allowed(&p.endpoint().hall);
+        let usable: Vec<_> = in_service.iter().filter(|p| is_usable(p)).collect();
+        if usable.is_empty() && !in_service.is_empty() {
+            return ServiceAvailability::Excluded;
+        }
         let available_in: Option<Vec<_>> =
-            in_service.map(|p| p.unavailable_for()).collect();
-        available_in?.into_iter().min()
+            usable.iter().map(|p| p.unavailable_for()).collect();
+        match available_in.and_then(|times| times.into_iter().min()) {
+            Some(time) => ServiceAvailability::In(time),
+            None => ServiceAvailability::Unlimited,
+        }
     }
 
     /// Applies a notice about an endpoint from one of its answers or from its agent.
@@ -265,20 +294,26 @@
         let before = self.peers.load();
         let mut now = Peers::default();
         for endpoint in self.endpoints(&before) {
-            let engine = routing.as_ref().and_then(|r| r.service(&endpoint.service));
-            let is_engine = engine.is_some_and(|s| s.engine.is_some());
+            let service = routing.as_ref().and_then(|r| r.service(&endpoint.service));
+            let is_engine = service.is_some_and(|s| s.engine.is_some());
+            let placement = self.placement(&endpoint, service.map(|s| &**s));
             let known = before.by_id.get(&endpoint.id);
             let known = known.filter(|p| p.link.is_some() == is_engine);
             let peer = match known {
                 Some(peer) => {
-                    peer.update(endpoint.clone());
+                    peer.update(endpoint.clone(), placement);
                     peer.clone()
                 }
                 None => {
                     let link =
                         is_engine.then(|| self.link(endpoint.addr, &endpoint.service));
                     let availability = self.known_availability(&before, &endpoint.id);
-                    Peer::new(endpoint.clone(), link, availability)
+                    let peer = Peer::new(endpoint.clone(), placement, link, availability);
+                    if !before.by_id.is_empty() {
+                        // A run that joins the fleet has just started.
+                        peer.assume_cold();
+                    }
+                    peer
                 }
             };
             if peer.reported_draining() {
@@ -311,6 +346,17 @@
         self.availability_changed.notify(usize::MAX);
     }
 
+    fn placement(&self, endpoint: &Endpoint, service: Option<&Service>) -> PeerPlacement {
+        let cold = service.map(|s| s.cold).unwrap_or_default();
+        let (own, hall) = (&self.identity.hall, &endpoint.hall);
+        PeerPlacement {
+            distance: Distance::between(own, hall, &self.regions),
+            evacuated: self.replicated_state.evacuations().contains(hall),
+            cold_duration: cold.duration,
+            cold_rate: permit_rate(cold.max_per_sec, self.cold_tolerance),
+        }
+    }
+
     /// Returns the recorded availability of an endpoint, listed or not, or a new record.
     fn known_availability(
         &self,
@@ -419,6 +465,7 @@
         event = match changes {
             AvailabilityChanges { draining: true, .. } => "endpoint leaves",
             AvailabilityChanges { backoff: true, .. } => "endpoint rests",
+            AvailabilityChanges { cold: true, .. } => "endpoint is cold",
             AvailabilityChanges { .. } if rate.is_some() => "endpoint names a rate",
             AvailabilityChanges { .. } => "endpoint names no rate any more",
         },
@@ -426,6 +473,7 @@
         request,
         status,
         rest_ms = notice.rest.map(|rest| rest.as_millis() as u64),
+        cold_ms = notice.cold.map(|left| left.as_millis() as u64),
         rate_per_sec = rate.map(|rate| rate.as_per_sec()),
     );
 }
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -53,7 +53,7 @@
 use self::crashes::CrashDetector;
 use self::directory::HallDirectory;
 use self::fleet::Fleet;
-use self::link::{EntryIdentity, MessageSinks};
+use self::link::MessageSinks;
 use self::permits::Permits;
 use self::workspace_limits::Limits;
 use super::cfg::EntryCfg;
@@ -142,13 +142,10 @@
     ) -> Result<Self, StartError> {
         let replicated_state = Arc::new(ReplicatedState::default());
         let stats = Arc::new(Stats::new());
-        let identity =
-            EntryIdentity { vm: cfg.process.vm.clone(), hall: cfg.process.hall.clone() };
         let (tx, grants) = channel::unbounded();
         let crash_reports = Arc::new(CrashReports::new(stats.clone()));
         let sinks = MessageSinks { grants: tx, crash_reports: crash_reports.clone() };
-        let fleet =
-            Fleet::new(replicated_state.clone(), identity, cfg.process.agent_port, sinks);
+        let fleet = Fleet::new(replicated_state.clone(), &cfg.process, sinks);
         let crashes = CrashDetector::new(fleet.clone(), crash_reports, stats.clone());
         let terms = cfg.process.limits;
         let limits = Limits::new(terms, replicated_state.clone(), fleet.clone(), grants);
--- a/crates/larkspring/src/direct/entry/peer.rs
+++ b/crates/larkspring/src/direct/entry/peer.rs
@@ -8,10 +8,13 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
-use larkspring_core::fleet::availability::{Availability, AvailabilityChanges, Notice};
+use larkspring_core::fleet::availability::{
+    Availability, AvailabilityChanges, Notice, RateInForce,
+};
+use larkspring_core::fleet::choose::Distance;
 use larkspring_core::fleet::endpoint_list::Endpoint;
 use larkspring_core::fleet::quality::EndpointQuality;
-use larkspring_core::fleet::rate::{AdvertisedRate, RateLimit};
+use larkspring_core::fleet::rate::{AdvertisedRate, Rate};
 use larkspring_core::ids::{ContentHash, TargetHash};
 use parking_lot::Mutex;
 
@@ -23,6 +26,7 @@
 /// An endpoint and this entry's state for it.
 pub(super) struct Peer {
     endpoint: ArcSwap<Endpoint>,
+    placement: Mutex<PeerPlacement>,
     /// The connection to the agent beside the endpoint, if the endpoint is a model
     /// engine.
     pub link: Option<Arc<Link>>,
@@ -46,6 +50,19 @@
     interrupted: Mutex<Vec<InterruptedRequest>>,
 }
 
+/// What the declared state says about an endpoint beside its listing.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PeerPlacement {
+    /// Where the endpoint is, as seen from this entry.
+    pub distance: Distance,
+    /// Whether the endpoint's hall is evacuated.
+    pub evacuated: bool,
+    /// How long the endpoint is cold after a start or an evacuation.
+    pub cold_duration: Duration,
+    /// Rate at which the endpoint gets requests from all VMs together while it is cold.
+    pub cold_rate: Option<Rate>,
+}
+
 /// A request whose connection to an endpoint broke before the answer was complete.
 #[derive(Debug)]
 pub(super) struct InterruptedRequest {
@@ -93,11 +110,13 @@
     /// Creates the record of an endpoint with its earlier availability.
     pub fn new(
         endpoint: Arc<Endpoint>,
+        placement: PeerPlacement,
         link: Option<Arc<Link>>,
         availability: Arc<Mutex<Availability>>,
     ) -> Arc<Self> {
-        availability.lock().record_listed_start(endpoint.start);
+        record_listing(&mut availability.lock(), &endpoint);
         Arc::new(Self {
+            placement: Mutex::new(placement),
             availability,
             rate_used_up_until: Mutex::default(),
             endpoint: ArcSwap::new(endpoint),
@@ -119,9 +138,15 @@
         self.endpoint.load_full()
     }
 
+    /// Returns what the declared state says about the endpoint.
+    pub fn placement(&self) -> PeerPlacement {
+        *self.placement.lock()
+    }
+
     /// Returns whether the endpoint takes new requests, as far as known.
     pub fn is_open(&self) -> bool {
         self.is_listed_open()
+            && !self.placement().evacuated
             && self
                 .current_availability()
                 .is_none_or(|availability| availability.is_open(Instant::now()))
@@ -154,16 +179,26 @@
         )
     }
 
-    /// Returns the endpoint's advertised rate limit while the limit is in force.
-    pub fn rate_limit(&self) -> Option<RateLimit> {
-        self.current_availability()?.rate_limit(Instant::now())
+    /// Returns the rate that the endpoint takes at the moment, by its notices or because
+    /// it is cold; `None` for no limit.
+    pub fn rate_limit(&self) -> Option<RateInForce> {
+        let cold_rate = self.placement().cold_rate;
+        self.current_availability()?.rate_in_force(Instant::now(), cold_rate)
+    }
+
+    /// Assumes that the endpoint is cold, as after a start.
+    pub fn assume_cold(&self) {
+        let duration = self.placement().cold_duration;
+        self.availability.lock().record_cold(Instant::now(), duration);
     }
 
-    /// Returns whether the endpoint's rate limit is certain: reported by a live agent, or
+    /// Returns whether the endpoint's advertised rate limit is certain: reported by a live agent, or
     /// advertised recently. An older limit may have ended, which only the next request
     /// shows if no agent reports it.
     pub fn has_certain_rate_limit(&self) -> bool {
-        let Some(limit) = self.rate_limit() else { return false };
+        let availability = self.current_availability();
+        let limit = availability.and_then(|a| a.rate_limit(Instant::now()));
+        let Some(limit) = limit else { return false };
         let by_agent = self.link.as_ref().is_some_and(|link| link.has_advertised_rate());
         by_agent || limit.updated_at().elapsed() < RATE_CERTAINTY_TIMEOUT
     }
@@ -181,7 +216,9 @@
             availability.is_open(now)
                 && self.rate_used_up_for(now, availability).is_none()
         };
-        self.is_listed_open() && self.current_availability().as_ref().is_none_or(takes)
+        self.is_listed_open()
+            && !self.placement().evacuated
+            && self.current_availability().as_ref().is_none_or(takes)
     }
 
     /// Returns the time for which no request may be sent, due to backoff or a used-up
@@ -196,7 +233,7 @@
         now: Instant,
         availability: &Availability,
     ) -> Option<Duration> {
-        availability.rate_limit(now)?;
+        availability.rate_in_force(now, self.placement().cold_rate)?;
         let until = *self.rate_used_up_until.lock();
         let left = until?.checked_duration_since(now)?;
         (!left.is_zero()).then_some(left)
@@ -267,10 +304,17 @@
         std::mem::take(&mut *self.interrupted.lock())
     }
 
-    /// Updates the endpoint as listed by the platform.
-    pub fn update(&self, endpoint: Arc<Endpoint>) {
-        self.availability.lock().record_listed_start(endpoint.start);
-        self.endpoint.store(endpoint);
+    /// Updates the endpoint as listed by the platform. An endpoint whose hall is no longer
+    /// evacuated counts as cold.
+    pub fn update(&self, endpoint: Arc<Endpoint>, placement: PeerPlacement) {
+        let before = std::mem::replace(&mut *self.placement.lock(), placement);
+        let known = self.endpoint.swap(endpoint.clone());
+        if !Arc::ptr_eq(&known, &endpoint) {
+            record_listing(&mut self.availability.lock(), &endpoint);
+        }
+        if before.evacuated && !placement.evacuated {
+            self.assume_cold();
+        }
     }
 
     /// Returns the number of this entry's requests that are open at the endpoint.
@@ -407,6 +451,12 @@
     }
 }
 
+/// Applies what a listed endpoint says of itself.
+fn record_listing(availability: &mut Availability, endpoint: &Endpoint) {
+    availability.record_listed_start(endpoint.start);
+    availability.record_cold(Instant::now(), endpoint.cold_left);
+}
+
 fn idle_limit(conn: &EndpointConn, run_once: bool) -> Duration {
     let availability =
         conn.keep_alive.map(|keep_alive| keep_alive.mul_f64(IDLE_FRACTION));
--- a/crates/larkspring/src/direct/entry/permits.rs
+++ b/crates/larkspring/src/direct/entry/permits.rs
@@ -1,5 +1,5 @@
-//! Permits to send to endpoints that advertise a rate limit, which applies to all VMs
-//! together.
+//! Permits to send to endpoints that advertise a rate limit or are cold: their rate
+//! applies to all VMs together.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -56,11 +56,10 @@
     pub async fn request(&self, peer: &Peer) -> PermitOutcome {
         let now = Instant::now();
         let Some(limit) = peer.rate_limit() else { return PermitOutcome::Unlimited };
-        let Some(rate) = limit.in_force(now) else { return PermitOutcome::Unlimited };
         let ask = PermitQuery {
             run: run_hash(&peer.endpoint().id),
-            rate,
-            age: now.saturating_duration_since(limit.updated_at()),
+            rate: limit.rate,
+            age: now.saturating_duration_since(limit.known_since),
             issuer: IssuerRole::Primary,
         };
         let response = self.request_from_issuers(peer, ask).await;
--- a/crates/larkspring/src/direct/entry/select.rs
+++ b/crates/larkspring/src/direct/entry/select.rs
@@ -1,12 +1,13 @@
 //! Endpoint selection for a request, and the wait for its adapter.
 
+use std::iter;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use futures_lite::future;
 use larkspring_core::fleet::choose::{
     batch_cost, choose_any, choose_for_adapter, rank_endpoints, AdapterLocation,
-    EndpointView, PlacementPolicy,
+    Distance, EndpointView, PlacementPolicy,
 };
 use larkspring_core::fleet::mechanisms::Mechanism;
 use larkspring_core::fleet::prefill::prefill_time;
@@ -17,6 +18,7 @@
 
 use super::answer::{retry_after_backoff, ErrorReason};
 use super::attempt::Selection;
+use super::fleet::ServiceAvailability;
 use super::link::{HoldEnd, HoldRequest};
 use super::peer::Peer;
 use super::permits::{Permit, PermitOutcome};
@@ -53,7 +55,8 @@
     /// If no endpoint is available, waits for the duration of
     /// [`RequestHandler::max_wait`]. If all are in backoff or have used up their rates,
     /// refuses the request at once unless the first becomes available within the latency
-    /// objective.
+    /// objective. If all are in halls that are evacuated or not allowed, refuses it at
+    /// once.
     pub(super) async fn select_endpoint(&mut self) -> Result<Selection, NoSelection> {
         let mut denials = 0;
         loop {
@@ -72,18 +75,22 @@
                 Err(_) => {}
             }
             let Err((ErrorReason::NoEndpoint, _)) = selection else { return selection };
-            if let Some(available_in) =
-                self.entry.fleet.next_available_in(&self.service.name)
-            {
-                if available_in > self.max_backoff_wait() {
-                    return Err((
-                        ErrorReason::InBackoff,
-                        Some(retry_after_backoff(available_in)),
-                    ));
+            let is_allowed = |hall: &str| self.is_allowed(hall);
+            let fleet = &self.entry.fleet;
+            match fleet.service_availability(&self.service.name, is_allowed) {
+                ServiceAvailability::Excluded => {
+                    return Err((ErrorReason::NoAllowedHall, None));
+                }
+                ServiceAvailability::In(time) if time > self.max_backoff_wait() => {
+                    let after = retry_after_backoff(time);
+                    return Err((ErrorReason::InBackoff, Some(after)));
+                }
+                ServiceAvailability::In(time) => {
+                    // Waits for the end of the backoff or for a change of the fleet.
+                    with_timeout(time, change).await;
+                    continue;
                 }
-                // Waits for the end of the backoff or for a change of the fleet.
-                with_timeout(available_in, change).await;
-                continue;
+                ServiceAvailability::Unlimited => {}
             }
             let timeout = self.max_wait();
             if timeout.is_zero() || with_timeout(timeout, change).await.is_none() {
@@ -265,8 +272,9 @@
         // The engine may have restarted meanwhile; the grant then applies to its new run.
         let current_peer = fleet.current_run(&peer);
         if !current_peer.is_open() {
-            // The endpoint began to drain or back off during the wait for the adapter.
-            self.log_not_held(&peer, "the endpoint is draining or in backoff", took);
+            // The endpoint stopped taking requests during the wait for the adapter.
+            let reason = "the endpoint is draining, in backoff or evacuated";
+            self.log_not_held(&peer, reason, took);
             return Err(None);
         }
         let open = if Arc::ptr_eq(&current_peer, &peer) {
@@ -424,6 +432,9 @@
         let Some(engine) = &self.service.engine else { return };
         let (now, hash) = (Instant::now(), target.hash());
         let hall = &self.entry.cfg().process.hall;
+        if !self.is_allowed(hall) {
+            return;
+        }
         let mut peers = self.entry.fleet.available(&self.service.name);
         peers.retain(|p| p.endpoint().hall == *hall);
         let peers = rank_endpoints(
@@ -446,7 +457,8 @@
         // Preloads only where the load delays no request.
         let fit = |v: &EndpointView| {
             let is_free = v.free_adapter_slots > 0 && v.loads_ahead == 0;
-            v.same_hall && v.can_load && !v.is_rate_limited && is_free
+            let is_near = v.distance == Distance::SameHall;
+            is_near && v.can_load && !v.is_rate_limited && is_free
         };
         let copied = |v: &EndpointView| {
             v.adapter_location == AdapterLocation::HostMemory && fit(v)
@@ -481,8 +493,17 @@
         .detach();
     }
 
+    /// Returns whether the regions of the route and of the workspace allow a hall.
+    fn is_allowed(&self, hall: &str) -> bool {
+        let workspace = self.workspace.as_ref().map(|workspace| &workspace.regions);
+        let bound = iter::once(&self.route.regions).chain(workspace);
+        let regions = &self.entry.cfg().process.regions;
+        bound.into_iter().all(|allowed| allowed.contains_hall(hall, regions))
+    }
+
     fn candidates(&self) -> Vec<Arc<Peer>> {
         let mut peers = self.entry.fleet.available(&self.service.name);
+        peers.retain(|p| self.is_allowed(&p.endpoint().hall));
         let untried = |p: &Arc<Peer>| !self.tried.contains(&p.endpoint().id);
         if peers.iter().any(untried) {
             peers.retain(untried);
--- a/crates/larkspring/src/direct/entry/view.rs
+++ b/crates/larkspring/src/direct/entry/view.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use larkspring_core::fleet::choose::{AdapterLocation, EndpointView};
+use larkspring_core::fleet::choose::{AdapterLocation, Distance, EndpointView};
 use larkspring_core::fleet::mechanisms::Mechanism;
 use larkspring_core::fleet::routes::EngineCapacity;
 use larkspring_core::ids::{Incarnation, TargetHash};
@@ -20,7 +20,7 @@
         let disabled_mechanisms = self.entry.cfg().disabled_mechanisms;
         let quality = peer.quality(|q| q.cost(now));
         EndpointView {
-            same_hall: endpoint.hall == self.entry.cfg().process.hall,
+            distance: peer.placement().distance,
             adapter_location: AdapterLocation::Resident,
             running: peer.open_requests(),
             max_concurrent: endpoint.slots as u32,
@@ -120,7 +120,7 @@
         let view = &views[at];
         Self {
             endpoint: peer.endpoint().id.clone(),
-            same_hall: view.same_hall,
+            same_hall: view.distance == Distance::SameHall,
             holding: holding_name(Some(view.adapter_location)),
             running: view.running,
             loads_ahead: view.loads_ahead,
--- a/crates/larkspring/src/direct/platform_api.rs
+++ b/crates/larkspring/src/direct/platform_api.rs
@@ -10,7 +10,8 @@
 use larkspring_core::fleet::endpoint_list::Endpoint;
 use larkspring_core::fleet::routes::Routing;
 use larkspring_core::ids::{
-    AdapterId, BaseId, ContentHash, Incarnation, StartMs, StoreEpoch, StorePoint, Target,
+    AdapterId, BaseId, ContentHash, HallId, Incarnation, StartMs, StoreEpoch, StorePoint,
+    Target,
 };
 use larkspring_core::workspaces::Credential;
 use quick_error::quick_error;
@@ -128,11 +129,14 @@
     Endpoints,
     /// Versions of adapters.
     Versions,
+    /// Halls whose endpoints get no requests.
+    Evacuations,
 }
 
 impl StateKind {
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [Self; 3] = [Self::Routing, Self::Endpoints, Self::Versions];
+    pub const ALL: [Self; 4] =
+        [Self::Routing, Self::Endpoints, Self::Versions, Self::Evacuations];
 
     /// Returns the name used in logs and metrics.
     pub fn name(self) -> &'static str {
@@ -140,6 +144,7 @@
             Self::Routing => "routing",
             Self::Endpoints => "endpoints",
             Self::Versions => "versions",
+            Self::Evacuations => "evacuations",
         }
     }
 }
@@ -166,6 +171,10 @@
     EndpointRemoved(Incarnation),
     /// The newest version of an adapter.
     Version(AdapterId, u64),
+    /// An evacuation of a hall, and the point at which it was written.
+    Evacuation(HallId, StorePoint),
+    /// An evacuation of a hall that was lifted.
+    EvacuationLifted(HallId),
     /// An invalid item; it is logged and left out.
     Invalid {
         /// Its kind.
--- a/crates/larkspring/src/direct/replicated_state.rs
+++ b/crates/larkspring/src/direct/replicated_state.rs
@@ -1,5 +1,5 @@
-//! The replicated state of the fleet as this process knows it: routing, endpoints and
-//! versions.
+//! The replicated state of the fleet as this process knows it: routing, endpoints,
+//! versions and evacuations.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -9,6 +9,7 @@
 use larkspring_core::fleet::endpoint_list::{
     Endpoint, EndpointList, EXPIRED_LEASE_GRACE,
 };
+use larkspring_core::fleet::evacuations::Evacuations;
 use larkspring_core::fleet::routes::Routing;
 use larkspring_core::fleet::versions::AdapterVersions;
 use larkspring_core::ids::{StorePoint, Target};
@@ -26,6 +27,7 @@
     proofs: [Mutex<Proof>; StateKind::ALL.len()],
     versions: ArcSwap<AdapterVersions>,
     endpoint_list: Mutex<EndpointList>,
+    evacuations: ArcSwap<Evacuations>,
     store: Mutex<StoreHealth>,
     changed: Event,
     store_recovered: Event,
@@ -61,6 +63,7 @@
             proofs: Default::default(),
             versions: ArcSwap::default(),
             endpoint_list: Mutex::default(),
+            evacuations: ArcSwap::default(),
             store: Mutex::default(),
             changed: Event::new(),
             store_recovered: Event::new(),
@@ -117,6 +120,11 @@
         }
     }
 
+    /// Returns the evacuated halls.
+    pub fn evacuations(&self) -> Arc<Evacuations> {
+        self.evacuations.load_full()
+    }
+
     /// Returns all endpoints that are not known to be gone.
     pub fn endpoints(&self) -> Vec<Arc<Endpoint>> {
         self.endpoint_list.lock().endpoints().cloned().collect()
@@ -150,9 +158,28 @@
 
     /// Replaces all items of a kind.
     pub fn replace_all(&self, now: Instant, kind: StateKind, listed: DecodedState) {
-        if kind != StateKind::Endpoints {
-            return self.apply_changes(now, listed);
+        match kind {
+            StateKind::Routing | StateKind::Versions => self.apply_changes(now, listed),
+            StateKind::Endpoints => self.replace_endpoints(now, listed),
+            StateKind::Evacuations => self.replace_evacuations(now, listed),
+        }
+    }
+
+    fn replace_evacuations(&self, now: Instant, listed: DecodedState) {
+        let mut in_force = Vec::new();
+        for item in listed.items {
+            match item {
+                Item::Evacuation(hall, written) => in_force.push((hall, written)),
+                other => self.apply_item(now, listed.at, other),
+            }
         }
+        self.update_evacuations(listed.at, |evacuations| {
+            evacuations.replace(now, listed.at, in_force);
+        });
+        self.changed.notify(usize::MAX);
+    }
+
+    fn replace_endpoints(&self, now: Instant, listed: DecodedState) {
         if self.endpoint_list.lock().begin_epoch(listed.at) {
             // Endpoints that joined after the backup are listed again soon, as after an
             // outage.
@@ -183,14 +210,22 @@
         self.changed.notify(usize::MAX);
     }
 
-    /// Removes endpoints whose grace period has expired; returns the time of the next
-    /// expiry.
+    /// Removes endpoints and evacuations whose grace period has expired; returns the time
+    /// of the next expiry.
     pub fn expire(&self, now: Instant) -> Option<Instant> {
         let mut endpoint_list = self.endpoint_list.lock();
         if endpoint_list.expire(now) {
             self.changed.notify(usize::MAX);
         }
-        endpoint_list.next_expiry()
+        let evacuation_expiry = self.evacuations.load().next_expiry();
+        if evacuation_expiry.is_some_and(|at| at <= now) {
+            let mut evacuations = Evacuations::clone(&self.evacuations.load());
+            evacuations.expire(now);
+            self.evacuations.store(Arc::new(evacuations));
+            self.changed.notify(usize::MAX);
+        }
+        let next_evacuation = self.evacuations.load().next_expiry();
+        endpoint_list.next_expiry().into_iter().chain(next_evacuation).min()
     }
 
     /// Records that a call to the store failed.
@@ -254,6 +289,14 @@
                     );
                 }
             }
+            Item::Evacuation(hall, written) => {
+                self.update_evacuations(at, |evacuations| {
+                    evacuations.begin(hall, written)
+                });
+            }
+            Item::EvacuationLifted(hall) => {
+                self.update_evacuations(at, |evacuations| evacuations.lift(&hall));
+            }
             Item::Version(adapter, number) => {
                 let mut versions = AdapterVersions::clone(&self.versions.load());
                 // The version was named after the last proof that the store held nothing
@@ -291,6 +334,17 @@
         }
     }
 
+    fn update_evacuations(&self, at: StorePoint, update: impl FnOnce(&mut Evacuations)) {
+        let mut evacuations = Evacuations::clone(&self.evacuations.load());
+        update(&mut evacuations);
+        if logs::is_allowed(LineKind::StateChange) {
+            let halls: Vec<_> = evacuations.halls().map(|hall| &**hall).collect();
+            let (halls, epoch, revision) = (halls.join(" "), at.epoch(), at.revision());
+            tracing::info!(event = "evacuations", halls, epoch, revision);
+        }
+        self.evacuations.store(Arc::new(evacuations));
+    }
+
     fn apply_routing(&self, routing: Routing) {
         let known = self.routing.load().as_ref().map(|r| r.version);
         self.proof(StateKind::Routing).lock().is_behind = known > Some(routing.version);
--- a/crates/larkspring/src/direct/watch.rs
+++ b/crates/larkspring/src/direct/watch.rs
@@ -46,7 +46,7 @@
         };
         exec::spawn(follower.run())
     };
-    let mut tasks: Vec<_> = StateKind::ALL.into_iter().map(start).collect();
+    let mut tasks: Vec<_> = cfg.declared_kinds().map(start).collect();
     tasks.push(exec::spawn(expire(replicated_state)));
     tasks
 }
