Round an entry's retry budget at random in place of down

Cause: the fixed part of the shared retry budget is divided by the number of entries and rounded down.

Change: the whole budget is rounded by a random part that each entry keeps, so the entries use it together.

--- a/crates/larkspring-core/src/retry.rs
+++ b/crates/larkspring-core/src/retry.rs
@@ -58,6 +58,8 @@
 #[derive(Debug)]
 pub struct RetryWindow {
     terms: RetryTerms,
+    /// Added to the budget before it is rounded down, from 0 to 1.
+    rounding: f64,
     slices: VecDeque<Slice>,
 }
 
@@ -87,8 +89,12 @@
 
 impl RetryWindow {
     /// Creates a window without requests.
-    pub fn new(terms: RetryTerms) -> Self {
-        Self { terms, slices: VecDeque::new() }
+    ///
+    /// `rounding`, from 0 to 1, decides how this entry rounds its budget, which in a large
+    /// fleet is one or two retries. If it is uniformly random, the entries round up as
+    /// often as their fractions require, and use the whole budget together.
+    pub fn new(terms: RetryTerms, rounding: f64) -> Self {
+        Self { terms, rounding, slices: VecDeque::new() }
     }
 
     /// Changes the terms of the budget; the counts are kept.
@@ -107,8 +113,9 @@
         self.slice(now);
         let requests: u32 = self.slices.iter().map(|s| s.requests).sum();
         let retries: u32 = self.slices.iter().map(|s| s.retries).sum();
-        let share = (self.terms.fixed * USED_FRACTION / entries.max(1) as f64).floor();
-        let allowed = self.terms.ratio * USED_FRACTION * f64::from(requests) + share;
+        let share = self.terms.fixed / entries.max(1) as f64;
+        let budget = self.terms.ratio * f64::from(requests) + share;
+        let allowed = (USED_FRACTION * budget + self.rounding).floor();
         if f64::from(retries + 1) > allowed {
             return false;
         }
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -277,7 +277,7 @@
     fn count_request(&self, service: &ServiceId) {
         let mut retry_budgets = self.retry_budgets.lock();
         let terms = self.cfg().retries;
-        let fresh = || RetryWindow::new(terms);
+        let fresh = || RetryWindow::new(terms, fastrand::f64());
         retry_budgets
             .entry(service.clone())
             .or_insert_with(fresh)
