Wait for the first listed endpoints before reading other declared state

Cause: all VMs of a fleet start before its endpoints have written their entries.

Change: other kinds wait up to 3 s from the start for a listed endpoint, and an empty list is read again after 1.5 s.

--- a/crates/larkspring/src/direct/entry/directory.rs
+++ b/crates/larkspring/src/direct/entry/directory.rs
@@ -6,7 +6,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use event_listener::Event;
 use larkspring_core::fleet::read_timing::{
     AgentReadTiming, StoreReadTiming, MAX_AGENTS_PER_READ,
 };
@@ -47,8 +46,7 @@
     skipped: Mutex<Vec<(Incarnation, Instant)>>,
     /// Whether the endpoints have not been read yet.
     is_first_list_pending: AtomicBool,
-    /// Notified when the endpoints were first read.
-    first_list_done: Event,
+    created: Instant,
 }
 
 /// Minimum number of entries in a hall for reading through an agent. With fewer, the
@@ -71,8 +69,9 @@
 const URGENT_WAIT: Duration = Duration::from_millis(1);
 /// How long an agent that failed to return a usable state gets no requests.
 const SKIP_DURATION: Duration = Duration::from_secs(3);
-/// How long the first reads of other kinds wait for the first list of endpoints.
-const FIRST_LIST_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long after the entry's start other kinds are not read while no endpoint is listed.
+/// Endpoints write their first entries within a heartbeat, of about a second.
+const EMPTY_FLEET_WAIT: Duration = Duration::from_secs(3);
 /// Limits the agents of other halls that are asked when no other source answers.
 const MAX_OTHER_HALL_AGENTS: usize = 2;
 /// Limits the connections to agents.
@@ -99,7 +98,7 @@
             store_answered_at: Mutex::default(),
             skipped: Mutex::default(),
             is_first_list_pending: AtomicBool::new(true),
-            first_list_done: Event::new(),
+            created: Instant::now(),
         }
     }
 
@@ -108,7 +107,6 @@
         let read = self.read_sources(StateQuery { may_be_stale, ..ask }).await;
         if ask.kind == StateKind::Endpoints {
             self.is_first_list_pending.store(false, Ordering::Relaxed);
-            self.first_list_done.notify(usize::MAX);
         }
         if let Ok(ReadOutcome::State(state)) = &read {
             self.store_answered_at.lock()[ask.kind as usize] =
@@ -123,7 +121,7 @@
 
     async fn read_sources(&self, ask: StateQuery) -> Result<ReadOutcome, PlatformError> {
         if ask.kind != StateKind::Endpoints {
-            self.wait_first_endpoints().await;
+            self.wait_for_endpoints().await;
         }
         let agents = self.agents();
         for reader in &agents {
@@ -151,14 +149,16 @@
         Err(failure)
     }
 
-    /// Waits for the first list of endpoints, which shows the agents to read from.
-    async fn wait_first_endpoints(&self) {
-        if !self.is_first_list() {
-            return;
-        }
-        let listed = self.first_list_done.listen();
-        if self.is_first_list() {
-            with_timeout(FIRST_LIST_TIMEOUT, listed).await;
+    /// Waits until endpoints are listed, which show the agents to read from. All VMs of a
+    /// new fleet start before its endpoints write their first entries, and would otherwise
+    /// read everything from the store.
+    async fn wait_for_endpoints(&self) {
+        while let Some(left) = EMPTY_FLEET_WAIT.checked_sub(self.created.elapsed()) {
+            let changed = self.fleet.endpoints_changed();
+            if self.fleet.has_listed_endpoints() {
+                return;
+            }
+            with_timeout(left, changed).await;
         }
     }
 
--- a/crates/larkspring/src/direct/entry/fleet.rs
+++ b/crates/larkspring/src/direct/entry/fleet.rs
@@ -221,6 +221,16 @@
         ranked.into_iter().take(count).map(reader).collect()
     }
 
+    /// Returns whether the platform lists any endpoint.
+    pub fn has_listed_endpoints(&self) -> bool {
+        self.replicated_state.has_endpoints()
+    }
+
+    /// Notifies of the next change of the declared state.
+    pub fn endpoints_changed(&self) -> EventListener {
+        self.replicated_state.changed()
+    }
+
     fn listed_engines(&self) -> impl Iterator<Item = Arc<Endpoint>> {
         let endpoints = self.replicated_state.endpoints().into_iter();
         endpoints.filter(|e| e.runs_models && !e.leaving)
--- a/crates/larkspring/src/direct/replicated_state.rs
+++ b/crates/larkspring/src/direct/replicated_state.rs
@@ -130,6 +130,11 @@
         self.endpoint_list.lock().endpoints().cloned().collect()
     }
 
+    /// Returns whether any endpoint is listed.
+    pub fn has_endpoints(&self) -> bool {
+        self.endpoint_list.lock().endpoints().next().is_some()
+    }
+
     /// Notifies of the next change.
     pub fn changed(&self) -> EventListener {
         self.changed.listen()
--- a/crates/larkspring/src/direct/watch.rs
+++ b/crates/larkspring/src/direct/watch.rs
@@ -28,6 +28,9 @@
 /// the store is available again, in case only that follower's calls fail.
 const STORE_WAIT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest pause between two reads of the endpoints while none is listed.
+const EMPTY_LIST_PAUSE: Duration = Duration::from_millis(1500);
+
 /// Follows all kinds in the background, as long as the tasks are kept.
 pub fn follow(
     directory: Arc<dyn StateStore>,
@@ -173,10 +176,17 @@
     fn pause(&self, via: ReadSource) -> Duration {
         match via {
             ReadSource::Agent => self.pace.agent.pause,
+            ReadSource::Store if self.awaits_endpoints() => {
+                self.pace.store.pause.min(EMPTY_LIST_PAUSE)
+            }
             ReadSource::Store => self.pace.store.pause,
         }
     }
 
+    fn awaits_endpoints(&self) -> bool {
+        self.kind == StateKind::Endpoints && !self.replicated_state.has_endpoints()
+    }
+
     fn record_failure(&self, e: &PlatformError) {
         self.stats.count_store_call(self.kind.name(), false);
         if logs::is_allowed(LineKind::StateChange) {
