Refuse holds of entries that do not know that an engine is full

Cause: entries that follow agents by use all turn to an adapter's home, and know its load only once connected.

Change: a hold by an entry without the engine's state names the number of holds from which it is refused, the batch slots; the entry then asks the next in rank, up to four times. Entries with reports, and agents of the former build, go on as before.

--- a/crates/larkspring-core/src/engine_scheduler.rs
+++ b/crates/larkspring-core/src/engine_scheduler.rs
@@ -168,6 +168,11 @@
         Ok(resident)
     }
 
+    /// Returns the number of running and waiting requests.
+    pub fn request_count(&self) -> usize {
+        self.running.len() + self.waiting.len()
+    }
+
     /// Withdraws a request that has not started. Returns false if it has.
     pub fn cancel(&mut self, id: AttemptId) -> bool {
         self.waiting.remove(&id).is_some()
--- a/crates/larkspring-core/src/fleet/following.rs
+++ b/crates/larkspring-core/src/fleet/following.rs
@@ -32,6 +32,16 @@
     (interval / MAX_CHANGE_MESSAGES_PER_SEC).max(MIN_REPORT_INTERVAL).min(max)
 }
 
+/// Returns whether an engine with `holds` granted or waiting holds accepts another one from
+/// an entry that knows nothing of its load and allows `max_holds`; 0 for no limit.
+///
+/// All entries turn to the home of an adapter whose demand rises, and those that follow no
+/// reports do so until they have asked once. A refusal sends them to the next endpoint in
+/// rank, which loads the adapter too.
+pub fn accepts_unaware(holds: usize, max_holds: usize) -> bool {
+    max_holds == 0 || holds < max_holds
+}
+
 /// The number of entries that share a limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EntryCounts {
--- a/crates/larkspring-proto/src/gen/larkspring.residency.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.residency.rs
@@ -219,6 +219,10 @@
     /// Load time with which the answer can still begin in time, in milliseconds.
     #[prost(uint64, tag = "10")]
     pub in_time_ms: u64,
+    /// The hold is refused if as many holds are granted or waiting. Set by an entry that
+    /// does not know the engine's load; 0 for no limit.
+    #[prost(uint32, tag = "11")]
+    pub max_holds: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Release {
@@ -307,6 +311,9 @@
     pub reason: ::prost::alloc::string::String,
     #[prost(uint64, tag = "3")]
     pub retry_after_ms: u64,
+    /// Whether the reason is `Hold.max_holds`.
+    #[prost(bool, tag = "4")]
+    pub full: bool,
 }
 /// The state of the engine, sent on changes and periodically. The message is kept short:
 /// each agent sends the state to each entry several times a second.
--- a/crates/larkspring/src/direct/agent/controller.rs
+++ b/crates/larkspring/src/direct/agent/controller.rs
@@ -11,6 +11,7 @@
 };
 use larkspring_core::fleet::availability::Notice;
 use larkspring_core::fleet::choose::{should_load_in_hall, Distance};
+use larkspring_core::fleet::following::accepts_unaware;
 use larkspring_core::fleet::mechanisms::Mechanism;
 use larkspring_core::fleet::permits::{self, PermitIssuer, PermitResponse};
 use larkspring_core::fleet::prefill::PrefillBacklog;
@@ -386,6 +387,10 @@
             soft_deadline: now + Duration::from_millis(hold.in_time_ms),
             utility: hold.worth,
         };
+        let holds = self.scheduler.request_count();
+        if !accepts_unaware(holds, hold.max_holds as usize) {
+            return self.refuse_full(id);
+        }
         let adapter = req.target.hash();
         self.waiting
             .insert(id, WaitingRequest { uncached_tokens: hold.unread_tokens, adapter });
@@ -486,10 +491,20 @@
                 id: key.1,
                 reason: refusal.message.clone(),
                 retry_after_ms: retry_after.as_millis() as u64,
+                full: false,
             }),
         );
     }
 
+    /// Refuses the hold of an entry that did not know that the engine is full.
+    fn refuse_full(&mut self, id: AttemptId) {
+        let Some(key) = self.holds_by_attempt.remove(&id) else { return };
+        self.holds.remove(&key);
+        let (reason, full) = ("the engine is full".into(), true);
+        let refused = wire::Refused { id: key.1, reason, full, retry_after_ms: 0 };
+        self.send(key.0, AgentMessage::Refused(refused));
+    }
+
     /// Sends a message to an entry; closes the connection if the entry's queue is too
     /// long.
     pub(super) fn send(&mut self, number: EntryNumber, kind: AgentMessage) {
--- a/crates/larkspring/src/direct/agent/quarantine_sync.rs
+++ b/crates/larkspring/src/direct/agent/quarantine_sync.rs
@@ -70,11 +70,7 @@
     let mut sync =
         QuarantineSync { store, crash_reports, events, stored, epoch, lifted, listed_at };
     let mut loaded = false;
-    while !with_timeout(SYNC_INTERVAL, is_followed.recv())
-        .await
-        .is_some_and(|r| r.is_ok())
-        && sync.crash_reports.refused().is_empty()
-    {}
+    sync.wait_needed(&is_followed).await;
     loop {
         let step = match loaded {
             false => sync.load().await,
@@ -92,6 +88,15 @@
 }
 
 impl QuarantineSync {
+    /// Waits until an entry follows this agent or a request is quarantined here.
+    async fn wait_needed(&self, is_followed: &Receiver<()>) {
+        while self.crash_reports.refused().is_empty() {
+            if with_timeout(SYNC_INTERVAL, is_followed.recv()).await.is_some() {
+                return;
+            }
+        }
+    }
+
     /// Applies the store's contents at the agent's start.
     async fn load(&mut self) -> Result<(), PlatformError> {
         let listed = self.store.list().await?;
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -453,7 +453,10 @@
             Some(FromAgentKind::Refused(refused)) => {
                 drop(engine_state);
                 let retry_after = Duration::from_millis(refused.retry_after_ms);
-                let end = HoldEnd::Refused { reason: refused.reason, retry_after };
+                let end = match refused.full {
+                    true => HoldEnd::Full,
+                    false => HoldEnd::Refused { reason: refused.reason, retry_after },
+                };
                 self.end_wait(refused.id, end);
             }
             None => {}
--- a/crates/larkspring/src/direct/entry/link/hold.rs
+++ b/crates/larkspring/src/direct/entry/link/hold.rs
@@ -35,6 +35,8 @@
     pub utility: f64,
     /// Load time within which the answer can still begin within the latency objective.
     pub load_time_limit: Duration,
+    /// Holds that the engine may have at most, if this entry does not know its load; else 0.
+    pub max_holds: u32,
 }
 
 /// The end of the wait for a hold.
@@ -45,6 +47,8 @@
     Granted { copy_pays: bool },
     /// The agent can't load the adapter in time.
     Refused { reason: String, retry_after: Duration },
+    /// The engine is full, which this entry did not know.
+    Full,
     /// The agent can't be reached any more.
     Lost,
 }
@@ -78,6 +82,7 @@
             unread_tokens: request.uncached_tokens,
             worth: request.utility,
             in_time_ms: request.load_time_limit.as_millis() as u64,
+            max_holds: request.max_holds,
         });
         let held =
             HoldRecord { target, priority: request.priority, waiter: Some(waiter) };
--- a/crates/larkspring/src/direct/entry/select.rs
+++ b/crates/larkspring/src/direct/entry/select.rs
@@ -19,7 +19,7 @@
 use super::answer::{retry_after_backoff, ErrorReason};
 use super::attempt::Selection;
 use super::fleet::ServiceAvailability;
-use super::link::{HoldEnd, HoldRequest};
+use super::link::{AgentStatus, HoldEnd, HoldRequest};
 use super::peer::Peer;
 use super::permits::{Permit, PermitOutcome};
 use super::request_handler::RequestHandler;
@@ -46,6 +46,8 @@
 const GRANT_TIMEOUT: Duration = Duration::from_millis(80);
 /// Limits the number of permit denials before a request is refused.
 const MAX_PERMIT_DENIALS: u32 = 8;
+/// Limits the number of full engines that a request skips without knowing their load.
+const MAX_FULL_ENGINES: u32 = 4;
 /// Limits the number of endpoints at which holds are requested, one after the other.
 const MAX_HOLD_REQUESTS: u32 = 3;
 
@@ -200,7 +202,7 @@
     ) -> Result<Selection, NoSelection> {
         let mut last: NoSelection = (ErrorReason::NoEndpoint, None);
         let mut excluded = Vec::new();
-        let mut holds = 0;
+        let (mut holds, mut full_engines) = (0, 0);
         while holds < MAX_HOLD_REQUESTS {
             let Some(chosen) = self.select_adapter(model, adapter, engine, &excluded)
             else {
@@ -211,11 +213,17 @@
             // The permit comes first: without it the adapter might be loaded for nothing.
             match self.request_permit(&chosen.peer).await {
                 Ok(permit) => {
-                    holds += 1;
-                    match self.request_hold(chosen, model).await {
+                    let slots = engine.batch_slots as u32;
+                    let max_holds =
+                        if full_engines < MAX_FULL_ENGINES { slots } else { 0 };
+                    match self.request_hold(chosen, model, max_holds).await {
                         Ok(selection) => return Ok(Selection { permit, ..selection }),
-                        Err(Some(refused)) => last = refused,
-                        Err(None) => {}
+                        Err(HoldFailure::Full) => full_engines += 1,
+                        Err(HoldFailure::Refused(refused)) => {
+                            holds += 1;
+                            last = refused;
+                        }
+                        Err(HoldFailure::Lost) => holds += 1,
                     }
                 }
                 Err(refused) => last = refused,
@@ -227,13 +235,14 @@
         Err(last)
     }
 
-    /// Requests a hold of the adapter from the selected endpoint's agent. A refusal
-    /// carries the time after which the caller may retry.
+    /// Requests a hold of the adapter from the selected endpoint's agent. If the engine's
+    /// load is not known, it may have at most `max_holds`, unless that is 0.
     async fn request_hold(
         &mut self,
         chosen: AdapterSelection,
         model: &ModelRequest,
-    ) -> Result<Selection, Option<NoSelection>> {
+        max_holds: u32,
+    ) -> Result<Selection, HoldFailure> {
         let AdapterSelection { peer, target, needs_hold, inputs } = chosen;
         let hash = target.hash();
         let uncached_tokens = inputs.uncached_tokens;
@@ -246,6 +255,8 @@
             peer.record_prompt(hash, model);
             return Ok(selection(open, None));
         };
+        let is_load_known = link.status() == AgentStatus::Live;
+        let max_holds = if is_load_known { 0 } else { max_holds };
         let requested_at = Instant::now();
         let limit = self.time_left().saturating_sub(MIN_TIME_LEFT);
         let held_before = link.holding(hash);
@@ -258,6 +269,7 @@
             uncached_tokens,
             utility: self.utility(model),
             load_time_limit,
+            max_holds,
         };
         let mut hold = link.request_hold(target.clone(), request);
         let fleet = self.entry.fleet.clone();
@@ -275,7 +287,7 @@
             // The endpoint stopped taking requests during the wait for the adapter.
             let reason = "the endpoint is draining, in backoff or evacuated";
             self.log_not_held(&peer, reason, took);
-            return Err(None);
+            return Err(HoldFailure::Lost);
         }
         let open = if Arc::ptr_eq(&current_peer, &peer) {
             open
@@ -296,7 +308,13 @@
             Some(HoldEnd::Refused { reason, retry_after }) => {
                 self.entry.stats.count_hold("refused");
                 self.log_not_held(&peer, &reason, took);
-                return Err(Some((ErrorReason::NoAdapterInTime, Some(retry_after))));
+                let refused = (ErrorReason::NoAdapterInTime, Some(retry_after));
+                return Err(HoldFailure::Refused(refused));
+            }
+            Some(HoldEnd::Full) => {
+                self.entry.stats.count_hold("full");
+                self.log_not_held(&peer, "the engine is full", took);
+                return Err(HoldFailure::Full);
             }
             Some(HoldEnd::Lost) => ("lost", "the agent is silent"),
             None => ("late", "the agent did not grant it in time"),
@@ -304,7 +322,7 @@
         self.entry.stats.count_hold(label);
         self.log_not_held(&peer, reason, took);
         if !resident {
-            return Err(None);
+            return Err(HoldFailure::Lost);
         }
         // Sends without a grant: an engine that has evicted the adapter refuses the
         // request.
@@ -482,6 +500,7 @@
             uncached_tokens: 0,
             utility: utility::LOAD_AHEAD_UTILITY,
             load_time_limit: PRELOAD_TIMEOUT,
+            max_holds: 0,
         };
         let mut hold = link.request_hold(target.clone(), request);
         let stats = self.entry.stats.clone();
@@ -537,6 +556,16 @@
     }
 }
 
+/// Why an adapter is not held.
+enum HoldFailure {
+    /// The engine is full, which this entry did not know.
+    Full,
+    /// The agent refused; the reason, and when the caller may retry.
+    Refused(NoSelection),
+    /// The agent did not answer in time, or the endpoint takes no requests any more.
+    Lost,
+}
+
 /// A selected endpoint and the adapter version that it has to hold.
 struct AdapterSelection {
     peer: Arc<Peer>,
