Count on followers that stay, and ask agents for the first state in any fleet

An agent reads quarantined requests once entries have followed it for 2 s, and entries say when they follow it no longer.

--- a/crates/larkspring/src/direct/agent/controller.rs
+++ b/crates/larkspring/src/direct/agent/controller.rs
@@ -94,7 +94,9 @@
     /// Crash reports known to this agent.
     crash_reports: Arc<CrashReports>,
     /// Notes that an entry follows this agent.
-    followed: Sender<()>,
+    pub(super) followed: Sender<()>,
+    /// Since when entries follow this agent whether they use it or not.
+    pub(super) followed_since: Option<Instant>,
     /// Requests that were running before this agent started, on adapters that the engine
     /// has not reported yet.
     pub(super) unreported_requests: Vec<(AttemptId, Target)>,
@@ -193,6 +195,7 @@
             permit_issuer: PermitIssuer::default(),
             crash_reports,
             followed,
+            followed_since: None,
             unreported_requests: Vec::new(),
         }
     }
@@ -277,10 +280,6 @@
                     entry.hall = Some(hello.hall.as_str().into());
                     entry.by_use = hello.by_use;
                 }
-                if !hello.by_use {
-                    // The receiver is full once a follower was noted.
-                    let _ = self.followed.try_send(());
-                }
                 if let Some(reports) = self.crash_reports.latest() {
                     self.send(number, AgentMessage::Findings(reports));
                 }
--- a/crates/larkspring/src/direct/agent/publish.rs
+++ b/crates/larkspring/src/direct/agent/publish.rs
@@ -40,6 +40,8 @@
 
 /// Interval at which the state is published, changed or not.
 pub(super) const PUBLISH_INTERVAL: Duration = Duration::from_millis(400);
+/// Time after which an entry that follows this agent is likely to go on.
+const FOLLOWED_AFTER: Duration = Duration::from_secs(2);
 /// Increase of the prefill backlog that is published at once: so many tokens take a tenth
 /// of a second of prefill, and the entries would place other prompts behind them.
 const MIN_BACKLOG_CHANGE_TOKENS: u32 = 4000;
@@ -64,6 +66,7 @@
             false => PUBLISH_INTERVAL,
         };
         let is_due = since >= pause;
+        self.note_followers(now);
         if !is_due && !self.entries.values().any(EntryConnection::needs_whole_state) {
             return;
         }
@@ -105,6 +108,20 @@
         report_interval(self.entries.len(), PUBLISH_INTERVAL)
     }
 
+    /// Notes that entries follow this agent for longer than the start of a fleet takes, in
+    /// which each entry knows a part of the endpoints.
+    fn note_followers(&mut self, now: Instant) {
+        if self.entries.values().all(|entry| entry.by_use) {
+            self.followed_since = None;
+            return;
+        }
+        let since = *self.followed_since.get_or_insert(now);
+        if now.saturating_duration_since(since) >= FOLLOWED_AFTER {
+            // The channel is full once this was noted.
+            let _ = self.followed.try_send(());
+        }
+    }
+
     fn entries_by_hall(&self) -> HashMap<HallId, u32> {
         let mut counts = HashMap::new();
         for hall in self.entries.values().filter_map(|entry| entry.hall.clone()) {
--- a/crates/larkspring/src/direct/entry/directory.rs
+++ b/crates/larkspring/src/direct/entry/directory.rs
@@ -205,13 +205,15 @@
     }
 
     /// Returns the agents of the hall to ask, first the one on which all its entries
-    /// agree. None in a small hall, and while its size is not known, in a small fleet.
+    /// agree. None in a small hall; just after the entry's start the size is not known.
     ///
     /// Agents that are passed over are not replaced by the next in rank: each agent that
     /// is asked reads the store by itself, and while the store is unavailable no agent
     /// has a usable state.
     fn agents(&self) -> Vec<Reader> {
-        let is_counted = self.fleet.has_entry_counts() || self.fleet.follows_all();
+        let is_starting = self.created.elapsed() < EMPTY_FLEET_WAIT;
+        let is_small = self.fleet.follows_all() && !is_starting;
+        let is_counted = self.fleet.has_entry_counts() || is_small;
         if is_counted && self.fleet.entry_counts().in_hall < MIN_ENTRIES {
             return Vec::new();
         }
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -204,8 +204,8 @@
             }
             std::mem::replace(&mut usage.is_followed, is_followed)
         };
-        if is_followed && !was_followed {
-            // A connection that was opened for use is now a lasting one.
+        if is_followed != was_followed {
+            // The agent does not count on a connection that may be closed soon.
             self.send_message(Kind::Hello(self.hello()));
         }
     }
