Ask only live agents in a fleet whose agents are all followed

Change: while all agents are followed, only live ones are asked for units, crash counts and the declared state, as before; in a larger fleet also those that nothing is known against. Agents are asked in the first seconds of any fleet only if its first list of endpoints was empty.

--- a/crates/larkspring/src/direct/entry/directory.rs
+++ b/crates/larkspring/src/direct/entry/directory.rs
@@ -46,6 +46,8 @@
     skipped: Mutex<Vec<(Incarnation, Instant)>>,
     /// Whether the endpoints have not been read yet.
     is_first_list_pending: AtomicBool,
+    /// Whether the first list of endpoints was empty, so that later ones may be partial.
+    is_new_fleet: AtomicBool,
     created: Instant,
 }
 
@@ -98,6 +100,7 @@
             store_answered_at: Mutex::default(),
             skipped: Mutex::default(),
             is_first_list_pending: AtomicBool::new(true),
+            is_new_fleet: AtomicBool::new(false),
             created: Instant::now(),
         }
     }
@@ -158,6 +161,9 @@
             if self.fleet.has_listed_endpoints() {
                 return;
             }
+            if !self.is_first_list() {
+                self.is_new_fleet.store(true, Ordering::Relaxed);
+            }
             with_timeout(left, changed).await;
         }
     }
@@ -205,13 +211,14 @@
     }
 
     /// Returns the agents of the hall to ask, first the one on which all its entries
-    /// agree. None in a small hall; just after the entry's start the size is not known.
+    /// agree. None in a small hall; just after the start of a fleet the size is not known.
     ///
     /// Agents that are passed over are not replaced by the next in rank: each agent that
     /// is asked reads the store by itself, and while the store is unavailable no agent
     /// has a usable state.
     fn agents(&self) -> Vec<Reader> {
-        let is_starting = self.created.elapsed() < EMPTY_FLEET_WAIT;
+        let is_starting = self.is_new_fleet.load(Ordering::Relaxed)
+            && self.created.elapsed() < EMPTY_FLEET_WAIT;
         let is_small = self.fleet.follows_all() && !is_starting;
         let is_counted = self.fleet.has_entry_counts() || is_small;
         if is_counted && self.fleet.entry_counts().in_hall < MIN_ENTRIES {
--- a/crates/larkspring/src/direct/entry/fleet.rs
+++ b/crates/larkspring/src/direct/entry/fleet.rs
@@ -21,7 +21,7 @@
 use smol::Timer;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::link::{EntryIdentity, Link, LinkContext, MessageSinks};
+use super::link::{AgentStatus, EntryIdentity, Link, LinkContext, MessageSinks};
 use super::peer::{Peer, PeerPlacement};
 use crate::direct::cfg::EntryCfg;
 use crate::direct::logs::{self, LineKind};
@@ -198,13 +198,15 @@
     }
 
     /// Returns the agents of a hall from which its entries read the declared state, the
-    /// first `count` in the order on which all entries agree. Leaves out agents that are
-    /// unresponsive or whose engines are draining.
+    /// first `count` in the order on which all entries agree. Leaves out agents that can't
+    /// be asked or whose engines are draining.
     pub fn readers_in(&self, hall: &HallId, count: usize) -> Vec<Reader> {
+        let can_ask = self.askable_links();
         let peers = self.peers.load();
         let usable = |p: &Peer| {
-            let is_usable = p.link.as_ref().is_some_and(|link| link.is_usable());
-            is_usable && p.endpoint().hall == *hall && p.stays_in_service()
+            p.link.as_ref().is_some_and(|link| can_ask(link))
+                && p.endpoint().hall == *hall
+                && p.stays_in_service()
         };
         let known = peers.by_id.values().filter(|p| usable(p)).map(|p| p.endpoint());
         let endpoints: Vec<_> = match peers.by_id.is_empty() {
@@ -278,14 +280,25 @@
         halls.into_iter().collect()
     }
 
-    /// Returns the addresses of all agents against which nothing is known, and the
-    /// connections to them.
+    /// Returns the addresses of all agents that can be asked, and the connections to them.
     pub fn usable_links(&self) -> Vec<(SocketAddr, Arc<Link>)> {
+        let can_ask = self.askable_links();
         let links = self.links.lock();
-        let usable = links.iter().filter(|(_, link)| link.is_usable());
+        let usable = links.iter().filter(|(_, link)| can_ask(link));
         usable.map(|(addr, link)| (*addr, link.clone())).collect()
     }
 
+    /// Returns a check whether an agent can be asked: it is live if all agents are
+    /// followed, else nothing is known against it.
+    fn askable_links(&self) -> impl Fn(&Link) -> bool {
+        let follows_all = self.follows_all();
+        move |link| match link.status() {
+            AgentStatus::Live => true,
+            AgentStatus::Unknown => !follows_all,
+            AgentStatus::Unresponsive => false,
+        }
+    }
+
     /// Returns a listener for the next change that may make an endpoint usable.
     pub fn listen(&self) -> EventListener {
         self.availability_changed.listen()
--- a/crates/larkspring/src/direct/entry/workspace_limits.rs
+++ b/crates/larkspring/src/direct/entry/workspace_limits.rs
@@ -225,9 +225,9 @@
     /// number is unknown and assumed high, since all entries may have started at the same
     /// moment.
     fn entries(&self) -> u32 {
-        match self.fleet.has_entry_counts() {
-            false => ASSUMED_ENTRIES,
-            true => self.fleet.entry_counts().all,
+        match self.fleet.usable_links().is_empty() || !self.fleet.has_entry_counts() {
+            true => ASSUMED_ENTRIES,
+            false => self.fleet.entry_counts().all,
         }
     }
 
