Read the first state of each kind at once, from a current list

Since the wait for listed endpoints, routing and versions were read only after the list of endpoints, so each failed read of a store that turns VMs away delayed them, and the list itself could be some seconds old.

Change: the first read of each kind goes out at once, and no list may be stale. Only later reads wait, and only while the first list was read and empty, as at the start of a new fleet.

--- a/crates/larkspring/src/direct/entry/directory.rs
+++ b/crates/larkspring/src/direct/entry/directory.rs
@@ -71,7 +71,8 @@
 const URGENT_WAIT: Duration = Duration::from_millis(1);
 /// How long an agent that failed to return a usable state gets no requests.
 const SKIP_DURATION: Duration = Duration::from_secs(3);
-/// How long after the entry's start other kinds are not read while no endpoint is listed.
+/// How long after the entry's start no changes of other kinds are read while no endpoint
+/// is listed.
 /// Endpoints write their first entries within a heartbeat, of about a second.
 const EMPTY_FLEET_WAIT: Duration = Duration::from_secs(3);
 /// Limits the agents of other halls that are asked when no other source answers.
@@ -106,8 +107,7 @@
     }
 
     async fn read_any(&self, ask: StateQuery) -> Result<ReadOutcome, PlatformError> {
-        let may_be_stale = ask.kind == StateKind::Endpoints && self.is_first_list();
-        let read = self.read_sources(StateQuery { may_be_stale, ..ask }).await;
+        let read = self.read_sources(ask).await;
         if ask.kind == StateKind::Endpoints {
             self.is_first_list_pending.store(false, Ordering::Relaxed);
         }
@@ -123,7 +123,7 @@
     }
 
     async fn read_sources(&self, ask: StateQuery) -> Result<ReadOutcome, PlatformError> {
-        if ask.kind != StateKind::Endpoints {
+        if ask.kind != StateKind::Endpoints && ask.changes.is_some() {
             self.wait_for_endpoints().await;
         }
         let agents = self.agents();
@@ -152,18 +152,16 @@
         Err(failure)
     }
 
-    /// Waits until endpoints are listed, which show the agents to read from. All VMs of a
-    /// new fleet start before its endpoints write their first entries, and would otherwise
-    /// read everything from the store.
+    /// Waits for the first listed endpoints of a new fleet, which show the agents to read
+    /// from. Its VMs start before the endpoints write their first entries, and would read
+    /// every change from the store meanwhile.
     async fn wait_for_endpoints(&self) {
         while let Some(left) = EMPTY_FLEET_WAIT.checked_sub(self.created.elapsed()) {
             let changed = self.fleet.endpoints_changed();
-            if self.fleet.has_listed_endpoints() {
+            if self.is_first_list() || self.fleet.has_listed_endpoints() {
                 return;
             }
-            if !self.is_first_list() {
-                self.is_new_fleet.store(true, Ordering::Relaxed);
-            }
+            self.is_new_fleet.store(true, Ordering::Relaxed);
             with_timeout(left, changed).await;
         }
     }
--- a/crates/larkspring/src/direct/platform_api.rs
+++ b/crates/larkspring/src/direct/platform_api.rs
@@ -69,20 +69,17 @@
     pub kind: StateKind,
     /// Reads the changes after this point; `None` reads the whole state.
     pub changes: Option<ChangeQuery>,
-    /// Whether the whole state may be some seconds old, which costs the store less. Such a
-    /// state proves nothing.
-    pub may_be_stale: bool,
 }
 
 impl StateQuery {
     /// Creates a read of the whole state.
     pub fn whole(kind: StateKind) -> Self {
-        Self { kind, changes: None, may_be_stale: false }
+        Self { kind, changes: None }
     }
 
     /// Creates a read of the changes after a point, or of the whole state without one.
     pub fn after(kind: StateKind, changes: Option<ChangeQuery>) -> Self {
-        Self { kind, changes, may_be_stale: false }
+        Self { kind, changes }
     }
 }
 
