Wait in the store for the first listed endpoint of a new fleet

Endpoints of a new fleet are listed 2.5 to 5 s after the VMs start, so the 3 s wait ended before and all kinds were read from the store, the empty list each 1.5 s (trial with logs: the first list of endpoints at -24.0 s is empty, agents are connected at -18.9 s).

Change: while no endpoint is listed its watch waits in the store for the first one, and changes of other kinds wait for it up to 10 s. Agents read quarantined requests after 3 s with a follower, by which time no list is partial.

--- a/crates/larkspring/src/direct/agent/publish.rs
+++ b/crates/larkspring/src/direct/agent/publish.rs
@@ -41,7 +41,7 @@
 /// Interval at which the state is published, changed or not.
 pub(super) const PUBLISH_INTERVAL: Duration = Duration::from_millis(400);
 /// Time after which an entry that follows this agent is likely to go on.
-const FOLLOWED_AFTER: Duration = Duration::from_secs(2);
+const FOLLOWED_AFTER: Duration = Duration::from_secs(3);
 /// Increase of the prefill backlog that is published at once: so many tokens take a tenth
 /// of a second of prefill, and the entries would place other prompts behind them.
 const MIN_BACKLOG_CHANGE_TOKENS: u32 = 4000;
--- a/crates/larkspring/src/direct/entry/directory.rs
+++ b/crates/larkspring/src/direct/entry/directory.rs
@@ -73,8 +73,8 @@
 const SKIP_DURATION: Duration = Duration::from_secs(3);
 /// How long after the entry's start no changes of other kinds are read while no endpoint
 /// is listed.
-/// Endpoints write their first entries within a heartbeat, of about a second.
-const EMPTY_FLEET_WAIT: Duration = Duration::from_secs(3);
+/// Endpoints write their first entries once they have started, within some seconds.
+const EMPTY_FLEET_WAIT: Duration = Duration::from_secs(10);
 /// Limits the agents of other halls that are asked when no other source answers.
 const MAX_OTHER_HALL_AGENTS: usize = 2;
 /// Limits the connections to agents.
--- a/crates/larkspring/src/direct/watch.rs
+++ b/crates/larkspring/src/direct/watch.rs
@@ -28,9 +28,6 @@
 /// the store is available again, in case only that follower's calls fail.
 const STORE_WAIT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Longest pause between two reads of the endpoints while none is listed.
-const EMPTY_LIST_PAUSE: Duration = Duration::from_millis(1500);
-
 /// Follows all kinds in the background, as long as the tasks are kept.
 pub fn follow(
     directory: Arc<dyn StateStore>,
@@ -123,8 +120,13 @@
                 Ok(applied) => applied,
                 Err(e) => return e,
             };
-            after = Some(ChangeQuery { known: at, max_wait: self.pace.wait });
-            Timer::after(self.pause(via)).await;
+            let (max_wait, pause) = match self.awaits_endpoints() {
+                // The first listed endpoint ends the wait.
+                true => (self.pace.store.pause, self.pace.agent.pause),
+                false => (self.pace.wait, self.pause(via)),
+            };
+            after = Some(ChangeQuery { known: at, max_wait });
+            Timer::after(pause).await;
         }
     }
 
@@ -176,9 +178,6 @@
     fn pause(&self, via: ReadSource) -> Duration {
         match via {
             ReadSource::Agent => self.pace.agent.pause,
-            ReadSource::Store if self.awaits_endpoints() => {
-                self.pace.store.pause.min(EMPTY_LIST_PAUSE)
-            }
             ReadSource::Store => self.pace.store.pause,
         }
     }
