Log what a proof of freshness rests on, and put the present state first in the metrics

Change: a line for each read of routing, versions and evacuations (source, whole, changes or unchanged, point, when it was sent, whether the proof counts); the answer that the proof rests on in the line of each refusal; histograms come last in the metrics. No decision changes.

--- a/crates/larkspring/src/direct/entry/log.rs
+++ b/crates/larkspring/src/direct/entry/log.rs
@@ -22,6 +22,7 @@
     fingerprint: Option<ContentHash>,
 ) {
     if logs::is_allowed(LineKind::Failed) {
+        let basis = entry.replicated_state.proof_basis(StateKind::Routing);
         tracing::warn!(
             event = "unserved",
             request = caller.id,
@@ -35,6 +36,10 @@
                 .replicated_state
                 .proof_age(StateKind::Routing)
                 .map(|age| age.as_millis() as u64),
+            proof_source = basis.map(|b| b.source.name()),
+            proof_content = basis.map(|b| b.content.name()),
+            proof_revision = basis.map(|b| b.point.revision()),
+            proof_routing = basis.and_then(|b| b.routing),
             store_age_ms =
                 entry.replicated_state.store_age().map(|age| age.as_millis() as u64),
             endpoint = inputs.map(|i| &*i.endpoint),
--- a/crates/larkspring/src/direct/platform_api.rs
+++ b/crates/larkspring/src/direct/platform_api.rs
@@ -122,6 +122,17 @@
     pub source: ReadSource,
 }
 
+impl EncodedState {
+    /// Returns what the answer holds.
+    pub fn content(&self) -> ReadContent {
+        match (self.is_complete, self.changes.is_empty()) {
+            (true, _) => ReadContent::Whole,
+            (false, false) => ReadContent::Changes,
+            (false, true) => ReadContent::Unchanged,
+        }
+    }
+}
+
 /// Who answers a read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum ReadSource {
@@ -132,6 +143,38 @@
     Agent,
 }
 
+impl ReadSource {
+    /// Returns the name used in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Agent => "agent",
+        }
+    }
+}
+
+/// What the answer to a read holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadContent {
+    /// The whole state.
+    Whole,
+    /// Changes.
+    Changes,
+    /// No change.
+    Unchanged,
+}
+
+impl ReadContent {
+    /// Returns the name used in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Changes => "changes",
+            Self::Unchanged => "unchanged",
+        }
+    }
+}
+
 /// Kinds of declared state; each kind is followed separately.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum StateKind {
--- a/crates/larkspring/src/direct/replicated_state.rs
+++ b/crates/larkspring/src/direct/replicated_state.rs
@@ -10,14 +10,14 @@
     Endpoint, EndpointList, EXPIRED_LEASE_GRACE,
 };
 use larkspring_core::fleet::evacuations::Evacuations;
-use larkspring_core::fleet::routes::Routing;
+use larkspring_core::fleet::routes::{Routing, RoutingVersion};
 use larkspring_core::fleet::versions::AdapterVersions;
 use larkspring_core::ids::{StorePoint, Target};
 use parking_lot::Mutex;
 use smol::Timer;
 
 use super::logs::{self, LineKind};
-use super::platform_api::{DecodedState, Item, StateKind};
+use super::platform_api::{DecodedState, Item, ReadContent, ReadSource, StateKind};
 use crate::clock::BootInstant;
 
 /// The replicated state, with its age.
@@ -39,12 +39,27 @@
 struct Proof {
     /// A moment at which the store held nothing newer.
     at: Option<BootInstant>,
+    /// The answer that gave the proof.
+    basis: Option<ProofBasis>,
     /// Whether a newer state was read that is invalid, so that nothing is proved.
     newest_is_invalid: bool,
     /// Whether the store was restored from a backup that lacks the routing in force.
     is_behind: bool,
 }
 
+/// The answer that a freshness proof rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ProofBasis {
+    /// Who gave the answer.
+    pub source: ReadSource,
+    /// What the answer held.
+    pub content: ReadContent,
+    /// The point of the store's history that the answer named.
+    pub point: StorePoint,
+    /// The version of the routing that was in force after the answer was applied.
+    pub routing: Option<RoutingVersion>,
+}
+
 /// Whether the platform's store answers this process.
 #[derive(Debug, Clone, Copy, Default)]
 struct StoreHealth {
@@ -87,10 +102,29 @@
     /// Records that at a moment the store held nothing newer of a kind than the applied
     /// state.
     pub fn record_proof(&self, kind: StateKind, at: BootInstant) {
+        self.record_proof_of(kind, at, None);
+    }
+
+    /// Records a proof like [`Self::record_proof`], with the answer that it rests on.
+    /// Returns whether the proof counts.
+    pub fn record_proof_of(
+        &self,
+        kind: StateKind,
+        at: BootInstant,
+        basis: Option<ProofBasis>,
+    ) -> bool {
         let mut proof = self.proof(kind).lock();
-        if !proof.newest_is_invalid && !proof.is_behind {
-            proof.at = proof.at.max(Some(at));
+        let counts = !proof.newest_is_invalid && !proof.is_behind;
+        if counts && proof.at < Some(at) {
+            proof.at = Some(at);
+            proof.basis = basis;
         }
+        counts
+    }
+
+    /// Returns the answer that the latest freshness proof of a kind rests on.
+    pub fn proof_basis(&self, kind: StateKind) -> Option<ProofBasis> {
+        self.proof(kind).lock().basis
     }
 
     /// Records whether the newest routing that was read is invalid.
--- a/crates/larkspring/src/direct/stats.rs
+++ b/crates/larkspring/src/direct/stats.rs
@@ -6,6 +6,7 @@
 use larkspring_core::fleet::availability::Notice;
 use larkspring_core::fleet::rate::AdvertisedRate;
 use larkspring_core::ids::StorePoint;
+use prometheus::proto::MetricType;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
     TextEncoder,
@@ -353,15 +354,22 @@
         self.set_gauge(&format!("{kind}_revision"), at.revision() as i64);
     }
 
-    /// Encodes all metrics as text.
+    /// Encodes all metrics as text; histograms come last, so that a scrape that is cut
+    /// off keeps the present state.
     pub fn encode(&self) -> Vec<u8> {
         for (kind, count) in logs::dropped_lines() {
             let count = i64::try_from(count).unwrap_or(i64::MAX);
             self.count_invalid_items.with_label_values(&[kind]).set(count);
         }
+        let mut families = self.registry.gather();
+        families.sort_by_key(|family| match family.get_field_type() {
+            MetricType::GAUGE => 0,
+            MetricType::COUNTER => 1,
+            _ => 2,
+        });
         let mut text = Vec::new();
         // Encoding to memory fails only for metrics without samples, which are left out.
-        if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+        if let Err(e) = TextEncoder::new().encode(&families, &mut text) {
             tracing::warn!(event = "metrics not written", cause = %e);
         }
         text
--- a/crates/larkspring/src/direct/watch.rs
+++ b/crates/larkspring/src/direct/watch.rs
@@ -5,7 +5,9 @@
 
 use fastrand::Rng;
 use futures_lite::future;
-use larkspring_core::fleet::read_timing::{AgentReadTiming, StoreReadTiming};
+use larkspring_core::fleet::read_timing::{
+    AgentReadTiming, ChangeFrequency, StoreReadTiming,
+};
 use larkspring_core::ids::StorePoint;
 use larkspring_core::retry::backoff;
 use smol::Timer;
@@ -15,7 +17,7 @@
 use super::platform_api::{
     ChangeQuery, EncodedState, ReadOutcome, ReadSource, StateKind, StateQuery, StateStore,
 };
-use super::replicated_state::ReplicatedState;
+use super::replicated_state::{ProofBasis, ReplicatedState};
 use super::stats::Stats;
 use super::unknown_names::NameSource;
 use crate::exec::{self, with_timeout};
@@ -159,12 +161,39 @@
         if self.kind == StateKind::Routing && (unreadable || readable) {
             self.replicated_state.set_routing_invalid(unreadable);
         }
-        if let Some(at) = state.proved_at {
-            self.replicated_state.record_proof(self.kind, at);
-        }
+        let basis = ProofBasis {
+            source: state.source,
+            content: state.content(),
+            point: at,
+            routing: self.replicated_state.routing().map(|r| r.version),
+        };
+        let proved = state.proved_at.is_some_and(|at| {
+            self.replicated_state.record_proof_of(self.kind, at, Some(basis))
+        });
+        self.log_read(state, basis, proved);
         Ok((at, state.source))
     }
 
+    /// Logs a read of state that changes rarely. Endpoints change with each read, and
+    /// their changes are logged.
+    fn log_read(&self, state: &EncodedState, basis: ProofBasis, proved: bool) {
+        let is_rare = ProcessCfg::change_frequency(self.kind) == ChangeFrequency::Rare;
+        if is_rare && logs::is_allowed(LineKind::StateChange) {
+            let sent_ms_ago = state.proved_at.map(|at| at.elapsed().as_millis() as u64);
+            tracing::info!(
+                event = "state read",
+                kind = self.kind.name(),
+                source = basis.source.name(),
+                content = basis.content.name(),
+                epoch = basis.point.epoch(),
+                revision = basis.point.revision(),
+                sent_ms_ago,
+                proved,
+                routing = basis.routing,
+            );
+        }
+    }
+
     async fn watch(&self, after: ChangeQuery) -> Result<ReadOutcome, PlatformError> {
         let unavailable = async {
             self.replicated_state.wait_store_unavailable().await;
