Keep a reader's point in the history on an answer without changes

What callers see: an entry serves by an old routing, an old version of an adapter, an engine that leaves or an evacuated hall until the next change of that kind, although the store acknowledged the newer one. Cause: an answer without changes moved the reader to the revision that it names. A change that this answer left out was then behind the reader's point, where no watch tells it and no 410 comes. Why it works: only a list or a delivered change moves the point, so each later watch starts before every change that was not delivered. When the store no longer has that history, it answers 410 and the whole state is listed.

--- a/crates/larkspring/src/direct/reader.rs
+++ b/crates/larkspring/src/direct/reader.rs
@@ -4,11 +4,13 @@
 use std::time::{Duration, Instant};
 
 use larkspring_core::fleet::read_timing::StoreReadTiming;
+use larkspring_core::ids::StorePoint;
 use parking_lot::Mutex;
 
 use super::logs::{self, LineKind};
 use super::platform_api::{
-    DecodedState, EncodedState, ReadOutcome, StateKind, StateQuery, StateStore,
+    DecodedState, EncodedState, ReadContent, ReadOutcome, StateKind, StateQuery,
+    StateStore,
 };
 use super::stats::Stats;
 use crate::exec::with_timeout;
@@ -53,7 +55,7 @@
                 if read.is_ok() {
                     self.record_answer(began.elapsed().saturating_sub(after.max_wait));
                 }
-                read
+                read.map(|read| keep_known_point(read, after.known))
             }
             None => {
                 self.record_lost_watch(ask.kind, limit);
@@ -99,3 +101,14 @@
         }
     }
 }
+
+/// Keeps the known point if an answer holds no change, so that the next watch starts
+/// before every change that has not been delivered, whatever revision the answer names.
+fn keep_known_point(read: ReadOutcome, known: StorePoint) -> ReadOutcome {
+    match read {
+        ReadOutcome::State(state) if state.content() == ReadContent::Unchanged => {
+            ReadOutcome::State(EncodedState { at: known, ..state })
+        }
+        other => other,
+    }
+}
