Deny a route or key only by a list of the store, in one view with the routing

What callers see: an entry answers 404 for an added route, or 401 for an added key, later than the bound after the store's acknowledgement. Cause: a proof of freshness was renewed by each answer of a watch, also one that held no change, and by what agents make of such answers. Silence of a watch shows that nothing was told, not that nothing was declared. Besides, a request read the routing first and the age of the proof afterwards, so that a newer routing's proof could count for the old one. Evidence: an_added_route_is_not_denied_because_watches_omit_the_change failed on (a 404 later than the bound, alone and through agents) and passes. Why it works: a request that would be denied lists the routing first, unless a list sent within the bound has confirmed it; the list's answer is applied, and the request is looked up again. Requests share one list, and a failed one is not repeated for the bound, so calls don't grow with requests. The view reads the proof before the routing, which never goes back.

--- a/crates/larkspring/src/direct/entry/admission.rs
+++ b/crates/larkspring/src/direct/entry/admission.rs
@@ -13,7 +13,8 @@
 use super::workspace_limits::Limits;
 use super::EntryState;
 use crate::direct::logs::{self, LineKind};
-use crate::direct::platform_api::{CallerRequest, StateKind};
+use crate::direct::platform_api::CallerRequest;
+use crate::direct::replicated_state::RoutingView;
 
 /// Units that a request took from its workspace's limit. They are returned on drop,
 /// unless the request may have run.
@@ -27,7 +28,58 @@
 /// Fraction of the retry time over which the retries of refused callers are spread.
 const RETRY_SPREAD: f64 = 0.5;
 
+/// Why the routing does not admit a request.
+enum Rejection {
+    /// Holds for every routing that may be in force, or can't be resolved by a list.
+    Final(ErrorReason),
+    /// Something is missing from the routing, which a list may show to be outdated.
+    Unconfirmed(ErrorReason),
+}
+
 impl EntryState {
+    /// Finds the route of a request and the workspace of its caller's key; `None` if the
+    /// route needs no key and the caller sent no known key. `view` is replaced if the
+    /// routing has to be listed for that.
+    pub(super) async fn admit(
+        &self,
+        view: &mut RoutingView,
+        host: &str,
+        path: &str,
+        credential: Credential,
+    ) -> Result<(Arc<Route>, Option<Arc<Workspace>>), ErrorReason> {
+        match self.try_admit(view, host, path, credential) {
+            Ok(admitted) => return Ok(admitted),
+            Err(Rejection::Final(reason)) => return Err(reason),
+            Err(Rejection::Unconfirmed(_)) => {}
+        }
+        self.absence.confirm(self.cfg().process.routing_bound).await;
+        if let Some(listed) = self.replicated_state.routing_view() {
+            *view = listed;
+        }
+        self.try_admit(view, host, path, credential).map_err(
+            |rejection| match rejection {
+                Rejection::Final(reason) | Rejection::Unconfirmed(reason) => reason,
+            },
+        )
+    }
+
+    fn try_admit(
+        &self,
+        view: &RoutingView,
+        host: &str,
+        path: &str,
+        credential: Credential,
+    ) -> Result<(Arc<Route>, Option<Arc<Workspace>>), Rejection> {
+        let Some(route) = view.routing.find(host, path) else {
+            return Err(match self.is_absence_certain(view) {
+                true => Rejection::Final(ErrorReason::NoRoute),
+                false => Rejection::Unconfirmed(ErrorReason::StaleRouting),
+            });
+        };
+        let workspace = self.authorize(view, route, credential)?;
+        Ok((route.clone(), workspace))
+    }
+
     /// Returns the workspace of a caller's key; `None` if the route needs no key and the
     /// caller sent no known key.
     ///
@@ -36,13 +88,13 @@
     /// so a revocation acknowledged that long before the request was sent is included,
     /// even if this process was suspended in between. A key missing from older data may
     /// be new.
-    pub(super) fn authorize(
+    fn authorize(
         &self,
-        routing: &Routing,
+        view: &RoutingView,
         route: &Route,
         credential: Credential,
-    ) -> Result<Option<Arc<Workspace>>, ErrorReason> {
-        let Some(workspaces) = &routing.workspaces else { return Ok(None) };
+    ) -> Result<Option<Arc<Workspace>>, Rejection> {
+        let Some(workspaces) = &view.routing.workspaces else { return Ok(None) };
         let found = match credential {
             Credential::Key(key) => workspaces.find(&key).cloned(),
             Credential::Missing | Credential::Malformed => None,
@@ -50,44 +102,29 @@
         if route.public {
             return Ok(found);
         }
-        if !self.has_fresh_keys() {
-            return Err(ErrorReason::StaleKeys);
+        if !self.has_fresh_keys(view) {
+            return Err(Rejection::Final(ErrorReason::StaleKeys));
         }
         match (found, credential) {
             (Some(workspace), _) => Ok(Some(workspace)),
-            (None, Credential::Key(_)) if !self.is_absence_certain() => {
-                Err(ErrorReason::StaleKeys)
+            (None, Credential::Key(_)) if !self.is_absence_certain(view) => {
+                Err(Rejection::Unconfirmed(ErrorReason::StaleKeys))
             }
-            (None, Credential::Key(_)) => Err(ErrorReason::UnknownKey),
-            (None, _) => Err(ErrorReason::NoKey),
+            (None, Credential::Key(_)) => Err(Rejection::Final(ErrorReason::UnknownKey)),
+            (None, _) => Err(Rejection::Final(ErrorReason::NoKey)),
         }
     }
 
     /// Returns whether the known keys are fresh enough to authenticate with.
-    pub(super) fn has_fresh_keys(&self) -> bool {
+    pub(super) fn has_fresh_keys(&self, view: &RoutingView) -> bool {
         let Some(trusted) = self.cfg().process.max_key_age() else { return true };
-        self.replicated_state
-            .proof_age(StateKind::Routing)
-            .is_some_and(|age| age <= trusted)
-    }
-
-    /// Returns the reason for refusing a request without a matching route. If the routing
-    /// may be outdated, the route may have been declared since, so the request may be
-    /// retried.
-    pub(super) fn missing_route_reason(&self) -> ErrorReason {
-        match self.is_absence_certain() {
-            true => ErrorReason::NoRoute,
-            false => ErrorReason::StaleRouting,
-        }
+        view.proof_age().is_some_and(|age| age <= trusted)
     }
 
-    /// Returns whether the routing is so fresh that a key or route missing from it is
-    /// missing from every routing that may be in force.
-    fn is_absence_certain(&self) -> bool {
-        let in_force = self.cfg().process.routing_bound;
-        self.replicated_state
-            .proof_age(StateKind::Routing)
-            .is_some_and(|age| age <= in_force)
+    /// Returns whether a key or route missing from the routing is missing from every
+    /// routing that may be in force. If not, the request may be retried.
+    fn is_absence_certain(&self, view: &RoutingView) -> bool {
+        view.is_absence_certain(self.cfg().process.routing_bound)
     }
 
     /// Charges a request to its workspace's limit; the error is the retry time.
--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -247,7 +247,7 @@
             version,
             priority: self.urgency(),
             resume_after: self.resume_after.as_deref(),
-            identity: match self.routing.workspaces {
+            identity: match self.view.routing.workspaces {
                 Some(_) => Identity::Checked(self.workspace_name()),
                 None => Identity::Unchecked,
             },
--- a/crates/larkspring/src/direct/entry/log.rs
+++ b/crates/larkspring/src/direct/entry/log.rs
@@ -8,21 +8,35 @@
 use super::request_handler::RequestHandler;
 use super::view::SelectionInputs;
 use super::EntryState;
+use crate::clock::BootInstant;
 use crate::direct::logs::{self, LineKind};
-use crate::direct::platform_api::{CallerRequest, StateKind};
+use crate::direct::platform_api::CallerRequest;
+use crate::direct::replicated_state::RoutingView;
+
+/// A request that larkspring answers itself, and the inputs of that decision.
+pub(super) struct Refusal<'a> {
+    pub reason: ErrorReason,
+    /// When the request was received.
+    pub received: Instant,
+    /// The routing by which the request is refused, if known.
+    pub view: Option<&'a RoutingView>,
+    pub workspace: Option<&'a str>,
+    /// The inputs of the last endpoint selection.
+    pub inputs: Option<&'a SelectionInputs>,
+    pub fingerprint: Option<ContentHash>,
+}
 
 /// Logs a request that larkspring answered itself.
 pub(super) fn log_refused(
     entry: &EntryState,
     caller: &CallerRequest,
-    workspace: Option<&str>,
-    reason: ErrorReason,
-    since: Instant,
-    inputs: Option<&SelectionInputs>,
-    fingerprint: Option<ContentHash>,
+    refusal: &Refusal<'_>,
 ) {
+    let Refusal { reason, received, view, workspace, inputs, fingerprint } = *refusal;
     if logs::is_allowed(LineKind::Failed) {
-        let basis = entry.replicated_state.proof_basis(StateKind::Routing);
+        let basis = view.and_then(|view| view.basis);
+        let age_ms =
+            |at: Option<BootInstant>| at.map(|at| at.elapsed().as_millis() as u64);
         tracing::warn!(
             event = "unserved",
             request = caller.id,
@@ -30,12 +44,10 @@
             workspace,
             reason = reason.name(),
             status = reason.status().as_u16(),
-            took_ms = since.elapsed().as_millis() as u64,
-            routing = entry.replicated_state.routing().map(|r| r.version),
-            routing_proof_age_ms = entry
-                .replicated_state
-                .proof_age(StateKind::Routing)
-                .map(|age| age.as_millis() as u64),
+            took_ms = received.elapsed().as_millis() as u64,
+            routing = view.map(|view| view.routing.version),
+            routing_proof_age_ms = view.and_then(|view| age_ms(view.proved_at)),
+            routing_list_age_ms = view.and_then(|view| age_ms(view.listed_at)),
             proof_source = basis.map(|b| b.source.name()),
             proof_content = basis.map(|b| b.content.name()),
             proof_revision = basis.map(|b| b.point.revision()),
@@ -74,7 +86,7 @@
             objective_ms = handler.route.first_byte_objective.as_millis() as u64,
             waited_ms = handler.waited.as_millis() as u64,
             attempts = handler.history.attempts + 1,
-            routing = handler.routing.version,
+            routing = handler.view.routing.version,
             store_age_ms = age.map(|age| age.as_millis() as u64),
             same_hall = inputs.map(|i| i.same_hall),
             adapter = model.and_then(|m| m.adapter.as_deref()),
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! 1. [`connections`]: caller connections, their limits and shutdown.
 //! 2. [`request_handler`]: handling of one request; [`admission`] authenticates its
-//!    caller, [`workspace_limits`] enforces the limit of its workspace.
+//!    caller, [`workspace_limits`] enforces the limit of its workspace. [`absence`]
+//!    confirms that a route or key is missing before a request is refused for that.
 //! 3. [`select`]: endpoint selection and the wait for the request's adapter;
 //!    [`select_plain`] selects for plain services, by [`answer_times`].
 //!    [`fair`] divides a saturated plain service among workspaces.
@@ -14,6 +15,7 @@
 //! 8. [`crashes`]: detection of endpoint crashes and of the requests that cause them.
 //! 9. [`unread_answers`]: the bound of the bytes held for callers that read slowly.
 
+mod absence;
 mod admission;
 mod answer;
 mod answer_times;
@@ -58,6 +60,7 @@
 use smol::net::TcpListener;
 use smol::{channel, Task, Timer};
 
+use self::absence::AbsenceCheck;
 use self::crashes::CrashDetector;
 use self::directory::HallDirectory;
 use self::fair::ServiceShares;
@@ -99,6 +102,7 @@
     cfg: ArcSwap<EntryCfg>,
     protocol: Arc<dyn Protocol>,
     replicated_state: Arc<ReplicatedState>,
+    absence: AbsenceCheck,
     fleet: Arc<Fleet>,
     limits: Arc<Limits>,
     permits: Permits,
@@ -171,6 +175,11 @@
             cfg: ArcSwap::from_pointee(cfg),
             protocol,
             replicated_state: replicated_state.clone(),
+            absence: AbsenceCheck::new(
+                directory.clone(),
+                replicated_state.clone(),
+                stats.clone(),
+            ),
             fleet: fleet.clone(),
             limits: limits.clone(),
             permits: Permits::new(fleet.clone(), stats.clone()),
@@ -258,9 +267,10 @@
     /// Returns 200 while the routing and an endpoint are known, the API keys are fresh
     /// enough to authenticate with, and the entry is not stopping; 503 otherwise.
     fn readiness(&self) -> StatusCode {
-        let routing = self.replicated_state.routing();
-        let keys_fresh =
-            routing.is_some_and(|r| r.workspaces.is_none() || self.has_fresh_keys());
+        let view = self.replicated_state.routing_view();
+        let keys_fresh = view.is_some_and(|view| {
+            view.routing.workspaces.is_none() || self.has_fresh_keys(&view)
+        });
         let is_routable = keys_fresh && !self.fleet.is_empty();
         match is_routable && !self.shutdown.is_draining() {
             true => StatusCode::OK,
--- a/crates/larkspring/src/direct/entry/request_handler.rs
+++ b/crates/larkspring/src/direct/entry/request_handler.rs
@@ -13,7 +13,7 @@
 };
 use larkspring_core::fleet::idle::Reuse;
 use larkspring_core::fleet::mechanisms::Mechanism;
-use larkspring_core::fleet::routes::{Route, RouteClass, Routing, Service};
+use larkspring_core::fleet::routes::{Route, RouteClass, Service};
 use larkspring_core::ids::{ContentHash, Incarnation};
 use larkspring_core::workspaces::Workspace;
 
@@ -22,7 +22,7 @@
 use super::attempt::{AttemptOutcome, EndpointAnswer};
 use super::body::{discard, read_body, request_fingerprint, RequestBody};
 use super::connections::ExchangeGuard;
-use super::log::{log_answered, log_refused};
+use super::log::{log_answered, log_refused, Refusal};
 use super::peer::Peer;
 use super::relay::Relay;
 use super::view::SelectionInputs;
@@ -30,12 +30,14 @@
 use crate::direct::conn::SendBody;
 use crate::direct::logs::{self, LineKind};
 use crate::direct::platform_api::CallerRequest;
+use crate::direct::replicated_state::RoutingView;
 use crate::exec::{self, with_timeout};
 
 /// A request that is being served.
 pub(super) struct RequestHandler {
     pub entry: Arc<EntryState>,
-    pub routing: Arc<Routing>,
+    /// The routing by which the request is served.
+    pub view: RoutingView,
     pub route: Arc<Route>,
     pub service: Arc<Service>,
     pub caller: CallerRequest,
@@ -106,33 +108,41 @@
         }
     };
     let needs_adapter = caller.model.is_some();
-    let refuse_with_retry = |reason: ErrorReason, workspace, after, body, done| {
+    let refuse_with_retry = |reason: ErrorReason, view, workspace, after, body, done| {
         exec::spawn(discard(body)).detach();
-        log_refused(&entry, &caller, workspace, reason, received, None, None);
+        let refusal = Refusal {
+            reason,
+            received,
+            view,
+            workspace,
+            inputs: None,
+            fingerprint: None,
+        };
+        log_refused(&entry, &caller, &refusal);
         entry.stats.count_request("", reason.name());
         own_answer(&entry, reason, &caller.id, after, Some(done))
     };
-    let refuse = |reason: ErrorReason, body, done| {
+    let refuse = |reason: ErrorReason, view, body, done| {
         let after = reason.retry_after(needs_adapter);
-        refuse_with_retry(reason, None, after, body, done)
+        refuse_with_retry(reason, view, None, after, body, done)
     };
     if entry.shutdown.is_closing() {
-        return refuse(ErrorReason::Stopping, Some(body), done);
+        return refuse(ErrorReason::Stopping, None, Some(body), done);
     }
-    let Some(routing) = routing(&entry).await else {
-        return refuse(ErrorReason::NoRouting, Some(body), done);
+    let Some(mut view) = routing_view(&entry).await else {
+        return refuse(ErrorReason::NoRouting, None, Some(body), done);
     };
     let host = head.headers.get(HOST).and_then(|h| h.to_str().ok()).unwrap_or_default();
-    let Some(route) = routing.find(host, head.uri.path()).cloned() else {
-        return refuse(entry.missing_route_reason(), Some(body), done);
-    };
-    let workspace = match entry.authorize(&routing, &route, caller.credential) {
-        Ok(workspace) => workspace,
-        Err(reason) => return refuse(reason, Some(body), done),
+    let path = head.uri.path();
+    let admitted = entry.admit(&mut view, host, path, caller.credential).await;
+    let (route, workspace) = match admitted {
+        Ok(admitted) => admitted,
+        Err(reason) => return refuse(reason, Some(&view), Some(body), done),
     };
+    let routing = view.routing.clone();
     let service = route.service(fastrand::u32(..));
     let Some(service) = service.and_then(|name| routing.service(name)).cloned() else {
-        return refuse(ErrorReason::NoEndpoint, Some(body), done);
+        return refuse(ErrorReason::NoEndpoint, Some(&view), Some(body), done);
     };
     let requested_timeout = caller.deadline.unwrap_or(DEFAULT_TIMEOUT);
     let timeout = requested_timeout.min(route.timeout.unwrap_or(requested_timeout));
@@ -144,6 +154,7 @@
                 let name = Some(&*of.name);
                 return refuse_with_retry(
                     ErrorReason::OverLimit,
+                    Some(&view),
                     name,
                     Some(after),
                     Some(body),
@@ -158,8 +169,8 @@
         with_timeout(timeout, read_body(&entry, body, routing.bounds.max_body)).await;
     let body = match read {
         Some(Ok(body)) => body,
-        Some(Err(reason)) => return refuse(reason, None, done),
-        None => return refuse(ErrorReason::TimedOutNotRun, None, done),
+        Some(Err(reason)) => return refuse(reason, Some(&view), None, done),
+        None => return refuse(ErrorReason::TimedOutNotRun, Some(&view), None, done),
     };
     let name = workspace.as_ref().map(|w| &*w.name);
     let fingerprint = request_fingerprint(head.uri.path(), name, &body);
@@ -177,7 +188,7 @@
         waited: Duration::ZERO,
         inputs: None,
         entry,
-        routing,
+        view,
         route,
         service,
         caller,
@@ -223,17 +234,15 @@
         if after.is_some() && self.body.is_fingerprinted() {
             self.entry.record_refusal(self.fingerprint);
         }
-        let (workspace, inputs) = (self.workspace_name(), self.inputs.as_ref());
-        let (caller, fingerprint) = (&self.caller, Some(self.fingerprint));
-        log_refused(
-            &self.entry,
-            caller,
-            workspace,
+        let refusal = Refusal {
             reason,
-            self.received,
-            inputs,
-            fingerprint,
-        );
+            received: self.received,
+            view: Some(&self.view),
+            workspace: self.workspace_name(),
+            inputs: self.inputs.as_ref(),
+            fingerprint: Some(self.fingerprint),
+        };
+        log_refused(&self.entry, &self.caller, &refusal);
         self.entry.stats.count_request(&self.route.name, reason.name());
         own_answer(&self.entry, reason, &self.caller.id, after, Some(done))
     }
@@ -361,7 +370,7 @@
             }
             RequestBody::Streamed { flow, .. } => {
                 let (first, rest) = flow.take()?;
-                Some(SendBody::streamed(first, rest, self.routing.bounds.max_body))
+                Some(SendBody::streamed(first, rest, self.view.routing.bounds.max_body))
             }
         }
     }
@@ -402,13 +411,13 @@
 }
 
 /// Returns the routing; just after the entry's start waits briefly for the first routing.
-async fn routing(entry: &EntryState) -> Option<Arc<Routing>> {
+async fn routing_view(entry: &EntryState) -> Option<RoutingView> {
     let changed = entry.replicated_state.changed();
-    if let Some(routing) = entry.replicated_state.routing() {
-        return Some(routing);
+    if let Some(view) = entry.replicated_state.routing_view() {
+        return Some(view);
     }
     with_timeout(ROUTING_TIMEOUT, changed).await;
-    entry.replicated_state.routing()
+    entry.replicated_state.routing_view()
 }
 
 /// Removes hop-by-hop headers.
--- a/crates/larkspring/src/direct/mod.rs
+++ b/crates/larkspring/src/direct/mod.rs
@@ -14,6 +14,7 @@
 //! platform has to implement.
 
 pub mod agent;
+mod applier;
 pub mod cfg;
 mod conn;
 pub mod entry;
--- a/crates/larkspring/src/direct/replicated_state.rs
+++ b/crates/larkspring/src/direct/replicated_state.rs
@@ -34,11 +34,41 @@
     store_unavailable: Event,
 }
 
+/// The routing in force with its freshness proof, for the decisions on one request.
+#[derive(Debug, Clone)]
+pub struct RoutingView {
+    /// The routing.
+    pub routing: Arc<Routing>,
+    /// A moment at which the store is proved to have held nothing newer.
+    pub proved_at: Option<BootInstant>,
+    /// A moment at which a list read from the store showed nothing newer.
+    pub listed_at: Option<BootInstant>,
+    /// The answer that the proof rests on.
+    pub basis: Option<ProofBasis>,
+}
+
+impl RoutingView {
+    /// Returns the time since the store is proved to have held nothing newer.
+    pub fn proof_age(&self) -> Option<Duration> {
+        self.proved_at.map(BootInstant::elapsed)
+    }
+
+    /// Returns whether what this routing lacks is missing from every routing that may be
+    /// in force, if changes are in force within `bound`.
+    ///
+    /// Only a list shows that: a watch that delivers no change may have missed one.
+    pub fn is_absence_certain(&self, bound: Duration) -> bool {
+        self.listed_at.is_some_and(|at| at.elapsed() <= bound)
+    }
+}
+
 /// The freshness proof of one kind of state.
 #[derive(Debug, Clone, Copy, Default)]
 struct Proof {
     /// A moment at which the store held nothing newer.
     at: Option<BootInstant>,
+    /// A moment at which a list read from the store showed nothing newer.
+    listed_at: Option<BootInstant>,
     /// The answer that gave the proof.
     basis: Option<ProofBasis>,
     /// Whether a newer state was read that is invalid, so that nothing is proved.
@@ -60,6 +90,12 @@
     pub routing: Option<RoutingVersion>,
 }
 
+impl ProofBasis {
+    fn is_list_of_store(self) -> bool {
+        self.source == ReadSource::Store && self.content == ReadContent::Whole
+    }
+}
+
 /// Whether the platform's store answers this process.
 #[derive(Debug, Clone, Copy, Default)]
 struct StoreHealth {
@@ -93,6 +129,16 @@
         self.routing.load_full()
     }
 
+    /// Returns the routing in force with its freshness proof, once known.
+    pub fn routing_view(&self) -> Option<RoutingView> {
+        // The proof is read first: the routing never goes back, so a proof also holds for
+        // a routing that replaces the proved one meanwhile. The reverse is not true.
+        let proof = *self.proof(StateKind::Routing).lock();
+        let routing = self.routing()?;
+        let Proof { at: proved_at, listed_at, basis, .. } = proof;
+        Some(RoutingView { routing, proved_at, listed_at, basis })
+    }
+
     /// Returns the time since the store is proved to have held nothing newer of a kind;
     /// `None` without a proof.
     pub fn proof_age(&self, kind: StateKind) -> Option<Duration> {
@@ -115,16 +161,17 @@
     ) -> bool {
         let mut proof = self.proof(kind).lock();
         let counts = !proof.newest_is_invalid && !proof.is_behind;
-        if counts && proof.at < Some(at) {
+        if !counts {
+            return false;
+        }
+        if proof.at < Some(at) {
             proof.at = Some(at);
             proof.basis = basis;
         }
-        counts
-    }
-
-    /// Returns the answer that the latest freshness proof of a kind rests on.
-    pub fn proof_basis(&self, kind: StateKind) -> Option<ProofBasis> {
-        self.proof(kind).lock().basis
+        if basis.is_some_and(|basis| basis.is_list_of_store()) {
+            proof.listed_at = proof.listed_at.max(Some(at));
+        }
+        true
     }
 
     /// Records whether the newest routing that was read is invalid.
--- a/crates/larkspring/src/direct/watch.rs
+++ b/crates/larkspring/src/direct/watch.rs
@@ -5,21 +5,18 @@
 
 use fastrand::Rng;
 use futures_lite::future;
-use larkspring_core::fleet::read_timing::{
-    AgentReadTiming, ChangeFrequency, StoreReadTiming,
-};
-use larkspring_core::ids::StorePoint;
+use larkspring_core::fleet::read_timing::{AgentReadTiming, StoreReadTiming};
 use larkspring_core::retry::backoff;
 use smol::Timer;
 
+use super::applier::StateApplier;
 use super::cfg::ProcessCfg;
 use super::logs::{self, LineKind};
 use super::platform_api::{
-    ChangeQuery, EncodedState, ReadOutcome, ReadSource, StateKind, StateQuery, StateStore,
+    ChangeQuery, ReadOutcome, ReadSource, StateKind, StateQuery, StateStore,
 };
-use super::replicated_state::{ProofBasis, ReplicatedState};
+use super::replicated_state::ReplicatedState;
 use super::stats::Stats;
-use super::unknown_names::NameSource;
 use crate::exec::{self, with_timeout};
 use crate::platform::PlatformError;
 
@@ -42,6 +39,11 @@
             kind,
             directory: directory.clone(),
             replicated_state: replicated_state.clone(),
+            applier: StateApplier::new(
+                directory.clone(),
+                replicated_state.clone(),
+                stats.clone(),
+            ),
             stats: stats.clone(),
             pace: Pace::of(cfg, kind),
             failures: 0,
@@ -76,6 +78,7 @@
     kind: StateKind,
     directory: Arc<dyn StateStore>,
     replicated_state: Arc<ReplicatedState>,
+    applier: StateApplier,
     stats: Arc<Stats>,
     pace: Pace,
     /// Number of consecutive failed calls.
@@ -110,7 +113,7 @@
                 None => self.directory.read(StateQuery::whole(self.kind)).await,
             };
             let applied = match read {
-                Ok(ReadOutcome::State(state)) => self.apply(&state),
+                Ok(ReadOutcome::State(state)) => self.applier.apply(self.kind, &state),
                 Ok(ReadOutcome::HistoryCompacted) => {
                     tracing::info!(event = "history gone", kind = self.kind.name());
                     after = None;
@@ -122,6 +125,7 @@
                 Ok(applied) => applied,
                 Err(e) => return e,
             };
+            self.failures = 0;
             let (max_wait, pause) = match self.awaits_endpoints() {
                 // The first listed endpoint ends the wait.
                 true => (self.pace.store.pause, self.pace.agent.pause),
@@ -132,68 +136,6 @@
         }
     }
 
-    /// Applies the result of a read; returns its point in the store's history and who
-    /// answered.
-    fn apply(
-        &mut self,
-        state: &EncodedState,
-    ) -> Result<(StorePoint, ReadSource), PlatformError> {
-        let listed = self.directory.decode(self.kind, state)?;
-        let now = Instant::now();
-        self.failures = 0;
-        match state.source {
-            ReadSource::Store => self.stats.count_store_call(self.kind.name(), true),
-            ReadSource::Agent => self.stats.count_agent_read(self.kind.name()),
-        }
-        self.replicated_state
-            .record_store_answer(now.checked_sub(state.age).unwrap_or(now));
-        let at = listed.at;
-        self.stats.set_store_point(self.kind.name(), at);
-        self.stats.count_unknown_names(NameSource::Listed, &listed.unknown_names);
-        let left_out = listed.items.iter().filter(|item| item.is_invalid()).count();
-        self.stats.count_invalid_items(self.kind.name(), left_out as u64);
-        let unreadable = left_out > 0;
-        let readable = !listed.items.is_empty() && !unreadable;
-        match state.is_complete {
-            true => self.replicated_state.replace_all(now, self.kind, listed),
-            false => self.replicated_state.apply_changes(now, listed),
-        }
-        if self.kind == StateKind::Routing && (unreadable || readable) {
-            self.replicated_state.set_routing_invalid(unreadable);
-        }
-        let basis = ProofBasis {
-            source: state.source,
-            content: state.content(),
-            point: at,
-            routing: self.replicated_state.routing().map(|r| r.version),
-        };
-        let proved = state.proved_at.is_some_and(|at| {
-            self.replicated_state.record_proof_of(self.kind, at, Some(basis))
-        });
-        self.log_read(state, basis, proved);
-        Ok((at, state.source))
-    }
-
-    /// Logs a read of state that changes rarely. Endpoints change with each read, and
-    /// their changes are logged.
-    fn log_read(&self, state: &EncodedState, basis: ProofBasis, proved: bool) {
-        let is_rare = ProcessCfg::change_frequency(self.kind) == ChangeFrequency::Rare;
-        if is_rare && logs::is_allowed(LineKind::StateChange) {
-            let sent_ms_ago = state.proved_at.map(|at| at.elapsed().as_millis() as u64);
-            tracing::info!(
-                event = "state read",
-                kind = self.kind.name(),
-                source = basis.source.name(),
-                content = basis.content.name(),
-                epoch = basis.point.epoch(),
-                revision = basis.point.revision(),
-                sent_ms_ago,
-                proved,
-                routing = basis.routing,
-            );
-        }
-    }
-
     async fn watch(&self, after: ChangeQuery) -> Result<ReadOutcome, PlatformError> {
         let unavailable = async {
             self.replicated_state.wait_store_unavailable().await;
