--- a/crates/larkspring-core/src/admission/shares.rs
+++ b/crates/larkspring-core/src/admission/shares.rs
@@ -16,9 +16,8 @@
 /// each class get some answers and keep sending the requests by which their demand is
 /// known.
 const FLOOR_FRACTION: f64 = 0.1;
-/// Time constant of the demand, slightly less than the poll interval of entries. With
-/// 500 ms, requests are refused for more than 600 ms after an overload; with 150 ms, the
-/// reports of a single entry show as swings that leave units unused.
+/// Time constant of the demand, slightly less than the poll interval of entries, so that
+/// the reports of a single entry don't show as swings.
 pub(crate) const TIME_CONSTANT: Duration = Duration::from_millis(200);
 /// Demand below which a class has none, in units a second; a smoothed rate decays but
 /// never reaches zero.
--- a/crates/larkspring-core/src/engine_scheduler/window.rs
+++ b/crates/larkspring-core/src/engine_scheduler/window.rs
@@ -31,8 +31,8 @@
 /// to 35 ms) came from a copy in the VM's memory, of which only the most recent are known
 /// here; counted as a fetch, one such load would make all others look slow.
 const MIN_FETCH_TIME: Duration = Duration::from_millis(100);
-/// Smallest window. With 48 engines on a store that serves 16 fetches at full speed, the
-/// share of each engine is a third.
+/// Smallest window. The share of an engine in a store that many engines use is less than
+/// one fetch.
 const MIN_SIZE: f64 = 0.5;
 /// Ratio to the shortest fetch above which the store counts as overloaded. It allows a
 /// queue of a quarter of the store's concurrency, so that the store is never idle.
--- a/crates/larkspring-core/src/fleet/choose.rs
+++ b/crates/larkspring-core/src/fleet/choose.rs
@@ -161,8 +161,8 @@
 /// part of the objectives of 150 ms and more. The odds would exaggerate shorter times.
 const MIN_PLAIN_ANSWER_MS: f64 = 10.0;
 /// Exponent of the odds of an endpoint of a plain service. An endpoint that costs a tenth
-/// more gets a fifth as many requests, one that costs half as much again next to none.
-/// With 4, twice as many requests leave a hall whose endpoint has room.
+/// more gets a fifth as many requests, one that costs half as much again next to none, so
+/// that few requests leave a hall whose endpoint has room.
 const COST_EXPONENT: i32 = 16;
 /// Highest rank that adds cost; endpoints ranked lower cost the same.
 const MAX_RANK: usize = 6;
--- a/crates/larkspring-core/src/fleet/response_time.rs
+++ b/crates/larkspring-core/src/fleet/response_time.rs
@@ -12,17 +12,15 @@
     updated_at: Option<Instant>,
 }
 
-/// Time in which the excess of the estimate over the moving average halves. A queue of 24
-/// requests drains from 6 slots in 120 ms. With 300 ms, entries stay away from endpoints
-/// whose queues are gone and crowd the others.
+/// Time in which the excess of the estimate over the moving average halves: about that in
+/// which an endpoint's full queue drains, so that entries come back once it is gone.
 const HALF_LIFE: Duration = Duration::from_millis(150);
 /// Part of the way that the estimate rises to a slower answer. With the whole way, one
 /// slow answer moves all requests of the entry, and the entries that saw the same queue
 /// move in step.
 const RISE: f64 = 0.5;
 /// Weight of a slower answer in the moving average. The average stays near the time
-/// without a queue, so that an endpoint gets requests again soon after it was slow. With
-/// 0.03, some endpoints got none for three seconds after they recovered.
+/// without a queue, so that an endpoint gets requests again soon after it was slow.
 const SLOWER_WEIGHT: f64 = 0.01;
 /// Weight of a faster answer, which shows that the endpoint had no queue.
 const FASTER_WEIGHT: f64 = 0.15;
--- a/crates/larkspring-core/src/limits/bucket_owner.rs
+++ b/crates/larkspring-core/src/limits/bucket_owner.rs
@@ -121,8 +121,8 @@
 const MIN_RESERVE_FRACTION: f64 = 0.3;
 /// Number of buckets from which on full buckets are evicted.
 const MAX_BUCKETS: usize = 16 * 1024;
-/// Time over which the units in a bucket are spread while classes compete for them. With
-/// 2 s, a single large request within the limit of a small workspace closes the gate.
+/// Time over which the units in a bucket are spread while classes compete for them, so
+/// that a single large request within a small limit does not close the gate.
 const SUPPLY_SPREAD: Duration = Duration::from_millis(300);
 /// Fraction of a full bucket that is not divided among the classes, so that requests
 /// admitted by their class seldom find the bucket empty.
--- a/crates/larkspring-core/src/limits/reservations/workspace_state.rs
+++ b/crates/larkspring-core/src/limits/reservations/workspace_state.rs
@@ -59,8 +59,8 @@
 /// refills meanwhile, and a workspace far over its limit costs at most 20 requests for
 /// units a second and entry.
 const EMPTY_BUCKET_BACKOFF: Duration = Duration::from_millis(50);
-/// Interval of reports of demand while the gate is closed. At the poll interval, requests
-/// are still refused more than 600 ms after an overload.
+/// Interval of reports of demand while the gate is closed, short so that requests are
+/// admitted again soon after an overload.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Bounds of the time after which a refused caller is asked to retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
--- a/crates/larkspring/src/direct/agent/state_cache.rs
+++ b/crates/larkspring/src/direct/agent/state_cache.rs
@@ -1,10 +1,9 @@
 //! Reads the declared state once for all entries of a hall.
 //!
-//! Every entry needs the state, and each call to the platform's store is charged. With 68
-//! entries that read the store themselves there were 3,264 calls on a quiet day, the
-//! largest share of the cost. Instead an entry reads from an agent of its hall, which
-//! keeps the store's answers undecoded and states their age. The entry reads the store
-//! itself as soon as that age is over the bound.
+//! Every entry needs the state, and each call to the platform's store is charged.
+//! Therefore an entry reads from an agent of its hall, which keeps the store's answers
+//! undecoded and states their age. The entry reads the store itself as soon as that age
+//! is over the bound.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
--- a/crates/larkspring/src/direct/entry/workspace_limits.rs
+++ b/crates/larkspring/src/direct/entry/workspace_limits.rs
@@ -57,9 +57,8 @@
 /// How long a bucket owner that did not reply gets no requests. An agent that is
 /// unresponsive for longer is no owner for any entry.
 const SKIP_DURATION: Duration = Duration::from_millis(1000);
-/// Number of entries assumed while no agent is live, close to the 68 of the largest
-/// deployment. With 1, each entry would grant the whole limit after the loss of all
-/// agents.
+/// Number of entries assumed while no agent is live, as otherwise each entry would grant
+/// the whole limit after the loss of all agents.
 const ASSUMED_ENTRIES: u32 = 64;
 /// Decision on a request whose state was dropped.
 const NO_ANSWER: LimitDecision =
