Break the import circle between an endpoint's state and its connections

Cause: peer.rs holds the idle connections and answer times of an endpoint, and both modules imported peer.rs for the handles that outlive a call. Change: the wait for an answer holds the answer times it records to; the reuse of a connection is a module of its own above both. No behaviour changes.

--- a/crates/larkspring/src/direct/entry/answer_times.rs
+++ b/crates/larkspring/src/direct/entry/answer_times.rs
@@ -6,8 +6,6 @@
 use larkspring_core::fleet::response_time::ResponseTime;
 use parking_lot::Mutex;
 
-use super::peer::Peer;
-
 /// Response times and open requests of one endpoint.
 #[derive(Default)]
 pub(super) struct AnswerTimes {
@@ -19,7 +17,7 @@
 /// A request that waits for its answer. If dropped without [`AnswerWait::end`], the
 /// request ended without an answer.
 pub(super) struct AnswerWait {
-    peer: Arc<Peer>,
+    times: Arc<AnswerTimes>,
     since: Instant,
     answered: bool,
 }
@@ -37,9 +35,9 @@
 
 impl AnswerWait {
     /// Begins the wait for the answer to a request that is sent at `now`.
-    pub fn begin(peer: Arc<Peer>, now: Instant) -> Self {
-        peer.answer_times.waiting.lock().push(now);
-        Self { peer, since: now, answered: false }
+    pub fn begin(times: Arc<AnswerTimes>, now: Instant) -> Self {
+        times.waiting.lock().push(now);
+        Self { times, since: now, answered: false }
     }
 
     /// Ends the wait with an answer.
@@ -50,8 +48,7 @@
 
 impl Drop for AnswerWait {
     fn drop(&mut self) {
-        let times = &self.peer.answer_times;
-        let mut waiting = times.waiting.lock();
+        let mut waiting = self.times.waiting.lock();
         if let Some(at) = waiting.iter().position(|since| *since == self.since) {
             waiting.swap_remove(at);
         }
@@ -59,8 +56,8 @@
         let now = Instant::now();
         let took = now.saturating_duration_since(self.since);
         match self.answered {
-            true => times.time.lock().record(now, took),
-            false => times.time.lock().record_unanswered(now, took),
+            true => self.times.time.lock().record(now, took),
+            false => self.times.time.lock().record_unanswered(now, took),
         }
     }
 }
--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -17,11 +17,11 @@
 use larkspring_core::ids::{Incarnation, Target};
 
 use super::answer_times::AnswerWait;
-use super::idle_connections::ReusedConnection;
 use super::link::Hold;
 use super::peer::{OpenRequest, Peer};
 use super::permits::Permit;
 use super::request_handler::RequestHandler;
+use super::reused_connection::ReusedConnection;
 use super::view::SelectionInputs;
 use crate::direct::conn::{EndpointConn, SendBody, SendError};
 use crate::direct::logs::{self, LineKind};
@@ -100,7 +100,7 @@
         let peer = selection.open_request.peer.clone();
         let sent = Instant::now();
         let is_plain = self.service.engine.is_none();
-        let wait = is_plain.then(|| AnswerWait::begin(peer.clone(), sent));
+        let wait = is_plain.then(|| AnswerWait::begin(peer.answer_times.clone(), sent));
         let ended = self.send(selection, &peer).await;
         if let (Some(wait), AttemptOutcome::Answered(_)) = (wait, &ended) {
             wait.end();
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -36,6 +36,7 @@
 mod permits;
 mod relay;
 mod request_handler;
+mod reused_connection;
 mod select;
 mod select_plain;
 mod unread_answers;
--- a/crates/larkspring/src/direct/entry/peer.rs
+++ b/crates/larkspring/src/direct/entry/peer.rs
@@ -45,7 +45,7 @@
     gone_until: Mutex<Option<Instant>>,
     quality: Mutex<EndpointQuality>,
     /// Response times, recorded for endpoints of plain services.
-    pub answer_times: AnswerTimes,
+    pub answer_times: Arc<AnswerTimes>,
     cached_parts: Mutex<CachedParts>,
     /// Interrupted requests, kept until it is known whether the endpoint crashed.
     interrupted: Mutex<Vec<InterruptedRequest>>,
@@ -117,7 +117,7 @@
             prefill_tokens: AtomicU32::new(0),
             gone_until: Mutex::default(),
             quality: Mutex::new(EndpointQuality::new(Instant::now())),
-            answer_times: AnswerTimes::default(),
+            answer_times: Arc::default(),
             cached_parts: Mutex::default(),
             interrupted: Mutex::default(),
         })
