Trust keys by lists of the store, which agents relay by their age

What callers see: a revoked key is accepted beyond the bound on revocation while watches of the store omit the revocation. Cause: the same as for denied routes: answers without changes renewed the proof by which keys are trusted, also through agents. Why it works: keys are trusted by the age of the last list, which is linearizable. A reader lists the routing when that list is older than its wait for changes. An agent of an earlier build names no list, and is passed over where callers have keys. Sites without keys read as before.

--- a/crates/larkspring-proto/src/gen/larkspring.residency.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.residency.rs
@@ -43,6 +43,10 @@
     /// another one.
     #[prost(enumeration = "Kind", tag = "9")]
     pub kind: i32,
+    /// Time since the agent sent the last answered call that listed the whole state of this
+    /// kind. Absent without such a call, and from agents of an earlier build.
+    #[prost(uint64, optional, tag = "10")]
+    pub list_age_ms: ::core::option::Option<u64>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct FromEntry {
--- a/crates/larkspring/src/direct/agent/state_cache.rs
+++ b/crates/larkspring/src/direct/agent/state_cache.rs
@@ -33,6 +33,9 @@
     store: StoreReader,
     stats: Arc<Stats>,
     paces: [StoreReadTiming; StateKind::ALL.len()],
+    /// Age of the last list of the routing at which the routing is listed again; `None`
+    /// if callers need no keys.
+    max_list_age: Option<Duration>,
     feeds: [Feed; StateKind::ALL.len()],
 }
 
@@ -54,6 +57,8 @@
     answered_at: Option<Instant>,
     /// When the call for that answer was sent.
     proved_at: Option<BootInstant>,
+    /// When the last list was sent that was answered.
+    list_sent_at: Option<BootInstant>,
     /// Whether the whole state has to be read again.
     must_list: bool,
     /// When an entry last sent a read; the store is read only while entries read.
@@ -97,6 +102,7 @@
             store: StoreReader::new(directory, stats.clone()),
             stats,
             paces: StateKind::ALL.map(pace),
+            max_list_age: cfg.routing_wait(),
             feeds: Default::default(),
         })
     }
@@ -155,7 +161,10 @@
                 }
                 let known = cached.at;
                 let is_full = cached.changes.len() >= MAX_KEPT_CHANGES;
-                let lists = cached.answered_at.is_none() || cached.must_list || is_full;
+                let lists = cached.answered_at.is_none()
+                    || cached.must_list
+                    || is_full
+                    || self.is_list_due(kind, &cached);
                 (!lists)
                     .then_some(ChangeQuery { known, max_wait: self.pace(kind).long_poll })
             };
@@ -198,12 +207,31 @@
             }
         };
         let now = Instant::now();
-        if feed.cached.lock().apply(state, now) {
+        let mut cached = feed.cached.lock();
+        let is_same = state.is_complete
+            && cached.answered_at.is_some()
+            && self.store.holds_same_items(&cached.complete_state(), &state);
+        let has_changed = match is_same {
+            true => cached.confirm(&state, now),
+            false => cached.apply(state, now),
+        };
+        drop(cached);
+        if has_changed {
             feed.changed.notify(usize::MAX);
         }
         self.pace(kind).pause
     }
 
+    /// Returns whether the keys need a newer list: only a list proves that no key was
+    /// revoked.
+    fn is_list_due(&self, kind: StateKind, cached: &CachedState) -> bool {
+        let Some(max_age) = self.max_list_age.filter(|_| kind == StateKind::Routing)
+        else {
+            return false;
+        };
+        cached.list_sent_at.is_none_or(|at| at.elapsed() >= max_age)
+    }
+
     fn pace(&self, kind: StateKind) -> &StoreReadTiming {
         &self.paces[kind as usize]
     }
@@ -218,6 +246,7 @@
             self.must_list = false;
             self.pages = state.pages;
             self.listed_at = state.at;
+            self.list_sent_at = state.listed_at;
             self.changes.clear();
         }
         let changed = state.is_complete || !state.changes.is_empty();
@@ -227,6 +256,28 @@
         changed
     }
 
+    /// Returns the whole cached state.
+    fn complete_state(&self) -> EncodedState {
+        EncodedState {
+            at: self.at,
+            is_complete: true,
+            pages: self.pages.clone(),
+            changes: self.changes.iter().map(|change| change.body.clone()).collect(),
+            ..EncodedState::default()
+        }
+    }
+
+    /// Keeps the cached state, which a list has shown to be current, so that entries
+    /// don't get the whole state again. Returns that nothing changed.
+    fn confirm(&mut self, list: &EncodedState, now: Instant) -> bool {
+        self.answered_at = Some(now);
+        self.proved_at = list.proved_at;
+        self.list_sent_at = list.listed_at;
+        self.must_list = false;
+        self.at = list.at;
+        false
+    }
+
     /// Returns the point up to which an entry knows the state; a request without an epoch
     /// means the present epoch.
     fn known_point(&self, req: &wire::ReadRequest) -> StorePoint {
@@ -256,6 +307,7 @@
                 .map_or(u64::MAX, |at| at.elapsed().as_millis() as u64 + 1),
             held_ms: 0,
             kind: req.kind,
+            list_age_ms: self.list_sent_at.map(|at| at.elapsed().as_millis() as u64 + 1),
         }
     }
 }
--- a/crates/larkspring/src/direct/applier.rs
+++ b/crates/larkspring/src/direct/applier.rs
@@ -64,6 +64,7 @@
             source: state.source,
             content: state.content(),
             point: at,
+            listed_at: state.listed_at,
             routing: self.replicated_state.routing().map(|r| r.version),
         };
         let proved = state.proved_at.is_some_and(|at| {
--- a/crates/larkspring/src/direct/cfg.rs
+++ b/crates/larkspring/src/direct/cfg.rs
@@ -51,12 +51,11 @@
     pub regions: HallRegions,
 }
 
-/// Fraction of the revocation time for which a copy of the keys is trusted. The rest
-/// covers a store whose watches stay unresponsive for a second while its state changes.
+/// Fraction of the revocation time for which a copy of the keys is trusted.
 const KEY_TRUST_FRACTION: f64 = 0.78;
-/// Fraction of the trusted time for which a read of the routing waits for a change. An
-/// entry's proof is up to two of these waits and its own old, and during an outage of the
-/// store requests are served for the rest of the trusted time.
+/// Fraction of the trusted time for which a read of the routing waits for a change, and
+/// after which the routing is listed anew. During an outage of the store requests are
+/// served for the rest of the trusted time.
 const ROUTING_WAIT_FRACTION: f64 = 0.1;
 /// Fraction of [`ProcessCfg::version_bound`] within which a new version becomes known.
 /// The rest is left for loading it and for requests that still wait to start on the
--- a/crates/larkspring/src/direct/entry/admission.rs
+++ b/crates/larkspring/src/direct/entry/admission.rs
@@ -115,10 +115,11 @@
         }
     }
 
-    /// Returns whether the known keys are fresh enough to authenticate with.
+    /// Returns whether the known keys are fresh enough to authenticate with. Only a list
+    /// of the store shows that no key was revoked: a watch may have missed the change.
     pub(super) fn has_fresh_keys(&self, view: &RoutingView) -> bool {
         let Some(trusted) = self.cfg().process.max_key_age() else { return true };
-        view.proof_age().is_some_and(|age| age <= trusted)
+        view.list_age().is_some_and(|age| age <= trusted)
     }
 
     /// Returns whether a key or route missing from the routing is missing from every
--- a/crates/larkspring/src/direct/entry/directory.rs
+++ b/crates/larkspring/src/direct/entry/directory.rs
@@ -37,8 +37,11 @@
     agent_paces: [AgentReadTiming; StateKind::ALL.len()],
     /// Maximum age of a routing by which requests are served; `None` for any age.
     max_routing_age: Option<Duration>,
-    /// Latest time at which the store is proved to have held no newer routing.
-    proved_at: Mutex<Option<BootInstant>>,
+    /// When the latest list of the routing that any answer rests on was sent.
+    listed_at: Mutex<Option<BootInstant>>,
+    /// Age of that list at which the routing is listed again, instead of watched; `None`
+    /// if callers need no keys.
+    max_list_age: Option<Duration>,
     /// When the store last answered the source of this entry's state, by kind.
     store_answered_at: Mutex<[Option<BootInstant>; StateKind::ALL.len()]>,
     /// Agents that failed to return a usable state, with the time until which they get no
@@ -97,7 +100,8 @@
             agent_paces: StateKind::ALL
                 .map(|kind| AgentReadTiming::new(cfg.max_staleness(kind))),
             max_routing_age: cfg.max_key_age(),
-            proved_at: Mutex::default(),
+            listed_at: Mutex::default(),
+            max_list_age: cfg.routing_wait(),
             store_answered_at: Mutex::default(),
             skipped: Mutex::default(),
             is_first_list_pending: AtomicBool::new(true),
@@ -116,8 +120,8 @@
                 BootInstant::now().checked_sub(state.age);
         }
         if let (StateKind::Routing, Ok(ReadOutcome::State(state))) = (ask.kind, &read) {
-            let mut proved = self.proved_at.lock();
-            *proved = (*proved).max(state.proved_at);
+            let mut listed_at = self.listed_at.lock();
+            *listed_at = (*listed_at).max(state.listed_at);
         }
         read
     }
@@ -176,6 +180,10 @@
         if ask.kind != StateKind::Routing || self.max_routing_age.is_none() {
             return self.store.read(ask, pace).await;
         }
+        let ask = match self.is_list_due() {
+            true => StateQuery::whole(ask.kind),
+            false => ask,
+        };
         let wait = ask.changes.map_or(Duration::ZERO, |after| after.max_wait);
         let read = self.store.read(ask, pace);
         let read = with_timeout(wait + pace.answer_timeout + STORE_TIMEOUT, read).await;
@@ -183,15 +191,23 @@
         read.unwrap_or_else(|| Err(timed_out()))
     }
 
-    /// Returns whether the routing's latest freshness proof is so old that the routing
-    /// soon exceeds its maximum age.
+    /// Returns whether the keys need a newer list: only a list proves that no key was
+    /// revoked.
+    fn is_list_due(&self) -> bool {
+        let listed_at = *self.listed_at.lock();
+        self.max_list_age
+            .is_some_and(|max_age| listed_at.is_none_or(|at| at.elapsed() >= max_age))
+    }
+
+    /// Returns whether the routing's latest list is so old that the routing soon exceeds
+    /// its maximum age.
     fn is_urgent(&self, kind: StateKind) -> bool {
         let Some(max_age) = self.max_routing_age.filter(|_| kind == StateKind::Routing)
         else {
             return false;
         };
         let urgent = max_age.mul_f64(URGENT_FRACTION);
-        self.proved_at.lock().is_none_or(|at| at.elapsed() > urgent)
+        self.listed_at.lock().is_none_or(|at| at.elapsed() > urgent)
     }
 
     /// Limits a read's wait for a change to [`URGENT_WAIT`] if the read is urgent.
@@ -292,8 +308,10 @@
             return Err(format!("its state is of epoch {}", at.epoch()));
         }
         let proof_age = Duration::from_millis(reply.proof_age_ms);
-        if self.is_proof_too_old(ask.kind, proof_age) {
-            return Err(format!("its proof is {} ms old", proof_age.as_millis()));
+        let list_age = reply.list_age_ms.map(Duration::from_millis);
+        if self.is_list_too_old(ask.kind, list_age) {
+            let age = list_age.map(|age| age.as_millis());
+            return Err(format!("its list is {age:?} ms old"));
         }
         // The proof's age is as of the reply, which the agent made `held_ms` after it got
         // the request. Counted from the sending of the request, the proof is dated no
@@ -308,14 +326,17 @@
             changes: reply.changes,
             age,
             proved_at: made.checked_sub(proof_age),
+            listed_at: list_age.and_then(|age| made.checked_sub(age)),
             source: ReadSource::Agent,
         })
     }
 
-    /// Returns whether a freshness proof is so old that another source is asked.
-    fn is_proof_too_old(&self, kind: StateKind, age: Duration) -> bool {
+    /// Returns whether an agent's last list is so old that another source is asked.
+    fn is_list_too_old(&self, kind: StateKind, age: Option<Duration>) -> bool {
         let max_age = self.max_routing_age.filter(|_| kind == StateKind::Routing);
-        max_age.is_some_and(|max_age| age > max_age.mul_f64(URGENT_FRACTION))
+        max_age.is_some_and(|max_age| {
+            age.is_none_or(|age| age > max_age.mul_f64(URGENT_FRACTION))
+        })
     }
 
     fn skip(&self, reader: &Reader, kind: StateKind, cause: &str) {
@@ -339,6 +360,10 @@
     ) -> Result<DecodedState, PlatformError> {
         self.store.decode(kind, state)
     }
+
+    fn holds_same_items(&self, a: &EncodedState, b: &EncodedState) -> bool {
+        self.store.holds_same_items(a, b)
+    }
 }
 
 /// Limits a read's wait for a change to [`URGENT_WAIT`].
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -290,6 +290,9 @@
         for kind in StateKind::ALL {
             self.stats.set_proof_age(kind.name(), self.replicated_state.proof_age(kind));
         }
+        let list_age = self.replicated_state.routing_view().and_then(|v| v.list_age());
+        let list_age_ms = list_age.map_or(-1, |age| age.as_millis() as i64);
+        self.stats.set_gauge("routing_list_age_ms", list_age_ms);
         for (workspace, units) in self.limits.reserved() {
             self.stats.set_reserved_units(&workspace, units as i64);
         }
--- a/crates/larkspring/src/direct/platform_api.rs
+++ b/crates/larkspring/src/direct/platform_api.rs
@@ -33,6 +33,10 @@
         kind: StateKind,
         state: &EncodedState,
     ) -> Result<DecodedState, PlatformError>;
+
+    /// Returns whether two complete states hold the same items; `false` if that is
+    /// unknown.
+    fn holds_same_items(&self, a: &EncodedState, b: &EncodedState) -> bool;
 }
 
 /// Stores the fingerprints of quarantined requests, so that they survive a restart of all
@@ -118,6 +122,9 @@
     /// When the call to the store that returned this state was sent: the store held
     /// nothing newer of this kind at that time. `None` if the time is unknown.
     pub proved_at: Option<BootInstant>,
+    /// When the last call to the store that listed the whole state was sent, and nothing
+    /// newer of this kind was found. `None` if no such call is known.
+    pub listed_at: Option<BootInstant>,
     /// Who answered the read.
     pub source: ReadSource,
 }
--- a/crates/larkspring/src/direct/reader.rs
+++ b/crates/larkspring/src/direct/reader.rs
@@ -73,6 +73,11 @@
         self.directory.decode(kind, state)
     }
 
+    /// Returns whether two complete states hold the same items.
+    pub fn holds_same_items(&self, a: &EncodedState, b: &EncodedState) -> bool {
+        self.directory.holds_same_items(a, b)
+    }
+
     async fn list(&self, ask: StateQuery) -> Result<ReadOutcome, PlatformError> {
         let began = Instant::now();
         let read = self.directory.read(ask).await;
--- a/crates/larkspring/src/direct/replicated_state.rs
+++ b/crates/larkspring/src/direct/replicated_state.rs
@@ -41,7 +41,8 @@
     pub routing: Arc<Routing>,
     /// A moment at which the store is proved to have held nothing newer.
     pub proved_at: Option<BootInstant>,
-    /// A moment at which a list read from the store showed nothing newer.
+    /// A moment at which a list of the store, read by this process or by an agent, showed
+    /// nothing newer.
     pub listed_at: Option<BootInstant>,
     /// The answer that the proof rests on.
     pub basis: Option<ProofBasis>,
@@ -53,12 +54,17 @@
         self.proved_at.map(BootInstant::elapsed)
     }
 
+    /// Returns the time since a list of the store showed nothing newer.
+    pub fn list_age(&self) -> Option<Duration> {
+        self.listed_at.map(BootInstant::elapsed)
+    }
+
     /// Returns whether what this routing lacks is missing from every routing that may be
     /// in force, if changes are in force within `bound`.
     ///
     /// Only a list shows that: a watch that delivers no change may have missed one.
     pub fn is_absence_certain(&self, bound: Duration) -> bool {
-        self.listed_at.is_some_and(|at| at.elapsed() <= bound)
+        self.list_age().is_some_and(|age| age <= bound)
     }
 }
 
@@ -67,7 +73,7 @@
 struct Proof {
     /// A moment at which the store held nothing newer.
     at: Option<BootInstant>,
-    /// A moment at which a list read from the store showed nothing newer.
+    /// A moment at which a list of the store showed nothing newer.
     listed_at: Option<BootInstant>,
     /// The answer that gave the proof.
     basis: Option<ProofBasis>,
@@ -86,16 +92,12 @@
     pub content: ReadContent,
     /// The point of the store's history that the answer named.
     pub point: StorePoint,
+    /// When the list of the store was sent that the answer rests on, if any.
+    pub listed_at: Option<BootInstant>,
     /// The version of the routing that was in force after the answer was applied.
     pub routing: Option<RoutingVersion>,
 }
 
-impl ProofBasis {
-    fn is_list_of_store(self) -> bool {
-        self.source == ReadSource::Store && self.content == ReadContent::Whole
-    }
-}
-
 /// Whether the platform's store answers this process.
 #[derive(Debug, Clone, Copy, Default)]
 struct StoreHealth {
@@ -168,9 +170,7 @@
             proof.at = Some(at);
             proof.basis = basis;
         }
-        if basis.is_some_and(|basis| basis.is_list_of_store()) {
-            proof.listed_at = proof.listed_at.max(Some(at));
-        }
+        proof.listed_at = proof.listed_at.max(basis.and_then(|basis| basis.listed_at));
         true
     }
 
--- a/crates/larkspring/tests/routing_view.rs
+++ b/crates/larkspring/tests/routing_view.rs
@@ -1,6 +1,7 @@
 //! The routing and the proof by which a request is refused belong together.
 
 use std::collections::BTreeSet;
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use larkspring::clock::{advance, BootInstant};
@@ -13,8 +14,8 @@
 
 /// Longer than any time for which a test runs.
 const BOUND: Duration = Duration::from_secs(600);
-/// Longer than the time by which any test of this file advances the clock.
-const LONG_BOUND: Duration = Duration::from_secs(6000);
+/// Held by a test that advances the clock, which all tests of a process share.
+static CLOCK: Mutex<()> = Mutex::new(());
 
 fn put_in_force(state: &ReplicatedState, version: RoutingVersion) {
     let routing = Routing::new(version, [], [], RequestLimits::default());
@@ -24,60 +25,69 @@
     state.apply_changes(Instant::now(), DecodedState { at, items, unknown_names });
 }
 
-fn basis(source: ReadSource, content: ReadContent) -> Option<ProofBasis> {
+fn basis(listed_at: Option<BootInstant>) -> Option<ProofBasis> {
+    let (source, content) = (ReadSource::Store, ReadContent::Unchanged);
     let point = StorePoint::new(1, 1);
-    Some(ProofBasis { source, content, point, routing: None })
+    Some(ProofBasis { source, content, point, listed_at, routing: None })
 }
 
 /// Guards against refusing a request by an old routing with the proof of a newer one that
 /// comes into force while the request is handled.
 #[test]
 fn a_view_keeps_the_proof_of_its_own_routing() {
+    let _clock = CLOCK.lock();
     let state = ReplicatedState::default();
-    let list = basis(ReadSource::Store, ReadContent::Whole);
+    let prove = |state: &ReplicatedState| {
+        let now = BootInstant::now();
+        state.record_proof_of(StateKind::Routing, now, basis(Some(now)));
+    };
     put_in_force(&state, 1);
-    state.record_proof_of(StateKind::Routing, BootInstant::now(), list);
+    prove(&state);
     let old = state.routing_view().unwrap();
     assert!(old.is_absence_certain(BOUND));
     advance(BOUND);
     put_in_force(&state, 2);
-    state.record_proof_of(StateKind::Routing, BootInstant::now(), list);
+    prove(&state);
     let new = state.routing_view().unwrap();
     assert_eq!((old.routing.version, new.routing.version), (1, 2));
     assert!(!old.is_absence_certain(BOUND));
     assert!(new.is_absence_certain(BOUND));
 }
 
-/// Guards against denying a route by an answer that does not show all routes that the
-/// store held: one of an agent, or one that holds only changes or none.
+/// Guards against denying a route, or trusting a key, by an answer that rests on no list
+/// of the store, or on a list older than the bound.
 #[test]
-fn only_a_list_of_the_store_shows_that_a_route_is_missing() {
+fn only_a_recent_list_of_the_store_shows_that_a_route_is_missing() {
     struct Case {
-        source: ReadSource,
-        content: ReadContent,
+        name: &'static str,
+        /// The ages of the lists that successive answers rest on.
+        lists: &'static [Option<Duration>],
         certain: bool,
     }
-    let case = |source, content, certain| Case { source, content, certain };
+    const OLD: Duration = Duration::from_secs(601);
     let cases = [
-        case(ReadSource::Store, ReadContent::Whole, true),
-        case(ReadSource::Store, ReadContent::Changes, false),
-        case(ReadSource::Store, ReadContent::Unchanged, false),
-        case(ReadSource::Agent, ReadContent::Whole, false),
-        case(ReadSource::Agent, ReadContent::Unchanged, false),
+        Case { name: "none", lists: &[None], certain: false },
+        Case { name: "recent", lists: &[Some(Duration::ZERO)], certain: true },
+        Case { name: "old", lists: &[Some(OLD)], certain: false },
+        Case { name: "none after", lists: &[Some(Duration::ZERO), None], certain: true },
+        Case {
+            name: "old after",
+            lists: &[Some(Duration::ZERO), Some(OLD)],
+            certain: true,
+        },
     ];
+    let _clock = CLOCK.lock();
+    advance(OLD);
     for c in cases {
         let state = ReplicatedState::default();
         put_in_force(&state, 1);
-        let at = BootInstant::now();
-        state.record_proof_of(StateKind::Routing, at, basis(c.source, c.content));
+        for age in c.lists {
+            let now = BootInstant::now();
+            let listed_at = age.and_then(|age| now.checked_sub(age));
+            state.record_proof_of(StateKind::Routing, now, basis(listed_at));
+        }
         let view = state.routing_view().unwrap();
-        assert_eq!(
-            view.is_absence_certain(LONG_BOUND),
-            c.certain,
-            "{:?} {:?}",
-            c.source,
-            c.content
-        );
-        assert!(view.proof_age().is_some());
+        assert_eq!(view.is_absence_certain(BOUND), c.certain, "{}", c.name);
+        assert!(view.proof_age().is_some(), "{}", c.name);
     }
 }
