Compare a list with the cached state only within one epoch of the store

What callers would see: after a restore of the store from a backup, entries behind an agent keep a routing that the restored store has replaced. Change: the epochs are compared too.

--- a/crates/larkspring/src/direct/agent/state_cache.rs
+++ b/crates/larkspring/src/direct/agent/state_cache.rs
@@ -208,11 +208,16 @@
         };
         let now = Instant::now();
         let mut cached = feed.cached.lock();
+        // The same revision may stand for other items in another epoch.
         let is_same = state.is_complete
             && cached.answered_at.is_some()
+            && cached.at.epoch() == state.at.epoch()
             && self.store.holds_same_items(&cached.complete_state(), &state);
         let has_changed = match is_same {
-            true => cached.confirm(&state, now),
+            true => {
+                cached.confirm(&state, now);
+                false
+            }
             false => cached.apply(state, now),
         };
         drop(cached);
@@ -268,14 +273,13 @@
     }
 
     /// Keeps the cached state, which a list has shown to be current, so that entries
-    /// don't get the whole state again. Returns that nothing changed.
-    fn confirm(&mut self, list: &EncodedState, now: Instant) -> bool {
+    /// don't get the whole state again.
+    fn confirm(&mut self, list: &EncodedState, now: Instant) {
         self.answered_at = Some(now);
         self.proved_at = list.proved_at;
         self.list_sent_at = list.listed_at;
         self.must_list = false;
         self.at = list.at;
-        false
     }
 
     /// Returns the point up to which an entry knows the state; a request without an epoch
--- a/crates/larkspring/src/direct/platform_api.rs
+++ b/crates/larkspring/src/direct/platform_api.rs
@@ -34,8 +34,8 @@
         state: &EncodedState,
     ) -> Result<DecodedState, PlatformError>;
 
-    /// Returns whether two complete states hold the same items; `false` if that is
-    /// unknown.
+    /// Returns whether two complete states of the same epoch hold the same items; `false`
+    /// if that is unknown.
     fn holds_same_items(&self, a: &EncodedState, b: &EncodedState) -> bool;
 }
 
