Log and count how the body of an endpoint's answer ended

Cause: no log line or metric tells how an answer was framed, how it ended, or whether a stream ended inside an event, so the hypotheses on the broken stream can't be told apart.

Change: `answer ended` for each relayed body that is not complete by its framing, and `larkspring_answer_ends_total`. No decision changes.

--- a/crates/larkspring-core/src/lib.rs
+++ b/crates/larkspring-core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod claims;
 pub mod declared;
 pub mod engine_scheduler;
+pub mod event_stream;
 pub mod fleet;
 pub mod ids;
 pub mod limits;
--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -17,6 +17,7 @@
 use larkspring_core::ids::{Incarnation, Target};
 
 use super::answer_times::AnswerWait;
+use super::framing::{is_event_stream, Framing};
 use super::link::Hold;
 use super::peer::{OpenRequest, Peer};
 use super::permits::Permit;
@@ -64,6 +65,9 @@
 /// An answer whose body has not been read yet.
 pub(super) struct OpenAnswer {
     pub body: Incoming,
+    pub framing: Framing,
+    /// Whether the body is a stream of server-sent events.
+    pub is_event_stream: bool,
     pub conn: EndpointConn,
     pub selection: Selection,
 }
@@ -329,7 +333,13 @@
         }
         let whole = self.route.class == RouteClass::Retryable
             && body.size_hint().upper().is_some_and(|len| len <= MAX_BUFFERED_ANSWER);
-        let open = OpenAnswer { body, conn, selection };
+        let open = OpenAnswer {
+            framing: Framing::of(&head, &body),
+            is_event_stream: is_event_stream(&head.headers),
+            body,
+            conn,
+            selection,
+        };
         let payload = match whole {
             true => match self.read_whole(open, &head, peer).await {
                 Some(bytes) => Ok(bytes),
@@ -351,7 +361,7 @@
         head: &Parts,
         peer: &Arc<Peer>,
     ) -> Option<Bytes> {
-        let OpenAnswer { body, mut conn, selection } = open;
+        let OpenAnswer { body, mut conn, selection, .. } = open;
         let selected_at = selection.selected_at;
         let read =
             conn.read(peer.endpoint().addr, body, MAX_BUFFERED_ANSWER as usize).await;
--- /dev/null
+++ b/crates/larkspring/src/direct/entry/framing.rs
@@ -0,0 +1,85 @@
+//! How the body of an endpoint's answer is framed, and how it ended.
+
+use http::header::{CONTENT_TYPE, TRANSFER_ENCODING};
+use http::response::Parts;
+use http::HeaderMap;
+use hyper::body::{Body, Incoming};
+
+/// What shows where the body of an answer ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Framing {
+    /// A declared length, or a status or method without a body.
+    Length,
+    /// Chunks and a last chunk.
+    Chunked,
+    /// Nothing but the end of the connection, which also ends an answer that was cut off.
+    UntilClose,
+}
+
+/// How the body of an endpoint's answer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum BodyEnd {
+    /// The body is complete by its framing.
+    Complete,
+    /// The endpoint closed the connection, and nothing else shows where the body ends.
+    Closed,
+    /// The stream ended inside an event.
+    InsideEvent,
+    /// The connection broke, or ended before the body by its framing.
+    Broken,
+    /// The deadline of the request passed.
+    TimedOut,
+}
+
+const EVENT_STREAM: &str = "text/event-stream";
+
+impl Framing {
+    /// Returns the framing of an answer.
+    pub fn of(head: &Parts, body: &Incoming) -> Self {
+        if body.is_end_stream() || body.size_hint().exact().is_some() {
+            return Self::Length;
+        }
+        match is_chunked(&head.headers) {
+            true => Self::Chunked,
+            false => Self::UntilClose,
+        }
+    }
+
+    /// Returns the name used in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "until close",
+        }
+    }
+}
+
+impl BodyEnd {
+    /// Returns the name used in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Closed => "closed",
+            Self::InsideEvent => "inside an event",
+            Self::Broken => "broken",
+            Self::TimedOut => "out of time",
+        }
+    }
+}
+
+/// Returns whether a body is a stream of server-sent events.
+pub(super) fn is_event_stream(headers: &HeaderMap) -> bool {
+    let value = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    value.is_some_and(|value| {
+        let media_type = value.split(';').next().unwrap_or_default().trim();
+        media_type.eq_ignore_ascii_case(EVENT_STREAM)
+    })
+}
+
+/// Returns whether `chunked` is the last transfer encoding.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let last = last.and_then(|value| value.to_str().ok()?.rsplit(',').next());
+    last.is_some_and(|encoding| encoding.trim().eq_ignore_ascii_case("chunked"))
+}
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -10,6 +10,7 @@
 //!    [`fair`] divides a saturated plain service among workspaces.
 //! 4. [`attempt`]: sending to an endpoint and classification of the answer by its head.
 //! 5. [`relay`]: the answer's body; an interrupted stream is resumed at another endpoint.
+//!    [`framing`] tells how a body is framed and how it ended.
 //! 6. [`notices`]: notices about endpoints in the headers of their answers.
 //! 7. [`permits`]: permits to send to rate-limited endpoints.
 //! 8. [`crashes`]: detection of endpoint crashes and of the requests that cause them.
@@ -28,6 +29,7 @@
 mod event_splitter;
 mod fair;
 mod fleet;
+mod framing;
 mod idle_connections;
 mod link;
 mod log;
--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, SizeHint};
+use larkspring_core::event_stream::EventScanner;
 use larkspring_core::fleet::attempt::{AttemptStatus, NextStep};
 use larkspring_core::fleet::routes::Route;
 use larkspring_core::ids::{ContentHash, Incarnation};
@@ -21,6 +22,7 @@
 use super::attempt::OpenAnswer;
 use super::crashes::CrashDetector;
 use super::event_splitter::EventSplitter;
+use super::framing::{BodyEnd, Framing};
 use super::request_handler::RequestHandler;
 use super::EntryState;
 use crate::direct::conn::error_with_source;
@@ -38,6 +40,9 @@
     source: AnswerSource,
     /// Splits the stream into whole events, if the stream may be resumed.
     events: Option<EventSplitter>,
+    framing: Framing,
+    /// Position in the stream of events; `None` for other bodies.
+    position: Option<EventScanner>,
     deadline: Timer,
     sent: u64,
     is_success: bool,
@@ -78,6 +83,8 @@
             id: handler.caller.id.clone(),
             fingerprint: handler.fingerprint,
             endpoint: open.selection.open_request.peer.endpoint().id.clone(),
+            framing: open.framing,
+            position: (is_success && open.is_event_stream).then(EventScanner::default),
             source: AnswerSource::Endpoint(Box::new(open)),
             events,
             deadline: Timer::at(handler.deadline),
@@ -110,6 +117,7 @@
     ) -> Poll<Option<Result<Bytes, RelayError>>> {
         if Pin::new(&mut self.deadline).poll(cx).is_ready() {
             self.source = AnswerSource::Ended;
+            self.record_end(BodyEnd::TimedOut);
             self.log("out of time");
             return Poll::Ready(Some(Err(RelayError::TimedOut)));
         }
@@ -148,17 +156,22 @@
         let frame = ready!(Pin::new(&mut open.body).poll_frame(cx));
         Poll::Ready(match frame {
             Some(Ok(frame)) => match frame.into_data() {
-                Ok(data) => match &mut self.events {
-                    Some(events) => Step::Data(events.push(&data)),
-                    None => {
-                        // The caller's connection asks for no more once it has the
-                        // bytes of the declared length.
-                        if open.body.is_end_stream() {
-                            self.handle_end(cx);
+                Ok(data) => {
+                    if let Some(position) = &mut self.position {
+                        position.scan(&data);
+                    }
+                    match &mut self.events {
+                        Some(events) => Step::Data(events.push(&data)),
+                        None => {
+                            // The caller's connection asks for no more once it has the
+                            // bytes of the declared length.
+                            if open.body.is_end_stream() {
+                                self.handle_end(cx);
+                            }
+                            Step::Data(data)
                         }
-                        Step::Data(data)
                     }
-                },
+                }
                 Err(_) => Step::Continue,
             },
             Some(Err(e)) => self.handle_interruption(&error_with_source(&e)),
@@ -173,6 +186,7 @@
         else {
             return Step::End;
         };
+        self.record_end(self.body_end());
         let peer = open.selection.open_request.peer.clone();
         peer.idle.add(open.conn, cx);
         if self.is_success {
@@ -187,6 +201,7 @@
     /// Handles an interrupted answer: resumes the stream at another endpoint if allowed.
     fn handle_interruption(&mut self, cause: &str) -> Step {
         let source = std::mem::replace(&mut self.source, AnswerSource::Ended);
+        self.record_end(BodyEnd::Broken);
         if let AnswerSource::Endpoint(open) = &source {
             let selection = &open.selection;
             self.crashes.connection_broke(
@@ -238,10 +253,43 @@
         };
         self.handler = Some(handler);
         self.endpoint = open.selection.open_request.peer.endpoint().id.clone();
+        self.framing = open.framing;
+        self.position =
+            (self.is_success && open.is_event_stream).then(EventScanner::default);
         self.source = AnswerSource::Endpoint(Box::new(open));
         Step::Continue
     }
 
+    /// Returns how the body ended whose last bytes have arrived without an error.
+    fn body_end(&self) -> BodyEnd {
+        if self.position.as_ref().is_some_and(EventScanner::is_inside_event) {
+            return BodyEnd::InsideEvent;
+        }
+        match self.framing {
+            Framing::Length | Framing::Chunked => BodyEnd::Complete,
+            Framing::UntilClose => BodyEnd::Closed,
+        }
+    }
+
+    /// Counts the end of an endpoint's answer, and logs one that its framing does not
+    /// show to be complete.
+    fn record_end(&self, end: BodyEnd) {
+        let framing = self.framing.name();
+        self.pause.entry.stats.count_answer_end(framing, end.name());
+        let is_usual = end == BodyEnd::Complete;
+        if !is_usual && logs::is_allowed(LineKind::Attempt) {
+            tracing::info!(
+                event = "answer ended",
+                request = self.id,
+                endpoint = %self.endpoint,
+                framing,
+                end = end.name(),
+                events = self.position.is_some(),
+                sent = self.sent,
+            );
+        }
+    }
+
     fn log(&self, cause: &str) {
         if logs::is_allowed(LineKind::Failed) {
             let sent = self.sent;
--- a/crates/larkspring/src/direct/stats.rs
+++ b/crates/larkspring/src/direct/stats.rs
@@ -24,6 +24,7 @@
     observe_pause: HistogramVec,
     wait: HistogramVec,
     attempts: IntCounterVec,
+    answer_ends: IntCounterVec,
     connections: IntCounterVec,
     slow_readers: IntCounterVec,
     holds: IntCounterVec,
@@ -99,6 +100,11 @@
                 "Attempts at endpoints by how they ended.",
                 &["end"],
             ),
+            answer_ends: counter(
+                "larkspring_answer_ends_total",
+                "Relayed bodies of endpoints by their framing and how they ended.",
+                &["framing", "end"],
+            ),
             slow_readers: counter(
                 "larkspring_slow_readers_total",
                 "Connections closed because their reader was slow, by the end that read slowly.",
@@ -228,6 +234,11 @@
         self.attempts.with_label_values(&[end]).inc();
     }
 
+    /// Counts the end of an endpoint's body that was relayed.
+    pub fn count_answer_end(&self, framing: &str, end: &str) {
+        self.answer_ends.with_label_values(&[framing, end]).inc();
+    }
+
     /// Counts a connection that was closed because its reader was slow.
     pub fn count_slow_reader(&self, end: &str) {
         self.slow_readers.with_label_values(&[end]).inc();
