Recognise the ends of events with any line end

What callers saw: a resumable stream whose lines end with CRLF or CR arrived only at its end, or in parts of 256 KiB, after which a resumed stream would have repeated the part of an event.

Cause: the splitter searched for two line feeds, the only one of the three line ends of server-sent events that engines here use. An event that was relayed in part counted as relayed once its id was seen.

--- /dev/null
+++ b/crates/larkspring-core/tests/event_stream.rs
@@ -0,0 +1,92 @@
+//! Boundaries of events in a stream.
+
+use larkspring_core::event_stream::EventScanner;
+use proptest::prelude::*;
+
+struct Case {
+    name: &'static str,
+    text: &'static str,
+    /// Number of bytes up to the last boundary.
+    boundary: Option<usize>,
+    is_inside: bool,
+}
+
+#[test]
+fn boundaries_are_found_with_any_line_end() {
+    let cases = [
+        Case { name: "nothing", text: "", boundary: None, is_inside: false },
+        Case {
+            name: "a whole event",
+            text: "id: 1\ndata: x\n\n",
+            boundary: Some(15),
+            is_inside: false,
+        },
+        Case {
+            name: "an event without its blank line",
+            text: "id: 1\ndata: x\n",
+            boundary: None,
+            is_inside: true,
+        },
+        Case { name: "a part of a line", text: "da", boundary: None, is_inside: true },
+        Case {
+            name: "carriage returns and line feeds",
+            text: "id: 1\r\ndata: x\r\n\r\nid",
+            boundary: Some(18),
+            is_inside: true,
+        },
+        Case {
+            name: "carriage returns",
+            text: "id: 1\rdata: x\r\rid: 2\r",
+            boundary: Some(15),
+            is_inside: true,
+        },
+        Case {
+            name: "a comment after an event",
+            text: "data: x\n\n: working\n",
+            boundary: Some(19),
+            is_inside: false,
+        },
+        Case {
+            name: "a comment inside an event",
+            text: "data: x\n: working\n",
+            boundary: None,
+            is_inside: true,
+        },
+        Case {
+            name: "a part of a comment",
+            text: "data: x\n\n: wor",
+            boundary: Some(9),
+            is_inside: true,
+        },
+    ];
+    for c in cases {
+        let mut scanner = EventScanner::default();
+        assert_eq!(scanner.scan(c.text.as_bytes()), c.boundary, "{}", c.name);
+        assert_eq!(scanner.is_inside_event(), c.is_inside, "{}", c.name);
+    }
+}
+
+/// The line feed of a line end may come with the next part.
+#[test]
+fn a_split_line_end_is_one_line_end() {
+    let mut scanner = EventScanner::default();
+    assert_eq!(scanner.scan(b"data: x\r\n\r"), Some(10));
+    assert_eq!(scanner.scan(b"\ndata: y\r\n"), Some(1));
+    assert!(scanner.is_inside_event());
+}
+
+proptest! {
+    /// The boundaries do not depend on the parts in which a stream arrives.
+    #[test]
+    fn parts_do_not_move_boundaries(text in "[:di\r\n]{0,40}", size in 1usize..8) {
+        let mut whole = EventScanner::default();
+        let expected = whole.scan(text.as_bytes());
+        let mut parts = EventScanner::default();
+        let mut boundary = None;
+        for (n, part) in text.as_bytes().chunks(size).enumerate() {
+            boundary = parts.scan(part).map(|len| n * size + len).or(boundary);
+        }
+        prop_assert_eq!(boundary, expected);
+        prop_assert_eq!(parts.is_inside_event(), whole.is_inside_event());
+    }
+}
--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -211,8 +211,8 @@
                 selection.selected_at,
             );
         }
-        let (AnswerSource::Endpoint(open), Some(events)) = (source, self.events.as_mut())
-        else {
+        let events = self.events.as_mut().filter(|events| events.can_resume());
+        let (AnswerSource::Endpoint(open), Some(events)) = (source, events) else {
             return Step::Interrupted(cause.into());
         };
         let Some(mut handler) = self.handler.take() else {
