Take no end of a connection for the end of an answer

What callers saw: an engine broke a stream off after a few events, and the caller got a 200 with a last chunk, the last event cut short.

Cause: an answer with neither a length nor chunks ends with its connection, and so does one that was broken off. The relay took each end without an error for the regular one, framed it as complete for the caller, and cleared the request of the suspicion of crashing engines.

Change: an answer without framing is passed on without framing; the caller gets its end by the end of its connection, and a reset if anything went wrong, the end of the entry's process included. A stream that ends inside an event is broken off or resumed, whatever its framing. After an end that only the connection shows the endpoint is checked for a crash. A resumed stream whose caller was promised a last chunk goes on elsewhere after such an end, or is broken off.

Why it works: what the caller concludes rests on what the endpoint said, and nothing that is unknown is turned into "complete".

--- a/crates/larkspring/src/direct/entry/answer.rs
+++ b/crates/larkspring/src/direct/entry/answer.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
-use http::{Response, StatusCode};
+use http::{Response, StatusCode, Version};
 use hyper::body::{Body, Frame, SizeHint};
 use quick_error::quick_error;
 use serde_json::json;
@@ -263,6 +263,13 @@
     }
 }
 
+/// Makes the end of the caller's connection the end of an answer's body, without a length
+/// or chunks. The HTTP library omits chunks only from answers of HTTP/1.0.
+pub(super) fn end_with_connection(res: &mut Response<AnswerBody>) {
+    *res.version_mut() = Version::HTTP_10;
+    close(res);
+}
+
 fn close(res: &mut Response<AnswerBody>) {
     res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
 }
--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -66,7 +66,7 @@
 pub(super) struct OpenAnswer {
     pub body: Incoming,
     pub framing: Framing,
-    /// Whether the body is a stream of server-sent events.
+    /// Whether the body is a stream of events on a stream's route.
     pub is_event_stream: bool,
     pub conn: EndpointConn,
     pub selection: Selection,
@@ -335,7 +335,9 @@
             && body.size_hint().upper().is_some_and(|len| len <= MAX_BUFFERED_ANSWER);
         let open = OpenAnswer {
             framing: Framing::of(&head, &body),
-            is_event_stream: is_event_stream(&head.headers),
+            is_event_stream: self.route.class.is_stream()
+                && status.is_success()
+                && is_event_stream(&head.headers),
             body,
             conn,
             selection,
--- a/crates/larkspring/src/direct/entry/connections.rs
+++ b/crates/larkspring/src/direct/entry/connections.rs
@@ -7,7 +7,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
@@ -18,11 +18,13 @@
 use hyper::service::{service_fn, HttpService};
 use larkspring_core::fleet::routes::RequestLimits;
 use parking_lot::Mutex;
+use rustix::net::sockopt::set_socket_linger;
 use smol::net::{TcpListener, TcpStream};
 use smol::Timer;
 use smol_hyper::rt::FuturesIo;
 
 use super::answer::AnswerBody;
+use super::framing::Framing;
 use super::request_handler;
 use super::unread_answers::Backlog;
 use super::{EntryState, Shutdown};
@@ -72,6 +74,8 @@
     stage: AtomicU8,
     since: Mutex<Instant>,
     backlog: Arc<Backlog>,
+    /// Whether the end of the connection is the end of the current answer.
+    ends_answer: AtomicBool,
 }
 
 const IDLE: u8 = 0;
@@ -91,11 +95,12 @@
     let _ = sock.set_nodelay(true);
     let backlog = entry.unread_answers.open();
     let phase = Arc::new(Phase::new(backlog.0.clone()));
-    let io = FuturesIo::new(TimedSocket { sock, phase: phase.clone() });
+    let io =
+        FuturesIo::new(TimedSocket { sock, phase: phase.clone(), resets_on_drop: false });
     let (served, request_phase) = (entry.clone(), phase.clone());
     let service = service_fn(move |req| {
         request_phase.set(SERVING);
-        let done = ExchangeGuard(request_phase.clone());
+        let done = ExchangeGuard::new(request_phase.clone());
         let entry = served.clone();
         async move { Ok::<_, Infallible>(request_handler::serve(entry, req, done).await) }
     });
@@ -185,7 +190,8 @@
 impl Phase {
     fn new(backlog: Arc<Backlog>) -> Self {
         let since = Mutex::new(Instant::now());
-        Self { stage: AtomicU8::new(IDLE), since, backlog }
+        let ends_answer = AtomicBool::new(false);
+        Self { stage: AtomicU8::new(IDLE), since, backlog, ends_answer }
     }
 
     fn set(&self, stage: u8) {
@@ -199,18 +205,30 @@
 }
 
 /// Marks the connection as idle when dropped.
-pub(super) struct ExchangeGuard(Arc<Phase>);
+pub(super) struct ExchangeGuard {
+    phase: Arc<Phase>,
+}
 
 impl ExchangeGuard {
+    fn new(phase: Arc<Phase>) -> Self {
+        Self { phase }
+    }
+
+    /// Records that the body of an answer with this framing begins.
+    pub fn begin_body(&self, framing: Framing) {
+        let ends_answer = framing == Framing::UntilClose;
+        self.phase.ends_answer.store(ends_answer, Ordering::Release);
+    }
+
     /// Records bytes that are held until the caller reads them.
     pub fn record_held(&self, len: usize) {
-        self.0.backlog.record_held(len);
+        self.phase.backlog.record_held(len);
     }
 }
 
 impl Drop for ExchangeGuard {
     fn drop(&mut self) {
-        self.0.set(IDLE);
+        self.phase.set(IDLE);
     }
 }
 
@@ -233,9 +251,24 @@
 }
 
 /// A socket that records when a head begins.
+///
+/// While the end of the connection is the end of an answer, anything but an orderly close
+/// resets the connection, also the end of the process. Otherwise the caller would take
+/// the part that was sent for the whole answer.
 struct TimedSocket {
     sock: TcpStream,
     phase: Arc<Phase>,
+    resets_on_drop: bool,
+}
+
+impl TimedSocket {
+    fn set_resets_on_drop(&mut self, resets: bool) -> io::Result<()> {
+        if self.resets_on_drop != resets {
+            set_socket_linger(&self.sock, resets.then_some(Duration::ZERO))?;
+            self.resets_on_drop = resets;
+        }
+        Ok(())
+    }
 }
 
 impl AsyncRead for TimedSocket {
@@ -260,6 +293,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        let ends_answer = self.phase.ends_answer.load(Ordering::Acquire);
+        self.set_resets_on_drop(ends_answer)?;
         let written = Pin::new(&mut self.sock).poll_write(cx, buf);
         if let Poll::Ready(Ok(len)) = written {
             self.phase.backlog.record_written(len);
@@ -278,6 +313,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<io::Result<()>> {
+        self.set_resets_on_drop(false)?;
         Pin::new(&mut self.sock).poll_close(cx)
     }
 }
--- a/crates/larkspring/src/direct/entry/framing.rs
+++ b/crates/larkspring/src/direct/entry/framing.rs
@@ -68,10 +68,11 @@
     }
 }
 
-/// Returns whether a body is a stream of server-sent events.
+/// Returns whether a successful answer on a stream's route is a stream of server-sent
+/// events, as it is if the endpoint states no other type.
 pub(super) fn is_event_stream(headers: &HeaderMap) -> bool {
-    let value = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
-    value.is_some_and(|value| {
+    let Some(value) = headers.get(CONTENT_TYPE) else { return true };
+    value.to_str().is_ok_and(|value| {
         let media_type = value.split(';').next().unwrap_or_default().trim();
         media_type.eq_ignore_ascii_case(EVENT_STREAM)
     })
--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -14,7 +14,7 @@
 use hyper::body::{Body, SizeHint};
 use larkspring_core::event_stream::EventScanner;
 use larkspring_core::fleet::attempt::{AttemptStatus, NextStep};
-use larkspring_core::fleet::routes::Route;
+use larkspring_core::fleet::routes::{Route, RouteClass};
 use larkspring_core::ids::{ContentHash, Incarnation};
 use smol::Timer;
 
@@ -38,11 +38,11 @@
     /// The run whose answer is relayed.
     endpoint: Incarnation,
     source: AnswerSource,
-    /// Splits the stream into whole events, if the stream may be resumed.
-    events: Option<EventSplitter>,
+    events: Events,
+    /// The framing of the endpoint's answer.
     framing: Framing,
-    /// Position in the stream of events; `None` for other bodies.
-    position: Option<EventScanner>,
+    /// The framing of the answer to the caller.
+    caller_framing: Framing,
     deadline: Timer,
     sent: u64,
     is_success: bool,
@@ -57,6 +57,16 @@
     longest: Duration,
 }
 
+/// The events of the body that is relayed.
+enum Events {
+    /// The body is no stream of events.
+    None,
+    /// The body is passed on as it arrives.
+    Passed(EventScanner),
+    /// The stream may be resumed, so it is passed on in whole events.
+    Split(EventSplitter),
+}
+
 /// The source of the bytes.
 enum AnswerSource {
     Endpoint(Box<OpenAnswer>),
@@ -70,21 +80,27 @@
 
 impl Relay {
     /// Creates the relay of an answer; a resumable stream is relayed in whole events.
-    pub fn new(
-        handler: RequestHandler,
-        open: OpenAnswer,
-        resumable: bool,
-        is_success: bool,
-    ) -> Self {
-        let events = resumable
-            .then(|| EventSplitter::resuming_after(handler.resume_after.clone()));
+    pub fn new(handler: RequestHandler, open: OpenAnswer, is_success: bool) -> Self {
+        let may_resume = handler.route.class == RouteClass::Stream { resumable: true };
+        let events = match open.is_event_stream {
+            false => Events::None,
+            true if may_resume => {
+                Events::Split(EventSplitter::resuming_after(handler.resume_after.clone()))
+            }
+            true => Events::Passed(EventScanner::default()),
+        };
+        let resumable = matches!(events, Events::Split(_));
         Self {
             crashes: handler.entry.crashes.clone(),
             id: handler.caller.id.clone(),
             fingerprint: handler.fingerprint,
             endpoint: open.selection.open_request.peer.endpoint().id.clone(),
             framing: open.framing,
-            position: (is_success && open.is_event_stream).then(EventScanner::default),
+            caller_framing: match open.framing {
+                // A stream resumed at another endpoint may have another length.
+                Framing::Length if resumable => Framing::Chunked,
+                framing => framing,
+            },
             source: AnswerSource::Endpoint(Box::new(open)),
             events,
             deadline: Timer::at(handler.deadline),
@@ -101,12 +117,18 @@
         matches!(self.source, AnswerSource::Ended)
     }
 
+    /// Returns the framing of the answer to the caller.
+    pub fn caller_framing(&self) -> Framing {
+        self.caller_framing
+    }
+
     /// Returns the length of the remaining bytes, if known.
     pub fn size_hint(&self) -> SizeHint {
         match (&self.source, &self.events) {
-            (AnswerSource::Endpoint(open), None) => open.body.size_hint(),
             (AnswerSource::Ended, _) => SizeHint::with_exact(0),
-            _ => SizeHint::default(),
+            (AnswerSource::Endpoint(_), Events::Split(_)) => SizeHint::default(),
+            (AnswerSource::Endpoint(open), _) => open.body.size_hint(),
+            (AnswerSource::Resuming(_), _) => SizeHint::default(),
         }
     }
 
@@ -157,62 +179,89 @@
         Poll::Ready(match frame {
             Some(Ok(frame)) => match frame.into_data() {
                 Ok(data) => {
-                    if let Some(position) = &mut self.position {
-                        position.scan(&data);
-                    }
-                    match &mut self.events {
-                        Some(events) => Step::Data(events.push(&data)),
-                        None => {
-                            // The caller's connection asks for no more once it has the
-                            // bytes of the declared length.
-                            if open.body.is_end_stream() {
-                                self.handle_end(cx);
-                            }
-                            Step::Data(data)
-                        }
+                    let is_last = open.body.is_end_stream();
+                    let data = self.events.push(data);
+                    // The caller's connection asks for no more once it has the bytes of
+                    // the declared length.
+                    match is_last && self.caller_framing == Framing::Length {
+                        true => self.handle_last(data, cx),
+                        false => Step::Data(data),
                     }
                 }
                 Err(_) => Step::Continue,
             },
-            Some(Err(e)) => self.handle_interruption(&error_with_source(&e)),
+            Some(Err(e)) => {
+                self.handle_interruption(BodyEnd::Broken, &error_with_source(&e))
+            }
             None => self.handle_end(cx),
         })
     }
 
-    /// Handles the regular end of the endpoint's answer.
+    /// Handles the last bytes of an answer with a length.
+    fn handle_last(&mut self, data: Bytes, cx: &mut Context<'_>) -> Step {
+        match self.handle_end(cx) {
+            Step::Interrupted(cause) => Step::Interrupted(cause),
+            _ => Step::Data(data),
+        }
+    }
+
+    /// Handles the end of the endpoint's answer without an error of its connection.
     fn handle_end(&mut self, cx: &mut Context<'_>) -> Step {
+        match self.body_end() {
+            BodyEnd::Closed if self.caller_framing != Framing::UntilClose => self
+                .handle_interruption(
+                    BodyEnd::Closed,
+                    "nothing shows that the resumed answer is complete",
+                ),
+            BodyEnd::InsideEvent => self.handle_interruption(
+                BodyEnd::InsideEvent,
+                "the stream ended inside an event",
+            ),
+            end => self.finish(end, cx),
+        }
+    }
+
+    /// Ends the answer to the caller in order.
+    fn finish(&mut self, end: BodyEnd, cx: &mut Context<'_>) -> Step {
         let AnswerSource::Endpoint(open) =
             std::mem::replace(&mut self.source, AnswerSource::Ended)
         else {
             return Step::End;
         };
-        self.record_end(self.body_end());
-        let peer = open.selection.open_request.peer.clone();
-        peer.idle.add(open.conn, cx);
-        if self.is_success {
+        self.record_end(end);
+        if end == BodyEnd::Closed {
+            // The end of the endpoint's process looks the same.
+            self.check_for_crash(&open);
+        } else if self.is_success {
             self.crashes.record_answer(self.fingerprint);
         }
-        match self.events.as_mut().map(EventSplitter::take_partial) {
-            Some(partial) if !partial.is_empty() => Step::Data(partial),
-            _ => Step::End,
+        let peer = open.selection.open_request.peer.clone();
+        peer.idle.add(open.conn, cx);
+        match self.events.take_rest() {
+            rest if rest.is_empty() => Step::End,
+            rest => Step::Data(rest),
         }
     }
 
+    fn check_for_crash(&self, open: &OpenAnswer) {
+        let selection = &open.selection;
+        self.crashes.connection_broke(
+            &selection.open_request.peer,
+            self.fingerprint,
+            &self.id,
+            selection.selected_at,
+        );
+    }
+
     /// Handles an interrupted answer: resumes the stream at another endpoint if allowed.
-    fn handle_interruption(&mut self, cause: &str) -> Step {
+    fn handle_interruption(&mut self, end: BodyEnd, cause: &str) -> Step {
         let source = std::mem::replace(&mut self.source, AnswerSource::Ended);
-        self.record_end(BodyEnd::Broken);
-        if let AnswerSource::Endpoint(open) = &source {
-            let selection = &open.selection;
-            self.crashes.connection_broke(
-                &selection.open_request.peer,
-                self.fingerprint,
-                &self.id,
-                selection.selected_at,
-            );
-        }
-        let events = self.events.as_mut().filter(|events| events.can_resume());
-        let (AnswerSource::Endpoint(open), Some(events)) = (source, events) else {
+        self.record_end(end);
+        let AnswerSource::Endpoint(open) = source else {
+            return Step::Interrupted(cause.into());
+        };
+        self.check_for_crash(&open);
+        let Some(events) = self.events.resumable() else {
             return Step::Interrupted(cause.into());
         };
         let Some(mut handler) = self.handler.take() else {
@@ -254,15 +303,13 @@
         self.handler = Some(handler);
         self.endpoint = open.selection.open_request.peer.endpoint().id.clone();
         self.framing = open.framing;
-        self.position =
-            (self.is_success && open.is_event_stream).then(EventScanner::default);
         self.source = AnswerSource::Endpoint(Box::new(open));
         Step::Continue
     }
 
     /// Returns how the body ended whose last bytes have arrived without an error.
     fn body_end(&self) -> BodyEnd {
-        if self.position.as_ref().is_some_and(EventScanner::is_inside_event) {
+        if self.events.is_inside_event() {
             return BodyEnd::InsideEvent;
         }
         match self.framing {
@@ -284,7 +331,7 @@
                 endpoint = %self.endpoint,
                 framing,
                 end = end.name(),
-                events = self.position.is_some(),
+                events = !matches!(self.events, Events::None),
                 sent = self.sent,
             );
         }
@@ -305,6 +352,44 @@
     }
 }
 
+impl Events {
+    /// Adds bytes and returns those that can be passed on.
+    fn push(&mut self, data: Bytes) -> Bytes {
+        match self {
+            Self::None => data,
+            Self::Passed(scanner) => {
+                scanner.scan(&data);
+                data
+            }
+            Self::Split(splitter) => splitter.push(&data),
+        }
+    }
+
+    fn is_inside_event(&self) -> bool {
+        match self {
+            Self::None => false,
+            Self::Passed(scanner) => scanner.is_inside_event(),
+            Self::Split(splitter) => splitter.is_inside_event(),
+        }
+    }
+
+    /// Returns the bytes that were held back.
+    fn take_rest(&mut self) -> Bytes {
+        match self {
+            Self::None | Self::Passed(_) => Bytes::new(),
+            Self::Split(splitter) => splitter.take_partial(),
+        }
+    }
+
+    /// Returns the events after which the stream can be resumed.
+    fn resumable(&mut self) -> Option<&mut EventSplitter> {
+        match self {
+            Self::None | Self::Passed(_) => None,
+            Self::Split(splitter) => Some(splitter).filter(|s| s.can_resume()),
+        }
+    }
+}
+
 impl LongestPause {
     fn new(handler: &RequestHandler) -> Self {
         let (entry, route) = (handler.entry.clone(), handler.route.clone());
--- a/crates/larkspring/src/direct/entry/request_handler.rs
+++ b/crates/larkspring/src/direct/entry/request_handler.rs
@@ -6,22 +6,25 @@
 
 use futures_lite::future;
 use http::header::{HeaderName, CONNECTION, CONTENT_LENGTH, HOST};
-use http::{HeaderMap, Method, Request, Response, Uri};
+use http::{HeaderMap, Method, Request, Response, Uri, Version};
 use hyper::body::Incoming;
 use larkspring_core::fleet::attempt::{
     next_step, AttemptHistory, AttemptStatus, NextStep,
 };
 use larkspring_core::fleet::idle::Reuse;
 use larkspring_core::fleet::mechanisms::Mechanism;
-use larkspring_core::fleet::routes::{Route, RouteClass, Service};
+use larkspring_core::fleet::routes::{Route, Service};
 use larkspring_core::ids::{ContentHash, Incarnation};
 use larkspring_core::workspaces::Workspace;
 
 use super::admission::Charge;
-use super::answer::{close_if_draining, own_answer, AnswerBody, ErrorReason};
+use super::answer::{
+    close_if_draining, end_with_connection, own_answer, AnswerBody, ErrorReason,
+};
 use super::attempt::{AttemptOutcome, EndpointAnswer};
 use super::body::{discard, read_body, request_fingerprint, RequestBody};
 use super::connections::ExchangeGuard;
+use super::framing::Framing;
 use super::log::{log_answered, log_refused, Refusal};
 use super::peer::Peer;
 use super::relay::Relay;
@@ -385,27 +388,30 @@
         entry.stats.observe_first_byte(&self.route.name, self.received.elapsed());
         let (mut head, payload) = (answered.head, answered.payload);
         head.headers = strip_hop_by_hop_headers(std::mem::take(&mut head.headers));
-        let is_stream = self.route.class.is_stream() && head.status.is_success();
         let outcome = if head.status.is_success() { "answered" } else { "failed there" };
         entry.stats.count_request(&self.route.name, outcome);
         log_answered(&self, &answered.endpoint, head.status.as_u16());
+        let mut is_until_close = false;
         let body = match payload {
             Ok(whole) => AnswerBody::whole(whole, Some(done)),
             Err(open) => {
-                let resumable =
-                    self.route.class == RouteClass::Stream { resumable: true };
-                if resumable && is_stream {
-                    // A stream resumed at another endpoint may have another length.
+                let relay = Relay::new(self, open, head.status.is_success());
+                let framing = relay.caller_framing();
+                if framing != Framing::Length {
                     head.headers.remove(CONTENT_LENGTH);
                 }
-                let is_success = head.status.is_success();
-                let relay = Relay::new(self, open, resumable && is_stream, is_success);
+                done.begin_body(framing);
+                is_until_close = framing == Framing::UntilClose;
                 AnswerBody::relay(relay, Some(done))
             }
         };
         let mut res = Response::from_parts(head, body);
-        *res.version_mut() = http::Version::HTTP_11;
-        close_if_draining(&entry, &mut res);
+        if is_until_close {
+            end_with_connection(&mut res);
+        } else {
+            *res.version_mut() = Version::HTTP_11;
+            close_if_draining(&entry, &mut res);
+        }
         res
     }
 }
