Reset the connection of an HTTP/1.0 caller when its stream breaks off

What callers saw: a stream to a caller of HTTP/1.0 that was broken off ended like a complete one.

Cause: such a caller gets no chunks, so the end of its connection is the end of the answer, and the entry closed it in order after an interruption.

Change: the answer's framing for the caller decides, not the endpoint's: while the connection ends the answer, anything but its regular end resets the connection.

Evidence: `a_broken_stream_to_an_http_1_0_caller_ends_with_a_reset` failed before (200, `whole: true`) and passes.

--- a/crates/larkspring/src/direct/entry/connections.rs
+++ b/crates/larkspring/src/direct/entry/connections.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::{future, AsyncRead, AsyncWrite, AsyncWriteExt};
+use http::{Request, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1::{Builder, Connection};
 use hyper::service::{service_fn, HttpService};
@@ -100,7 +101,7 @@
     let (served, request_phase) = (entry.clone(), phase.clone());
     let service = service_fn(move |req| {
         request_phase.set(SERVING);
-        let done = ExchangeGuard::new(request_phase.clone());
+        let done = ExchangeGuard::new(request_phase.clone(), &req);
         let entry = served.clone();
         async move { Ok::<_, Infallible>(request_handler::serve(entry, req, done).await) }
     });
@@ -207,16 +208,22 @@
 /// Marks the connection as idle when dropped.
 pub(super) struct ExchangeGuard {
     phase: Arc<Phase>,
+    caller_version: Version,
 }
 
 impl ExchangeGuard {
-    fn new(phase: Arc<Phase>) -> Self {
-        Self { phase }
+    fn new<B>(phase: Arc<Phase>, req: &Request<B>) -> Self {
+        Self { phase, caller_version: req.version() }
     }
 
-    /// Records that the body of an answer with this framing begins.
+    /// Records that the body of an answer with this framing begins. A caller of HTTP/1.0
+    /// gets no chunks.
     pub fn begin_body(&self, framing: Framing) {
-        let ends_answer = framing == Framing::UntilClose;
+        let ends_answer = match framing {
+            Framing::Length => false,
+            Framing::Chunked => self.caller_version == Version::HTTP_10,
+            Framing::UntilClose => true,
+        };
         self.phase.ends_answer.store(ends_answer, Ordering::Release);
     }
 
