Repeat a repeatable call whose answer without a length breaks off

What callers saw: a call that may be repeated, whose endpoint answered without a length and reset the connection, ended without a whole answer, although another endpoint could have served it.

Cause: an answer was read to its end before it was delivered only if its length was declared and small.

Its end stays unknown for the caller if it is so for the entry.

--- a/crates/larkspring/src/direct/conn.rs
+++ b/crates/larkspring/src/direct/conn.rs
@@ -42,6 +42,14 @@
 
 type ConnFuture = Pin<Box<Connection<FuturesIo<TcpStream>, SendBody>>>;
 
+/// The bytes of a body that were read.
+pub(crate) enum ReadBody {
+    /// The whole body.
+    Whole(Bytes),
+    /// The beginning of a body that is longer than the limit.
+    Part(Bytes),
+}
+
 quick_error! {
     /// Why a request has no answer, with the peer's address.
     #[derive(Debug)]
@@ -115,22 +123,37 @@
         mut body: Incoming,
         max: usize,
     ) -> Result<Bytes, SendError> {
-        let fail = |cause: String| SendError::Body(peer.to_string(), cause);
-        let mut whole = Vec::new();
-        loop {
+        match self.read_up_to(peer, &mut body, max).await? {
+            ReadBody::Whole(bytes) => Ok(bytes),
+            ReadBody::Part(_) => {
+                let cause = format!("its body is over {max} bytes");
+                Err(SendError::Body(peer.to_string(), cause))
+            }
+        }
+    }
+
+    /// Reads a body to its end, or until more than `max` bytes were read.
+    pub async fn read_up_to(
+        &mut self,
+        peer: SocketAddr,
+        body: &mut Incoming,
+        max: usize,
+    ) -> Result<ReadBody, SendError> {
+        let mut read = Vec::new();
+        while read.len() <= max {
             let frame = poll_fn(|cx| {
                 self.drive(cx);
-                Pin::new(&mut body).poll_frame(cx)
+                Pin::new(&mut *body).poll_frame(cx)
             });
-            let Some(frame) = frame.await else { break };
-            let frame = frame.map_err(|e| fail(error_with_source(&e)))?;
+            let Some(frame) = frame.await else {
+                return Ok(ReadBody::Whole(read.into()));
+            };
+            let frame = frame
+                .map_err(|e| SendError::Body(peer.to_string(), error_with_source(&e)))?;
             let Ok(data) = frame.into_data() else { continue };
-            if whole.len() + data.len() > max {
-                return Err(fail(format!("its body is over {max} bytes")));
-            }
-            whole.extend_from_slice(&data);
+            read.extend_from_slice(&data);
         }
-        Ok(whole.into())
+        Ok(ReadBody::Part(read.into()))
     }
 
     /// Sends a request and reads its whole answer.
--- a/crates/larkspring/src/direct/entry/answer.rs
+++ b/crates/larkspring/src/direct/entry/answer.rs
@@ -12,6 +12,7 @@
 use serde_json::json;
 
 use super::connections::ExchangeGuard;
+use super::framing::Framing;
 use super::relay::Relay;
 use super::EntryState;
 
@@ -23,7 +24,7 @@
 }
 
 enum BodyKind {
-    Whole(Option<Bytes>),
+    Whole { bytes: Option<Bytes>, framing: Framing },
     Relay(Box<Relay>),
 }
 
@@ -178,8 +179,9 @@
 
 impl AnswerBody {
     /// Creates a body from bytes in memory.
-    pub fn whole(bytes: Bytes, done: Option<ExchangeGuard>) -> Self {
-        Self { kind: BodyKind::Whole(Some(bytes)), exchange: done }
+    pub fn whole(bytes: Bytes, framing: Framing, done: Option<ExchangeGuard>) -> Self {
+        let kind = BodyKind::Whole { bytes: Some(bytes), framing };
+        Self { kind, exchange: done }
     }
 
     /// Creates a body that relays an endpoint's answer.
@@ -198,7 +200,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
         let this = &mut *self;
         let data = match &mut this.kind {
-            BodyKind::Whole(bytes) => {
+            BodyKind::Whole { bytes, .. } => {
                 let bytes = bytes.take().filter(|b| !b.is_empty());
                 bytes.map(Ok)
             }
@@ -212,14 +214,17 @@
 
     fn is_end_stream(&self) -> bool {
         match &self.kind {
-            BodyKind::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            // An end that is unknown is not stated by a length of zero either.
+            BodyKind::Whole { framing: Framing::UntilClose, .. } => false,
+            BodyKind::Whole { bytes, .. } => bytes.as_ref().is_none_or(Bytes::is_empty),
             BodyKind::Relay(relay) => relay.is_over(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.kind {
-            BodyKind::Whole(bytes) => {
+            BodyKind::Whole { framing: Framing::UntilClose, .. } => SizeHint::default(),
+            BodyKind::Whole { bytes, .. } => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
             BodyKind::Relay(relay) => relay.size_hint(),
@@ -237,7 +242,8 @@
 ) -> Response<AnswerBody> {
     let ran = if reason.says_not_run() { "not-run" } else { "unknown" };
     let body = json!({ "error": { "message": reason.name(), "outcome": ran } });
-    let mut res = Response::new(AnswerBody::whole(body.to_string().into(), done));
+    let body = AnswerBody::whole(body.to_string().into(), Framing::Length, done);
+    let mut res = Response::new(body);
     *res.status_mut() = reason.status();
     let headers = res.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -24,7 +24,7 @@
 use super::request_handler::RequestHandler;
 use super::reused_connection::ReusedConnection;
 use super::view::SelectionInputs;
-use crate::direct::conn::{EndpointConn, SendBody, SendError};
+use crate::direct::conn::{EndpointConn, ReadBody, SendBody, SendError};
 use crate::direct::logs::{self, LineKind};
 use crate::direct::platform_api::{Echo, ForwardHeaders, Identity};
 
@@ -58,12 +58,16 @@
 pub(super) struct EndpointAnswer {
     pub head: Parts,
     pub endpoint: Incarnation,
+    /// The framing of the body.
+    pub framing: Framing,
     /// The body, if it was read to its end; else the open answer to relay.
     pub payload: Result<Bytes, OpenAnswer>,
 }
 
-/// An answer whose body has not been read yet.
+/// An answer whose body has not been read to its end.
 pub(super) struct OpenAnswer {
+    /// Bytes of the body that were read already.
+    pub read: Bytes,
     pub body: Incoming,
     pub framing: Framing,
     /// Whether the body is a stream of events on a stream's route.
@@ -331,10 +335,12 @@
             log_attempt(self, peer, AttemptStatus::Unknown, "answer without signature");
             return AttemptOutcome::NoAnswer(AttemptStatus::Unknown);
         }
-        let whole = self.route.class == RouteClass::Retryable
-            && body.size_hint().upper().is_some_and(|len| len <= MAX_BUFFERED_ANSWER);
+        let buffers = self.route.class == RouteClass::Retryable
+            && body.size_hint().upper().is_none_or(|len| len <= MAX_BUFFERED_ANSWER);
+        let framing = Framing::of(&head, &body);
         let open = OpenAnswer {
-            framing: Framing::of(&head, &body),
+            read: Bytes::new(),
+            framing,
             is_event_stream: self.route.class.is_stream()
                 && status.is_success()
                 && is_event_stream(&head.headers),
@@ -342,47 +348,57 @@
             conn,
             selection,
         };
-        let payload = match whole {
-            true => match self.read_whole(open, &head, peer).await {
-                Some(bytes) => Ok(bytes),
+        let payload = match buffers {
+            true => match self.buffer(open, &head, peer).await {
+                Some(payload) => payload,
                 None => return AttemptOutcome::NoAnswer(AttemptStatus::Unknown),
             },
             false => Err(open),
         };
-        let answered = EndpointAnswer { head, endpoint: endpoint.id.clone(), payload };
+        let endpoint = endpoint.id.clone();
+        let answered = EndpointAnswer { head, endpoint, framing, payload };
         match status.is_server_error() {
             true => AttemptOutcome::Failed(answered),
             false => AttemptOutcome::Answered(answered),
         }
     }
 
-    /// Reads an answer to its end; `None` if the answer is interrupted.
-    async fn read_whole(
+    /// Reads an answer to its end, or as far as it is buffered; `None` if the answer is
+    /// interrupted.
+    async fn buffer(
         &self,
-        open: OpenAnswer,
+        mut open: OpenAnswer,
         head: &Parts,
         peer: &Arc<Peer>,
-    ) -> Option<Bytes> {
-        let OpenAnswer { body, mut conn, selection, .. } = open;
-        let selected_at = selection.selected_at;
-        let read =
-            conn.read(peer.endpoint().addr, body, MAX_BUFFERED_ANSWER as usize).await;
-        drop(selection);
+    ) -> Option<Result<Bytes, OpenAnswer>> {
+        let (addr, max) = (peer.endpoint().addr, MAX_BUFFERED_ANSWER as usize);
+        let read = open.conn.read_up_to(addr, &mut open.body, max).await;
+        let crashes = &self.entry.crashes;
+        let check_for_crash = || {
+            let selected_at = open.selection.selected_at;
+            crashes.connection_broke(
+                peer,
+                self.fingerprint,
+                &self.caller.id,
+                selected_at,
+            );
+        };
         match read {
-            Ok(bytes) => {
-                if head.status.is_success() {
-                    self.entry.crashes.record_answer(self.fingerprint);
+            Ok(ReadBody::Whole(bytes)) => {
+                match open.framing {
+                    // The end of the endpoint's process looks the same.
+                    Framing::UntilClose => check_for_crash(),
+                    _ if head.status.is_success() => {
+                        crashes.record_answer(self.fingerprint)
+                    }
+                    _ => {}
                 }
-                recycle(peer, conn).await;
-                Some(bytes)
+                recycle(peer, open.conn).await;
+                Some(Ok(bytes))
             }
+            Ok(ReadBody::Part(read)) => Some(Err(OpenAnswer { read, ..open })),
             Err(e) => {
-                self.entry.crashes.connection_broke(
-                    peer,
-                    self.fingerprint,
-                    &self.caller.id,
-                    selected_at,
-                );
+                check_for_crash();
                 log_attempt(self, peer, AttemptStatus::Unknown, &e.to_string());
                 None
             }
--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -144,7 +144,9 @@
             return Poll::Ready(Some(Err(RelayError::TimedOut)));
         }
         loop {
+            let read = self.take_read();
             let next = match &mut self.source {
+                _ if !read.is_empty() => Step::Data(self.events.push(read)),
                 AnswerSource::Ended => return Poll::Ready(None),
                 AnswerSource::Resuming(resume) => {
                     let resumed = ready!(resume.as_mut().poll(cx));
@@ -170,6 +172,14 @@
         }
     }
 
+    /// Takes the bytes that were read before the relay began.
+    fn take_read(&mut self) -> Bytes {
+        match &mut self.source {
+            AnswerSource::Endpoint(open) => std::mem::take(&mut open.read),
+            AnswerSource::Resuming(_) | AnswerSource::Ended => Bytes::new(),
+        }
+    }
+
     fn poll_endpoint(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
         let AnswerSource::Endpoint(open) = &mut self.source else {
             return Poll::Ready(Step::Continue);
--- a/crates/larkspring/src/direct/entry/request_handler.rs
+++ b/crates/larkspring/src/direct/entry/request_handler.rs
@@ -391,22 +391,28 @@
         let outcome = if head.status.is_success() { "answered" } else { "failed there" };
         entry.stats.count_request(&self.route.name, outcome);
         log_answered(&self, &answered.endpoint, head.status.as_u16());
-        let mut is_until_close = false;
-        let body = match payload {
-            Ok(whole) => AnswerBody::whole(whole, Some(done)),
+        let (framing, body) = match payload {
+            Ok(whole) => {
+                // A buffered body has a length, unless its end is unknown.
+                let framing = match answered.framing {
+                    Framing::UntilClose => Framing::UntilClose,
+                    Framing::Chunked | Framing::Length => Framing::Length,
+                };
+                done.begin_body(framing);
+                (framing, AnswerBody::whole(whole, framing, Some(done)))
+            }
             Err(open) => {
                 let relay = Relay::new(self, open, head.status.is_success());
                 let framing = relay.caller_framing();
-                if framing != Framing::Length {
-                    head.headers.remove(CONTENT_LENGTH);
-                }
                 done.begin_body(framing);
-                is_until_close = framing == Framing::UntilClose;
-                AnswerBody::relay(relay, Some(done))
+                (framing, AnswerBody::relay(relay, Some(done)))
             }
         };
+        if framing != Framing::Length {
+            head.headers.remove(CONTENT_LENGTH);
+        }
         let mut res = Response::from_parts(head, body);
-        if is_until_close {
+        if framing == Framing::UntilClose {
             end_with_connection(&mut res);
         } else {
             *res.version_mut() = Version::HTTP_11;
