Read the software version of endpoints, and log where streams go on

Cause: the version that the platform lists for an endpoint was dropped, and no line told at which endpoint a resumed stream went on, or that a caller took one up. So the hypotheses can't be told apart.

Change: `Endpoint::build`, unknown for a run that the platform does not list yet; `build` in `stream resumed`, `stream goes on` for the next endpoint, `resumes` and `resumes_after` in `answered`. No decision changes.

--- a/crates/larkspring-core/src/fleet/endpoint_list.rs
+++ b/crates/larkspring-core/src/fleet/endpoint_list.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use crate::ids::{
-    HallId, Incarnation, ServiceId, StartMs, StoreEpoch, StorePoint, Target,
+    BuildId, HallId, Incarnation, ServiceId, StartMs, StoreEpoch, StorePoint, Target,
 };
 
 /// The endpoints that are listed, and those that are kept for a grace period.
@@ -59,6 +59,9 @@
     pub holds: Vec<Target>,
     /// Whether the endpoint listed a base model, so has an agent.
     pub runs_models: bool,
+    /// Version of the endpoint's software, by which the streams of endpoints differ; `None`
+    /// if it is not known.
+    pub build: Option<BuildId>,
     /// How much longer the endpoint was cold when it was last listed; zero if it was not
     /// cold.
     pub cold_left: Duration,
@@ -73,7 +76,7 @@
 
 impl Endpoint {
     /// Returns a new run at the same address that the platform does not list yet. The run
-    /// holds no adapters and accepts requests.
+    /// holds no adapters and accepts requests. Its software may be of another version.
     pub fn next_run(&self, id: Incarnation) -> Self {
         let listed_since = self.listed_since.next();
         Self {
@@ -82,6 +85,7 @@
             listed_since,
             start: None,
             holds: Vec::new(),
+            build: None,
             cold_left: Duration::ZERO,
             ..self.clone()
         }
--- a/crates/larkspring-core/src/ids.rs
+++ b/crates/larkspring-core/src/ids.rs
@@ -35,6 +35,8 @@
 pub type Revision = u64;
 /// Name that an engine gives to its present run.
 pub type Incarnation = Arc<str>;
+/// Name of a version of an endpoint's software.
+pub type BuildId = Arc<str>;
 /// Start time of an endpoint's run, in Unix milliseconds of the endpoint's own clock.
 pub type StartMs = u64;
 /// Hash of an exact adapter, as sent in load reports.
--- a/crates/larkspring-core/tests/fleet_members.rs
+++ b/crates/larkspring-core/tests/fleet_members.rs
@@ -20,6 +20,7 @@
         start: None,
         holds: Vec::new(),
         runs_models: false,
+        build: None,
         cold_left: Duration::ZERO,
     }
 }
--- a/crates/larkspring/src/direct/entry/log.rs
+++ b/crates/larkspring/src/direct/entry/log.rs
@@ -86,6 +86,8 @@
             objective_ms = handler.route.first_byte_objective.as_millis() as u64,
             waited_ms = handler.waited.as_millis() as u64,
             attempts = handler.history.attempts + 1,
+            resumes = handler.caller.resumed_attempt,
+            resumes_after = handler.caller.resume_after,
             routing = handler.view.routing.version,
             store_age_ms = age.map(|age| age.as_millis() as u64),
             same_hall = inputs.map(|i| i.same_hall),
--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -295,6 +295,7 @@
                 request = self.id,
                 content = logs::format_hash(self.fingerprint),
                 endpoint = %self.endpoint,
+                build = peer.endpoint().build.as_deref(),
                 cause,
                 last,
             );
@@ -310,6 +311,15 @@
         let Some((handler, open)) = resumed else {
             return Step::Interrupted("no other endpoint resumed the stream".into());
         };
+        let endpoint = open.selection.open_request.peer.endpoint();
+        if logs::is_allowed(LineKind::Attempt) {
+            tracing::info!(
+                event = "stream goes on",
+                request = self.id,
+                endpoint = %endpoint.id,
+                build = endpoint.build.as_deref(),
+            );
+        }
         self.handler = Some(handler);
         self.endpoint = open.selection.open_request.peer.endpoint().id.clone();
         self.framing = open.framing;
--- a/crates/larkspring/src/direct/platform_api.rs
+++ b/crates/larkspring/src/direct/platform_api.rs
@@ -327,6 +327,8 @@
     pub model: Option<ModelRequest>,
     /// The event after which an interrupted stream is resumed.
     pub resume_after: Option<String>,
+    /// The attempt that brought the first event of that stream, if the caller states it.
+    pub resumed_attempt: Option<RequestId>,
     /// The caller's credential.
     pub credential: Credential,
     /// Tokens of the prompt plus the maximum of the answer, if stated.
