Failing tests: a stream goes on at another software version

The stand-in's engines run a version of their software that their events name and their listings state; its callers take streams up with `Resumes`.

--- a/crates/larkspring-cli/tests/common/site.rs
+++ b/crates/larkspring-cli/tests/common/site.rs
@@ -56,6 +56,8 @@
     pub entries: usize,
     pub plain_workers: usize,
     pub engines: usize,
+    /// Software versions of the engines; empty if all run the default one.
+    pub builds: &'static [&'static str],
     pub grace_s: u32,
     /// Memory of each VM, in megabytes.
     pub memory_mb: u32,
@@ -76,6 +78,7 @@
             entries: 1,
             plain_workers: 1,
             engines: 1,
+            builds: &[],
             grace_s: 8,
             memory_mb: 260,
             timeout_ms: TIMEOUT_MS,
@@ -161,6 +164,9 @@
             let addr = format!("{ip}:{ENGINE_PORT}");
             let engine = Worker::start(&addr, &format!("llm-{n}"))
                 .into_engine("m0", ADAPTER_SLOTS);
+            if let Some(build) = shape.builds.get(n) {
+                engine.run_build(build);
+            }
             site.engines.push(engine);
             let agent =
                 site.process("platform-agent", &format!("agent-{n}"), ip, Some(addr));
