Resume a broken stream only at the software version that began it

Cause: a resumption was placed like a new request. The version of the run's software was taken for a property of the service, and dropped.

Change: the first events that are handed on bind the stream to the version of their endpoint. Candidates are filtered by it where halls are, so that waits, preloads and the reasons of refusals see it, and once more before the first byte. Where no endpoint of the service has it, the stream ends at once. A run that the platform does not list yet has no known version: nothing goes on there, and a stream that began there is not resumed.

Evidence: `a_broken_stream_goes_on_only_at...` and `a_broken_stream_ends_at_once...` failed before and pass; `a_stream_without_an_event_goes_on_at_any_software_version` holds.

--- a/crates/larkspring-core/src/fleet/mod.rs
+++ b/crates/larkspring-core/src/fleet/mod.rs
@@ -44,6 +44,7 @@
 pub mod response_time;
 pub mod routes;
 pub mod slow_readers;
+pub mod stream_origins;
 pub mod urgency;
 pub mod utility;
 pub mod versions;
--- a/crates/larkspring/src/direct/entry/answer.rs
+++ b/crates/larkspring/src/direct/entry/answer.rs
@@ -57,6 +57,7 @@
     NoRouting,
     NoEndpoint,
     NoAllowedHall,
+    NoSameBuild,
     InBackoff,
     RateUsedUp,
     OverShare,
@@ -85,6 +86,7 @@
             Self::NoRouting => "routing not known yet",
             Self::NoEndpoint => "no endpoint",
             Self::NoAllowedHall => "no endpoint in a hall that may serve it",
+            Self::NoSameBuild => "no endpoint has the software that began the stream",
             Self::InBackoff => "no endpoint wants requests now",
             Self::RateUsedUp => "the rate that endpoints take is used up",
             Self::OverShare => "over the workspace's share of a saturated service",
@@ -116,6 +118,7 @@
             | Self::NoRouting
             | Self::NoEndpoint
             | Self::NoAllowedHall
+            | Self::NoSameBuild
             | Self::InBackoff
             | Self::RateUsedUp
             | Self::OverShare
@@ -151,7 +154,9 @@
     pub fn retry_after(self, needs_adapter: bool) -> Option<Duration> {
         let after = match self {
             Self::Stopping | Self::StaleKeys => RETRY_ELSEWHERE,
-            Self::NoRouting | Self::NoAllowedHall => RETRY_AFTER_LOADING,
+            Self::NoRouting | Self::NoAllowedHall | Self::NoSameBuild => {
+                RETRY_AFTER_LOADING
+            }
             Self::NoEndpoint if needs_adapter => RETRY_AFTER_LOADING,
             Self::NoEndpoint
             | Self::StaleRouting
--- a/crates/larkspring/src/direct/entry/fleet.rs
+++ b/crates/larkspring/src/direct/entry/fleet.rs
@@ -78,7 +78,7 @@
     Unlimited,
     /// After this time; until then all endpoints are in backoff or their rates used up.
     In(Duration),
-    /// Not for now: all endpoints are in halls that are evacuated or not allowed.
+    /// Not for now: all endpoints are in evacuated halls or may not take the request.
     Excluded,
 }
 
@@ -159,17 +159,16 @@
         all.iter().filter(|p| p.is_available()).cloned().collect()
     }
 
-    /// Returns when the endpoints of a service in `allowed` halls may be sent a request.
+    /// Returns when the endpoints of a service that `may_take` a request may be sent it.
     pub fn service_availability(
         &self,
         service: &str,
-        allowed: impl Fn(&str) -> bool,
+        may_take: impl Fn(&Endpoint) -> bool,
     ) -> ServiceAvailability {
         let peers = self.peers.load();
         let all = peers.by_service.get(service).map_or(&[][..], |all| all);
         let in_service: Vec<_> = all.iter().filter(|p| p.stays_in_service()).collect();
-        let is_usable =
-            |p: &Peer| !p.placement().evacuated && allowed(&p.endpoint().hall);
+        let is_usable = |p: &Peer| !p.placement().evacuated && may_take(&p.endpoint());
         let usable: Vec<_> = in_service.iter().filter(|p| is_usable(p)).collect();
         if usable.is_empty() && !in_service.is_empty() {
             return ServiceAvailability::Excluded;
--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -15,6 +15,7 @@
 use larkspring_core::event_stream::EventScanner;
 use larkspring_core::fleet::attempt::{AttemptStatus, NextStep};
 use larkspring_core::fleet::routes::{Route, RouteClass};
+use larkspring_core::fleet::stream_origins::StreamStart;
 use larkspring_core::ids::{ContentHash, Incarnation};
 use smol::Timer;
 
@@ -157,6 +158,7 @@
             match next {
                 Step::Data(data) if data.is_empty() => {}
                 Step::Data(data) => {
+                    self.record_start();
                     self.sent += data.len() as u64;
                     self.pause.record();
                     return Poll::Ready(Some(Ok(data)));
@@ -172,6 +174,17 @@
         }
     }
 
+    /// Records at which software the stream began, with its first events.
+    fn record_start(&mut self) {
+        let (Some(handler), AnswerSource::Endpoint(open)) =
+            (&mut self.handler, &self.source)
+        else {
+            return;
+        };
+        let endpoint = open.selection.open_request.peer.endpoint();
+        handler.start.begin(&endpoint.service, endpoint.build.as_ref());
+    }
+
     /// Takes the bytes that were read before the relay began.
     fn take_read(&mut self) -> Bytes {
         match &mut self.source {
@@ -277,6 +290,9 @@
         let Some(mut handler) = self.handler.take() else {
             return Step::Interrupted(cause.into());
         };
+        if handler.start == StreamStart::Unknown {
+            return Step::Interrupted(cause.into());
+        }
         let peer = open.selection.open_request.peer.clone();
         // Closes the connection before the stream is resumed at another endpoint.
         drop(open);
--- a/crates/larkspring/src/direct/entry/request_handler.rs
+++ b/crates/larkspring/src/direct/entry/request_handler.rs
@@ -14,6 +14,7 @@
 use larkspring_core::fleet::idle::Reuse;
 use larkspring_core::fleet::mechanisms::Mechanism;
 use larkspring_core::fleet::routes::{Route, Service};
+use larkspring_core::fleet::stream_origins::StreamStart;
 use larkspring_core::ids::{ContentHash, Incarnation};
 use larkspring_core::workspaces::Workspace;
 
@@ -66,6 +67,8 @@
     pub is_retry: bool,
     /// Id of the last event of a stream that the caller has received.
     pub resume_after: Option<String>,
+    /// Where the stream began.
+    pub start: StreamStart,
     /// Time spent waiting for the adapter so far.
     pub waited: Duration,
     /// The inputs of the last endpoint selection.
@@ -182,6 +185,7 @@
         fingerprint,
         is_retry,
         resume_after: caller.resume_after.clone(),
+        start: StreamStart::NotBegun,
         method: head.method,
         uri: head.uri,
         headers: strip_hop_by_hop_headers(head.headers),
--- a/crates/larkspring/src/direct/entry/select.rs
+++ b/crates/larkspring/src/direct/entry/select.rs
@@ -9,9 +9,11 @@
     batch_cost, choose_any, choose_for_adapter, rank_endpoints, AdapterLocation,
     Distance, EndpointView, PlacementPolicy,
 };
+use larkspring_core::fleet::endpoint_list::Endpoint;
 use larkspring_core::fleet::mechanisms::Mechanism;
 use larkspring_core::fleet::prefill::prefill_time;
 use larkspring_core::fleet::routes::EngineCapacity;
+use larkspring_core::fleet::stream_origins::StreamStart;
 use larkspring_core::fleet::utility;
 use larkspring_core::ids::{AdapterId, Incarnation, Target, VersionId};
 use xxhash_rust::xxh3::xxh3_64;
@@ -54,8 +56,8 @@
     /// If no endpoint is available, waits for the duration of
     /// [`RequestHandler::max_wait`]. If all are in backoff or have used up their rates,
     /// refuses the request at once unless the first becomes available within the latency
-    /// objective. If all are in halls that are evacuated or not allowed, refuses it at
-    /// once.
+    /// objective. If all are in halls that are evacuated or not allowed, or none has the
+    /// software that began the stream, refuses it at once.
     pub(super) async fn select_endpoint(&mut self) -> Result<Selection, NoSelection> {
         let mut denials = 0;
         loop {
@@ -74,12 +76,10 @@
                 Err(_) => {}
             }
             let Err((ErrorReason::NoEndpoint, _)) = selection else { return selection };
-            let is_allowed = |hall: &str| self.is_allowed(hall);
+            let may_take = |endpoint: &Endpoint| self.may_take(endpoint);
             let fleet = &self.entry.fleet;
-            match fleet.service_availability(&self.service.name, is_allowed) {
-                ServiceAvailability::Excluded => {
-                    return Err((ErrorReason::NoAllowedHall, None));
-                }
+            match fleet.service_availability(&self.service.name, may_take) {
+                ServiceAvailability::Excluded => return Err((self.exclusion(), None)),
                 ServiceAvailability::In(time) if time > self.max_backoff_wait() => {
                     let after = retry_after_backoff(time);
                     return Err((ErrorReason::InBackoff, Some(after)));
@@ -431,11 +431,8 @@
         let Some(engine) = &self.service.engine else { return };
         let (now, hash) = (Instant::now(), target.hash());
         let hall = &self.entry.cfg().process.hall;
-        if !self.is_allowed(hall) {
-            return;
-        }
         let mut peers = self.entry.fleet.available(&self.service.name);
-        peers.retain(|p| p.endpoint().hall == *hall);
+        peers.retain(|p| p.endpoint().hall == *hall && self.may_take(&p.endpoint()));
         let peers = rank_endpoints(
             hash,
             peers.into_iter().map(|p| (p.endpoint(), p)).collect(),
@@ -493,6 +490,20 @@
         .detach();
     }
 
+    /// Returns whether an endpoint may be sent the request: it is in a hall that is
+    /// allowed, and its software is that of the endpoint that began the stream.
+    pub(super) fn may_take(&self, endpoint: &Endpoint) -> bool {
+        self.is_allowed(&endpoint.hall) && self.start.allows(endpoint.build.as_ref())
+    }
+
+    /// Returns why no endpoint of the service may take the request.
+    fn exclusion(&self) -> ErrorReason {
+        match self.start {
+            StreamStart::NotBegun => ErrorReason::NoAllowedHall,
+            StreamStart::At(_) | StreamStart::Unknown => ErrorReason::NoSameBuild,
+        }
+    }
+
     /// Returns whether the regions of the route and of the workspace allow a hall.
     fn is_allowed(&self, hall: &str) -> bool {
         let workspace = self.workspace.as_ref().map(|workspace| &workspace.regions);
@@ -505,7 +516,7 @@
     /// if there are others.
     pub(super) fn candidates(&self) -> Vec<Arc<Peer>> {
         let mut peers = self.entry.fleet.available(&self.service.name);
-        peers.retain(|p| self.is_allowed(&p.endpoint().hall));
+        peers.retain(|p| self.may_take(&p.endpoint()));
         let untried = |p: &Arc<Peer>| !self.tried.contains(&p.endpoint().id);
         if peers.iter().any(untried) {
             peers.retain(untried);
