Take a caller's stream up only at the software version that began it

Which version began the stream was known to nobody once its entry had dropped it.

Change: entries tell three agents, by rendezvous order of the attempt's id and in several halls, where a stream began, when its first events go out; and tell agents that take their place. A resumption asks them. Where nobody knows, a service that has had one version only is enough, by a fresh list and the agents' word if the entry is new; else 503, not run. The origin names the service too, which a split route picks anew for each request.

--- a/crates/larkspring-core/src/fleet/mod.rs
+++ b/crates/larkspring-core/src/fleet/mod.rs
@@ -27,6 +27,7 @@
 
 pub mod attempt;
 pub mod availability;
+pub mod build_history;
 pub mod choose;
 pub mod cold;
 pub mod endpoint_list;
--- a/crates/larkspring-core/src/fleet/stream_origins.rs
+++ b/crates/larkspring-core/src/fleet/stream_origins.rs
@@ -6,10 +6,12 @@
 //! outlive the entry that learned it: entries tell it to several agents, which keep it
 //! for as long as callers may come back.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
-use crate::ids::{BuildId, ServiceId};
+use super::choose::rendezvous_weight;
+use crate::ids::{BuildId, HallId, ServiceId};
 
 /// Where a stream began.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -60,10 +62,31 @@
     }
 }
 
+/// What is kept of the streams of one attempt id.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KeptOrigin {
+    /// Nothing: no such stream began, or its origin was not told or was lost.
+    Unknown,
+    /// All that began did so there.
+    Known(StreamOrigin),
+    /// Several began at different software, and can't be told apart.
+    Ambiguous,
+}
+
+impl KeptOrigin {
+    /// Combines what two processes keep.
+    pub fn merge(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Unknown, known) | (known, Self::Unknown) => known,
+            (Self::Known(a), Self::Known(b)) if a == b => Self::Known(a),
+            _ => Self::Ambiguous,
+        }
+    }
+}
+
 /// The origins of recent streams.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
-    /// `None` if several streams of one attempt id began at different software.
     origins: HashMap<StreamKey, Kept>,
     /// The keys by the end of their time.
     ends: BTreeSet<(Instant, StreamKey)>,
@@ -71,7 +94,7 @@
 
 #[derive(Debug)]
 struct Kept {
-    origin: Option<StreamOrigin>,
+    origin: KeptOrigin,
     until: Instant,
 }
 
@@ -94,16 +117,13 @@
     ) {
         self.expire(now);
         let until = until.min(now + MAX_KEPT);
-        let kept = Kept { origin: Some(origin), until };
+        let kept = Kept { origin: KeptOrigin::Known(origin), until };
         let kept = match self.origins.remove(&key) {
             None => kept,
             Some(before) => {
                 self.ends.remove(&(before.until, key));
-                let is_same = before.origin == kept.origin;
-                Kept {
-                    origin: kept.origin.filter(|_| is_same),
-                    until: until.max(before.until),
-                }
+                let origin = before.origin.merge(kept.origin);
+                Kept { origin, until: until.max(before.until) }
             }
         };
         self.ends.insert((kept.until, key));
@@ -115,10 +135,11 @@
         }
     }
 
-    /// Returns where a stream began; `None` if that is not known.
-    pub fn get(&mut self, now: Instant, key: StreamKey) -> Option<StreamOrigin> {
+    /// Returns where a stream began.
+    pub fn get(&mut self, now: Instant, key: StreamKey) -> KeptOrigin {
         self.expire(now);
-        self.origins.get(&key)?.origin.clone()
+        let kept = self.origins.get(&key);
+        kept.map_or(KeptOrigin::Unknown, |kept| kept.origin.clone())
     }
 
     /// Returns the number of streams that are kept.
@@ -141,3 +162,40 @@
         }
     }
 }
+
+/// Number of agents that keep where a stream began.
+pub const KEEPERS: usize = 3;
+
+/// Returns the agents that keep the origin of a stream, at most [`KEEPERS`], in several
+/// halls if there are. Entries that list the same agents agree on them.
+///
+/// `agents` are the agents' names with their halls and a value; one agent may come twice.
+pub fn keepers<'a, T>(
+    key: StreamKey,
+    agents: impl Iterator<Item = (&'a [u8], &'a HallId, T)>,
+) -> Vec<T> {
+    let mut halls: Vec<(&HallId, Vec<(u64, T)>)> = Vec::new();
+    for (name, hall, agent) in agents {
+        let weight = rendezvous_weight(name, key);
+        let at = halls.iter().position(|(known, _)| *known == hall);
+        let at = at.unwrap_or_else(|| {
+            halls.push((hall, Vec::new()));
+            halls.len() - 1
+        });
+        let first = &mut halls[at].1;
+        let place = first.partition_point(|(known, _)| *known > weight);
+        let is_known = first.get(place).is_some_and(|(known, _)| *known == weight);
+        if place < KEEPERS && !is_known {
+            first.insert(place, (weight, agent));
+            first.truncate(KEEPERS);
+        }
+    }
+    // The first of each hall come before the second of any.
+    let mut ranked: Vec<_> = halls
+        .into_iter()
+        .flat_map(|(_, first)| first.into_iter().enumerate())
+        .map(|(place, (weight, agent))| (place, Reverse(weight), agent))
+        .collect();
+    ranked.sort_by_key(|(place, weight, _)| (*place, *weight));
+    ranked.into_iter().take(KEEPERS).map(|(_, _, agent)| agent).collect()
+}
--- /dev/null
+++ b/crates/larkspring-core/tests/stream_origins.rs
@@ -0,0 +1,232 @@
+//! Where streams began, as entries and agents keep it.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use larkspring_core::fleet::build_history::BuildHistory;
+use larkspring_core::fleet::endpoint_list::Endpoint;
+use larkspring_core::fleet::stream_origins::{
+    keepers, KeptOrigin, StreamOrigin, StreamOrigins, StreamStart, KEEPERS, MAX_KEPT,
+};
+use larkspring_core::ids::{BuildId, HallId, ServiceId, StorePoint};
+
+fn origin(build: &str) -> StreamOrigin {
+    StreamOrigin { service: "llm".into(), build: build.into() }
+}
+
+fn known(build: &str) -> KeptOrigin {
+    KeptOrigin::Known(origin(build))
+}
+
+#[test]
+fn a_stream_is_bound_by_its_first_events() {
+    struct Case {
+        name: &'static str,
+        first: Option<&'static str>,
+        next: Option<&'static str>,
+        allowed: bool,
+    }
+    let cases = [
+        Case { name: "the same", first: Some("v1"), next: Some("v1"), allowed: true },
+        Case { name: "another", first: Some("v1"), next: Some("v2"), allowed: false },
+        Case { name: "an unknown one", first: Some("v1"), next: None, allowed: false },
+        Case { name: "from unknown", first: None, next: Some("v1"), allowed: false },
+        Case { name: "two unknown ones", first: None, next: None, allowed: false },
+    ];
+    let service: ServiceId = "llm".into();
+    for c in cases {
+        let build = |name: Option<&str>| name.map(BuildId::from);
+        let mut start = StreamStart::default();
+        assert!(start.allows(build(c.next).as_ref()), "{}: before any event", c.name);
+        start.begin(&service, build(c.first).as_ref());
+        start.begin(&service, Some(&"v3".into()));
+        assert_eq!(start.allows(build(c.next).as_ref()), c.allowed, "{}", c.name);
+    }
+}
+
+#[test]
+fn origins_are_kept_for_their_time_and_never_guessed() {
+    let now = Instant::now();
+    let secs = Duration::from_secs;
+    let told = [
+        (1, "v1", 10),
+        (2, "v1", 10),
+        (2, "v2", 10),
+        (3, "v1", 1000),
+        (4, "v2", 10),
+        (4, "v2", 20),
+    ];
+    let cases = [
+        ("never told", 0, 9, KeptOrigin::Unknown),
+        ("told", 9, 1, known("v1")),
+        ("over", 10, 1, KeptOrigin::Unknown),
+        ("told twice, differently", 9, 2, KeptOrigin::Ambiguous),
+        ("told again, for longer", 19, 4, known("v2")),
+        ("a time over the limit", MAX_KEPT.as_secs() - 1, 3, known("v1")),
+        ("the limit", MAX_KEPT.as_secs(), 3, KeptOrigin::Unknown),
+    ];
+    for (name, after, key, expected) in cases {
+        let mut origins = StreamOrigins::default();
+        for (key, build, kept) in told {
+            origins.record(now, key, origin(build), now + secs(kept));
+        }
+        assert_eq!(origins.get(now + secs(after), key), expected, "{name}");
+    }
+}
+
+#[test]
+fn keepers_are_in_several_halls_and_the_same_for_all() {
+    let halls: [HallId; 3] = ["a".into(), "b".into(), "c".into()];
+    let names: Vec<_> = (0..30).map(|n| format!("10.{}.0.{n}:7380", n % 3)).collect();
+    let numbered = names.iter().enumerate();
+    let agents: Vec<_> =
+        numbered.map(|(n, name)| (name.as_bytes(), &halls[n % 3], n)).collect();
+    for key in 0..200 {
+        let found = keepers(key, agents.iter().copied());
+        let reversed = keepers(key, agents.iter().rev().copied());
+        assert_eq!(found, reversed, "{key}");
+        let mut of: Vec<_> = found.iter().map(|n| n % 3).collect();
+        of.sort_unstable();
+        assert_eq!(of, [0, 1, 2], "{key}");
+        // An agent that joins or leaves moves no other keeper.
+        let without = agents.iter().copied().filter(|(_, _, n)| *n != found[0]);
+        let rest = keepers(key, without);
+        assert!(found[1..].iter().all(|n| rest.contains(n)), "{key}");
+    }
+    let one_hall = agents.iter().copied().filter(|(_, hall, _)| ***hall == *"a");
+    assert_eq!(keepers(7, one_hall).len(), KEEPERS);
+    assert!(keepers(7, agents[..2].iter().copied()).len() == 2);
+}
+
+/// Agents restart, messages are lost and ids repeat, in random order: what the replies
+/// say of a stream is where it began, or that it is not known.
+#[test]
+fn random_losses_never_name_another_origin() {
+    const AGENTS: usize = 9;
+    let halls: [HallId; 3] = ["a".into(), "b".into(), "c".into()];
+    let (mut found, mut asked) = (0, 0);
+    for seed in 0..300 {
+        let mut rng = Rng::with_seed(seed);
+        let mut now = Instant::now();
+        let mut agents: Vec<_> = (0..AGENTS).map(|_| StreamOrigins::default()).collect();
+        let mut names: Vec<_> = (0..AGENTS).map(|n| format!("agent-{n}-0")).collect();
+        let mut began: HashMap<u64, Vec<StreamOrigin>> = HashMap::new();
+        for step in 0..300 {
+            now += Duration::from_millis(rng.u64(0..200));
+            let key = rng.u64(0..60);
+            let listed: Vec<_> = (0..AGENTS)
+                .map(|n| (names[n].clone(), halls[n % 3].clone(), n))
+                .collect();
+            let ranked = || {
+                keepers(key, listed.iter().map(|(id, hall, n)| (id.as_bytes(), hall, *n)))
+            };
+            match rng.u32(0..10) {
+                0 => agents[rng.usize(0..AGENTS)] = StreamOrigins::default(),
+                1 => {
+                    let n = rng.usize(0..AGENTS);
+                    (agents[n], names[n]) =
+                        (StreamOrigins::default(), format!("agent-{n}-{step}"));
+                }
+                2..=5 => {
+                    let at = origin(["v1", "v2", "v3"][rng.usize(0..3)]);
+                    began.entry(key).or_default().push(at.clone());
+                    for n in ranked() {
+                        if rng.u32(0..4) > 0 {
+                            let until = now + Duration::from_secs(24);
+                            agents[n].record(now, key, at.clone(), until);
+                        }
+                    }
+                }
+                _ => {
+                    let replies = ranked().into_iter().filter(|_| rng.u32(0..4) > 0);
+                    let replies: Vec<_> = replies.collect();
+                    let kept =
+                        replies.into_iter().fold(KeptOrigin::Unknown, |kept, n| {
+                            kept.merge(agents[n].get(now, key))
+                        });
+                    asked += 1;
+                    if let KeptOrigin::Known(at) = kept {
+                        found += 1;
+                        assert!(began[&key].contains(&at), "seed {seed}, step {step}");
+                    }
+                }
+            }
+        }
+    }
+    assert!(found > 0 && found < asked, "{found} of {asked}");
+}
+
+#[test]
+fn a_service_has_one_software_version_only_if_no_other_was_seen_of_late() {
+    struct Case {
+        name: &'static str,
+        /// Versions of the endpoints, and the second in which they were seen.
+        seen: &'static [(u64, &'static [Option<&'static str>])],
+        present: &'static [Option<&'static str>],
+        only: Option<&'static str>,
+    }
+    const V1: Option<&str> = Some("v1");
+    const V2: Option<&str> = Some("v2");
+    let cases = [
+        Case { name: "none", seen: &[], present: &[], only: None },
+        Case { name: "one", seen: &[(0, &[V1, V1])], present: &[V1], only: V1 },
+        Case { name: "two", seen: &[(0, &[V1, V2])], present: &[V1, V2], only: None },
+        Case {
+            name: "an unknown one beside it",
+            seen: &[(0, &[V1, None])],
+            present: &[V1, None],
+            only: None,
+        },
+        Case {
+            name: "another one of late",
+            seen: &[(0, &[V1]), (15, &[V1, V2])],
+            present: &[V2],
+            only: None,
+        },
+        Case {
+            name: "another one long ago",
+            seen: &[(0, &[V1]), (5, &[V1, V2]), (20, &[V2])],
+            present: &[V2],
+            only: V2,
+        },
+    ];
+    let (start, window) = (Instant::now(), Duration::from_secs(10));
+    for c in cases {
+        let mut history = BuildHistory::default();
+        for (at, builds) in c.seen {
+            let listed: Vec<_> = builds.iter().map(|build| endpoint(*build)).collect();
+            history.record(start + Duration::from_secs(*at), listed.iter());
+        }
+        let now = start + Duration::from_secs(20);
+        let present: Vec<_> = c.present.iter().map(|b| b.map(BuildId::from)).collect();
+        let only =
+            history.only(now, &"llm".into(), window, present.iter().map(Option::as_ref));
+        assert_eq!(only.as_deref(), c.only, "{}", c.name);
+        assert_eq!(history.covers(now, window), !c.seen.is_empty(), "{}", c.name);
+    }
+}
+
+/// The next run at an address may have other software, so nothing goes on there before
+/// the platform lists it.
+#[test]
+fn the_software_of_a_run_that_is_not_listed_is_not_known() {
+    assert_eq!(endpoint(Some("v1")).next_run("next".into()).build, None);
+}
+
+fn endpoint(build: Option<&str>) -> Endpoint {
+    Endpoint {
+        id: "run".into(),
+        service: "llm".into(),
+        addr: "10.1.0.1:8000".parse().unwrap(),
+        hall: "a".into(),
+        slots: 1,
+        leaving: false,
+        listed_since: StorePoint::default(),
+        start: None,
+        holds: Vec::new(),
+        runs_models: true,
+        build: build.map(Into::into),
+        cold_left: Duration::ZERO,
+    }
+}
--- a/crates/larkspring-proto/src/gen/larkspring.residency.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.residency.rs
@@ -50,7 +50,7 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct FromEntry {
-    #[prost(oneof = "from_entry::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "from_entry::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub kind: ::core::option::Option<from_entry::Kind>,
 }
 /// Nested message and enum types in `FromEntry`.
@@ -73,8 +73,41 @@
         Findings(super::Findings),
         #[prost(message, tag = "8")]
         Permit(super::PermitAsk),
+        #[prost(message, tag = "9")]
+        StreamStarts(super::StreamStarts),
+        #[prost(message, tag = "10")]
+        StreamQuery(super::StreamQuery),
     }
 }
+/// Streams that began at the entry, for the agent to keep.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct StreamStarts {
+    #[prost(message, repeated, tag = "1")]
+    pub starts: ::prost::alloc::vec::Vec<StreamStart>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamStart {
+    /// Hash of the id of the attempt that brought the first event.
+    #[prost(fixed64, tag = "1")]
+    pub key: u64,
+    /// The service, and the version of the endpoint's software.
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub build: ::prost::alloc::string::String,
+    /// Time for which the caller may take the stream up.
+    #[prost(uint64, tag = "4")]
+    pub kept_ms: u64,
+}
+/// Asks where a stream began.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamQuery {
+    /// Id of the query, unique on this connection.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    #[prost(fixed64, tag = "2")]
+    pub key: u64,
+}
 /// Requests a permit to send one request to a run that advertises a rate limit for all VMs
 /// together.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -269,7 +302,7 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct FromAgent {
-    #[prost(oneof = "from_agent::Kind", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "from_agent::Kind", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub kind: ::core::option::Option<from_agent::Kind>,
 }
 /// Nested message and enum types in `FromAgent`.
@@ -288,8 +321,22 @@
         Findings(super::Findings),
         #[prost(message, tag = "6")]
         Permitted(super::PermitReply),
+        #[prost(message, tag = "7")]
+        StreamReply(super::StreamReply),
     }
 }
+/// Reply to a `StreamQuery`.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamReply {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// Where the stream began; absent if the agent does not know it.
+    #[prost(message, optional, tag = "2")]
+    pub start: ::core::option::Option<StreamStart>,
+    /// Whether streams with this key began at different software.
+    #[prost(bool, tag = "3")]
+    pub is_ambiguous: bool,
+}
 /// Reply to a `PermitAsk`.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PermitReply {
--- a/crates/larkspring/src/direct/agent/controller.rs
+++ b/crates/larkspring/src/direct/agent/controller.rs
@@ -18,6 +18,7 @@
 use larkspring_core::fleet::rate::Rate;
 use larkspring_core::fleet::request_rates::RequestRates;
 use larkspring_core::fleet::routes::HallRegions;
+use larkspring_core::fleet::stream_origins::StreamOrigins;
 use larkspring_core::ids::{AttemptId, HallId, Target, TargetHash};
 use larkspring_core::limits::bucket_owner::{BucketOwner, UnitsRequest};
 use larkspring_core::limits::reporting_entries::EntryId;
@@ -38,6 +39,7 @@
 use crate::direct::platform_api::Change;
 use crate::direct::quarantine::{decode_crash, CrashReports};
 use crate::direct::stats::Stats;
+use crate::direct::streams::{decode_origin, encode_stream_reply};
 
 /// Number of an entry's connection, unique during this agent's life.
 pub(super) type EntryNumber = u64;
@@ -92,6 +94,8 @@
     bucket_owner: BucketOwner,
     /// Permits for the runs of which this agent is the issuer.
     pub(super) permit_issuer: PermitIssuer,
+    /// Where streams of the entries began.
+    pub(super) stream_origins: StreamOrigins,
     /// Crash reports known to this agent.
     crash_reports: Arc<CrashReports>,
     /// Notes that an entry follows this agent.
@@ -196,6 +200,7 @@
             regions: cfg.process.regions.clone(),
             bucket_owner: BucketOwner::new(cfg.process.limits),
             permit_issuer: PermitIssuer::default(),
+            stream_origins: StreamOrigins::default(),
             crash_reports,
             followed,
             followed_since: None,
@@ -300,6 +305,18 @@
             EntryMessage::Release(release) => self.release(now, (number, release.id)),
             EntryMessage::Reserve(req) => self.grant_units(now, number, &req),
             EntryMessage::Permit(req) => self.answer_permit_request(now, number, &req),
+            EntryMessage::StreamStarts(told) => {
+                for start in &told.starts {
+                    let until = now + Duration::from_millis(start.kept_ms);
+                    let origin = decode_origin(start);
+                    self.stream_origins.record(now, start.key, origin, until);
+                }
+            }
+            EntryMessage::StreamQuery(query) => {
+                let origin = self.stream_origins.get(now, query.key);
+                let reply = encode_stream_reply(&query, &origin);
+                self.send(number, AgentMessage::StreamReply(reply));
+            }
             EntryMessage::EndedUnder(crashes) => {
                 let record = |e: &wire::End| {
                     self.crash_reports.record_crash(e.content, decode_crash(e))
--- a/crates/larkspring/src/direct/entry/answer.rs
+++ b/crates/larkspring/src/direct/entry/answer.rs
@@ -58,6 +58,7 @@
     NoEndpoint,
     NoAllowedHall,
     NoSameBuild,
+    UnknownBuild,
     InBackoff,
     RateUsedUp,
     OverShare,
@@ -87,6 +88,7 @@
             Self::NoEndpoint => "no endpoint",
             Self::NoAllowedHall => "no endpoint in a hall that may serve it",
             Self::NoSameBuild => "no endpoint has the software that began the stream",
+            Self::UnknownBuild => "the software that began the stream is not known",
             Self::InBackoff => "no endpoint wants requests now",
             Self::RateUsedUp => "the rate that endpoints take is used up",
             Self::OverShare => "over the workspace's share of a saturated service",
@@ -119,6 +121,7 @@
             | Self::NoEndpoint
             | Self::NoAllowedHall
             | Self::NoSameBuild
+            | Self::UnknownBuild
             | Self::InBackoff
             | Self::RateUsedUp
             | Self::OverShare
@@ -160,6 +163,7 @@
             Self::NoEndpoint if needs_adapter => RETRY_AFTER_LOADING,
             Self::NoEndpoint
             | Self::StaleRouting
+            | Self::UnknownBuild
             | Self::NoAdapterInTime
             | Self::Rejected
             | Self::NotReached
--- a/crates/larkspring/src/direct/entry/fleet.rs
+++ b/crates/larkspring/src/direct/entry/fleet.rs
@@ -9,6 +9,7 @@
 use event_listener::{Event, EventListener};
 use futures_lite::future;
 use larkspring_core::fleet::availability::{Availability, AvailabilityChanges, Notice};
+use larkspring_core::fleet::build_history::BuildHistory;
 use larkspring_core::fleet::choose::{rank_endpoints, rendezvous_weight, Distance};
 use larkspring_core::fleet::cold::{permit_rate, ColdTolerance};
 use larkspring_core::fleet::endpoint_list::Endpoint;
@@ -16,7 +17,8 @@
 use larkspring_core::fleet::permits::RunHash;
 use larkspring_core::fleet::read_timing::MAX_AGENTS_PER_READ;
 use larkspring_core::fleet::routes::{HallRegions, Service};
-use larkspring_core::ids::{HallId, Incarnation, ServiceId, StorePoint};
+use larkspring_core::fleet::stream_origins::{self, StreamKey};
+use larkspring_core::ids::{BuildId, HallId, Incarnation, ServiceId, StorePoint};
 use parking_lot::Mutex;
 use smol::Timer;
 use xxhash_rust::xxh3::xxh3_64;
@@ -25,6 +27,7 @@
 use super::peer::{Peer, PeerPlacement};
 use crate::direct::cfg::EntryCfg;
 use crate::direct::logs::{self, LineKind};
+use crate::direct::platform_api::StateKind;
 use crate::direct::replicated_state::ReplicatedState;
 
 /// The endpoints of all services, and the connections to the agents beside them.
@@ -52,6 +55,8 @@
     /// expired while the store was unavailable is listed again later and may still be
     /// draining.
     unlisted: Mutex<HashMap<Incarnation, Arc<Mutex<Availability>>>>,
+    /// The software versions that endpoints had of late.
+    builds: Mutex<BuildHistory>,
     /// Runs that the platform lists or has listed before.
     listed: Mutex<HashSet<Incarnation>>,
 }
@@ -85,6 +90,9 @@
 /// Limits the number of runs remembered as listed. With 11,000 endpoints and 4,300
 /// restarts a day, that covers several days.
 const MAX_LISTED_RUNS: usize = 32 * 1024;
+/// Greatest age of the list of endpoints by which a service has a single software
+/// version.
+const MAX_LIST_AGE: Duration = Duration::from_secs(2);
 /// Interval between sweeps that close connections which were idle for too long.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -120,6 +128,7 @@
             link_context,
             address_changed: Event::new(),
             unlisted: Mutex::default(),
+            builds: Mutex::default(),
             listed: Mutex::default(),
         })
     }
@@ -272,6 +281,45 @@
         first.map(|(_, link)| link.clone())
     }
 
+    /// Returns the addresses of the agents that keep where a stream began, and the
+    /// connections to them, whether the agents are live or not.
+    pub fn stream_keepers(&self, key: StreamKey) -> Vec<(SocketAddr, Arc<Link>)> {
+        let peers = self.peers.load();
+        let endpoints: Vec<_> = peers
+            .by_id
+            .values()
+            .filter_map(|p| Some((p.endpoint(), p.link.as_ref()?)))
+            .collect();
+        let agents = endpoints
+            .iter()
+            .map(|(endpoint, link)| (link.addr().as_bytes(), &endpoint.hall, *link));
+        let links = stream_origins::keepers(key, agents).into_iter();
+        links.filter_map(|link| Some((link.addr().parse().ok()?, link.clone()))).collect()
+    }
+
+    /// Returns the only software version that the endpoints of a service had within
+    /// `window`, and whether this entry has known them for so long.
+    ///
+    /// The list of the endpoints has to be fresh: a version that was listed since may have
+    /// begun streams at other entries.
+    pub fn only_build(
+        &self,
+        service: &ServiceId,
+        window: Duration,
+    ) -> Option<(BuildId, bool)> {
+        let list_age = self.replicated_state.proof_age(StateKind::Endpoints)?;
+        if list_age > MAX_LIST_AGE {
+            return None;
+        }
+        let peers = self.peers.load();
+        let present = peers.by_service.get(service).map_or(&[][..], |all| all);
+        let present: Vec<_> = present.iter().map(|p| p.endpoint()).collect();
+        let (builds, now) = (self.builds.lock(), Instant::now());
+        let present = present.iter().map(|endpoint| endpoint.build.as_ref());
+        let only = builds.only(now, service, window, present)?;
+        Some((only, builds.covers(now, window)))
+    }
+
     /// Returns the halls that have endpoints, sorted.
     pub fn halls(&self) -> Vec<HallId> {
         let peers = self.peers.load();
@@ -455,6 +503,9 @@
             }
             is_used
         });
+        let runs = before.by_id.values().chain(now.by_id.values());
+        let runs: Vec<_> = runs.map(|p| p.endpoint()).collect();
+        self.builds.lock().record(Instant::now(), runs.iter().map(|run| &**run));
         self.keep_unlisted(&before, &now);
         self.peers.store(Arc::new(now));
         self.update_followed();
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -3,6 +3,7 @@
 
 mod hold;
 mod permit;
+mod stream_query;
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
@@ -16,6 +17,7 @@
 use larkspring_core::fleet::permits::PermitResponse;
 use larkspring_core::fleet::rate::AdvertisedRate;
 use larkspring_core::fleet::routes::{Routing, RoutingVersion};
+use larkspring_core::fleet::stream_origins::KeptOrigin;
 use larkspring_core::ids::{HallId, Incarnation, ServiceId, TargetHash, VmId};
 use larkspring_core::limits::bucket_owner::{Grant, UnitsRequest};
 use larkspring_core::retry::backoff;
@@ -30,6 +32,7 @@
 
 use self::hold::HoldRecord;
 pub(super) use self::hold::{Hold, HoldEnd, HoldRequest};
+pub(super) use self::stream_query::StreamQuery;
 use super::engine_state::{EngineState, EngineView, ReportedRun};
 use crate::direct::limits::{decode_grant, encode_unit_request};
 use crate::direct::logs;
@@ -52,6 +55,8 @@
     holds: Mutex<HashMap<u64, HoldRecord>>,
     /// Permit requests that await a reply, by id.
     pending_permits: Mutex<HashMap<u64, Sender<PermitResponse>>>,
+    /// Queries of streams that await a reply, by id.
+    pending_queries: Mutex<HashMap<u64, Sender<KeptOrigin>>>,
     next_id: AtomicU64,
     granted_holds: AtomicU32,
     /// Number of connections opened so far.
@@ -167,6 +172,7 @@
             engine_state: Mutex::default(),
             holds: Mutex::default(),
             pending_permits: Mutex::default(),
+            pending_queries: Mutex::default(),
             next_id: AtomicU64::new(1),
             granted_holds: AtomicU32::new(0),
             connections: AtomicU64::new(0),
@@ -446,6 +452,10 @@
                 drop(engine_state);
                 self.receive_permit(&reply);
             }
+            Some(FromAgentKind::StreamReply(reply)) => {
+                drop(engine_state);
+                self.receive_stream_reply(&reply);
+            }
             Some(FromAgentKind::Findings(findings)) => {
                 drop(engine_state);
                 self.context.sinks.crash_reports.apply(&findings);
@@ -475,10 +485,11 @@
         was_live
     }
 
-    /// Fails the holds and permits that await a reply.
+    /// Fails the holds, permits and queries that await a reply.
     fn fail_waiting(&self) {
-        // Dropping the senders ends the waits for permits.
+        // Dropping the senders ends the waits for permits and replies.
         self.pending_permits.lock().clear();
+        self.pending_queries.lock().clear();
         let mut holds = self.holds.lock();
         holds.retain(|_, held| match held.waiter.take() {
             Some(waiter) => {
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -14,7 +14,8 @@
 //! 6. [`notices`]: notices about endpoints in the headers of their answers.
 //! 7. [`permits`]: permits to send to rate-limited endpoints.
 //! 8. [`crashes`]: detection of endpoint crashes and of the requests that cause them.
-//! 9. [`unread_answers`]: the bound of the bytes held for callers that read slowly.
+//! 9. [`stream_tracker`]: where streams began, so that callers can take them up.
+//! 10. [`unread_answers`]: the bound of the bytes held for callers that read slowly.
 
 mod absence;
 mod admission;
@@ -41,6 +42,7 @@
 mod reused_connection;
 mod select;
 mod select_plain;
+mod stream_tracker;
 mod unread_answers;
 mod view;
 mod workspace_limits;
@@ -70,6 +72,7 @@
 use self::fleet::Fleet;
 use self::link::MessageSinks;
 use self::permits::Permits;
+use self::stream_tracker::StreamTracker;
 use self::unread_answers::UnreadAnswers;
 use self::workspace_limits::Limits;
 use super::cfg::EntryCfg;
@@ -111,6 +114,7 @@
     permits: Permits,
     shares: ServiceShares,
     crashes: Arc<CrashDetector>,
+    streams: Arc<StreamTracker>,
     stats: Arc<Stats>,
     retry_budgets: Mutex<HashMap<ServiceId, RetryWindow>>,
     /// Adapters whose preloading was requested, with the time of the request.
@@ -166,6 +170,7 @@
         let sinks = MessageSinks { grants: tx, crash_reports: crash_reports.clone() };
         let fleet = Fleet::new(replicated_state.clone(), &cfg, sinks);
         let crashes = CrashDetector::new(fleet.clone(), crash_reports, stats.clone());
+        let streams = StreamTracker::new(fleet.clone(), stats.clone());
         let terms = cfg.process.limits;
         let limits = Limits::new(terms, replicated_state.clone(), fleet.clone(), grants);
         let listener = TcpListener::bind(cfg.listen).await;
@@ -188,6 +193,7 @@
             permits: Permits::new(fleet.clone(), stats.clone()),
             shares: ServiceShares::default(),
             crashes: crashes.clone(),
+            streams: streams.clone(),
             stats: stats.clone(),
             retry_budgets: Mutex::default(),
             preloads: Mutex::default(),
@@ -203,6 +209,7 @@
             watch::follow(directory, replicated_state, stats.clone(), &process);
         tasks.push(exec::spawn(limits.run()));
         tasks.push(exec::spawn(crashes.run()));
+        tasks.push(exec::spawn(streams.run()));
         tasks.push(exec::spawn(fleet.clone().follow()));
         tasks.push(exec::spawn(fleet.sweep()));
         tasks.push(exec::spawn(logs::log_dropped_lines()));
--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -24,7 +24,7 @@
 use super::crashes::CrashDetector;
 use super::event_splitter::EventSplitter;
 use super::framing::{BodyEnd, Framing};
-use super::request_handler::RequestHandler;
+use super::request_handler::{take_up_time, RequestHandler};
 use super::EntryState;
 use crate::direct::conn::error_with_source;
 use crate::direct::logs::{self, LineKind};
@@ -181,8 +181,15 @@
         else {
             return;
         };
+        if handler.start != StreamStart::NotBegun {
+            return;
+        }
         let endpoint = open.selection.open_request.peer.endpoint();
         handler.start.begin(&endpoint.service, endpoint.build.as_ref());
+        if let StreamStart::At(origin) = &handler.start {
+            let kept = take_up_time(&handler.caller, &handler.route);
+            handler.entry.streams.record(&handler.caller.id, origin.clone(), kept);
+        }
     }
 
     /// Takes the bytes that were read before the relay began.
--- a/crates/larkspring/src/direct/entry/request_handler.rs
+++ b/crates/larkspring/src/direct/entry/request_handler.rs
@@ -13,7 +13,7 @@
 };
 use larkspring_core::fleet::idle::Reuse;
 use larkspring_core::fleet::mechanisms::Mechanism;
-use larkspring_core::fleet::routes::{Route, Service};
+use larkspring_core::fleet::routes::{Route, RouteClass, Service};
 use larkspring_core::fleet::stream_origins::StreamStart;
 use larkspring_core::ids::{ContentHash, Incarnation};
 use larkspring_core::workspaces::Workspace;
@@ -150,6 +150,20 @@
     let Some(service) = service.and_then(|name| routing.service(name)).cloned() else {
         return refuse(ErrorReason::NoEndpoint, Some(&view), Some(body), done);
     };
+    let start = match stream_start(&entry, &route, &caller).await {
+        Ok(start) => start,
+        Err(reason) => return refuse(reason, Some(&view), Some(body), done),
+    };
+    let service = match &start {
+        StreamStart::At(origin) => match routing.service(&origin.service) {
+            Some(service) => service.clone(),
+            None => {
+                let reason = ErrorReason::NoSameBuild;
+                return refuse(reason, Some(&view), Some(body), done);
+            }
+        },
+        StreamStart::NotBegun | StreamStart::Unknown => service,
+    };
     let requested_timeout = caller.deadline.unwrap_or(DEFAULT_TIMEOUT);
     let timeout = requested_timeout.min(route.timeout.unwrap_or(requested_timeout));
     let deadline = received + timeout;
@@ -185,7 +199,7 @@
         fingerprint,
         is_retry,
         resume_after: caller.resume_after.clone(),
-        start: StreamStart::NotBegun,
+        start,
         method: head.method,
         uri: head.uri,
         headers: strip_hop_by_hop_headers(head.headers),
@@ -426,6 +440,38 @@
     }
 }
 
+/// Returns for how long a caller may take a stream up: for its deadline or the route's
+/// time-out, and as long again if it counts anew.
+pub(super) fn take_up_time(caller: &CallerRequest, route: &Route) -> Duration {
+    let own = caller.deadline.unwrap_or(DEFAULT_TIMEOUT);
+    2 * own.max(route.timeout.unwrap_or(own))
+}
+
+/// Returns where the stream began that a request takes up.
+async fn stream_start(
+    entry: &EntryState,
+    route: &Route,
+    caller: &CallerRequest,
+) -> Result<StreamStart, ErrorReason> {
+    let may_resume = route.class == RouteClass::Stream { resumable: true };
+    if !may_resume || caller.resume_after.is_none() {
+        return Ok(StreamStart::NotBegun);
+    }
+    let service = match &route.targets[..] {
+        [only] => Some(&only.service),
+        _ => None,
+    };
+    let attempt = caller.resumed_attempt.as_deref();
+    let window = take_up_time(caller, route);
+    let origin = entry.streams.find(attempt, service, window).await;
+    let origin = origin.ok_or(ErrorReason::UnknownBuild)?;
+    // A stream does not go on at a service to which its route no longer leads.
+    if !route.targets.iter().any(|target| target.service == origin.service) {
+        return Err(ErrorReason::NoSameBuild);
+    }
+    Ok(StreamStart::At(origin))
+}
+
 /// Returns the routing; just after the entry's start waits briefly for the first routing.
 async fn routing_view(entry: &EntryState) -> Option<RoutingView> {
     let changed = entry.replicated_state.changed();
--- a/crates/larkspring/src/direct/mod.rs
+++ b/crates/larkspring/src/direct/mod.rs
@@ -26,5 +26,6 @@
 pub mod replicated_state;
 mod stats;
 mod status_server;
+mod streams;
 mod unknown_names;
 pub mod watch;
--- a/crates/larkspring/src/direct/stats.rs
+++ b/crates/larkspring/src/direct/stats.rs
@@ -25,6 +25,7 @@
     wait: HistogramVec,
     attempts: IntCounterVec,
     answer_ends: IntCounterVec,
+    taken_up: IntCounterVec,
     connections: IntCounterVec,
     slow_readers: IntCounterVec,
     holds: IntCounterVec,
@@ -105,6 +106,11 @@
                 "Relayed bodies of endpoints by their framing and how they ended.",
                 &["framing", "end"],
             ),
+            taken_up: counter(
+                "larkspring_streams_taken_up_total",
+                "Streams that callers took up, by who knew where they began.",
+                &["known_by"],
+            ),
             slow_readers: counter(
                 "larkspring_slow_readers_total",
                 "Connections closed because their reader was slow, by the end that read slowly.",
@@ -239,6 +245,11 @@
         self.answer_ends.with_label_values(&[framing, end]).inc();
     }
 
+    /// Counts a stream that its caller takes up.
+    pub fn count_taken_up(&self, known_by: &str) {
+        self.taken_up.with_label_values(&[known_by]).inc();
+    }
+
     /// Counts a connection that was closed because its reader was slow.
     pub fn count_slow_reader(&self, end: &str) {
         self.slow_readers.with_label_values(&[end]).inc();
