--- a/crates/larkspring/src/direct/entry/event_splitter.rs
+++ b/crates/larkspring/src/direct/entry/event_splitter.rs
@@ -1,9 +1,19 @@
-//! Splitting a stream into whole events, so that an interrupted stream can be resumed
-//! after the last of them.
+//! The events of a relayed body. A stream that may be resumed is split into whole events,
+//! so that it can be resumed after the last of them.
 
 use bytes::{Bytes, BytesMut};
 use larkspring_core::event_stream::EventScanner;
 
+/// The events of the body that is relayed.
+pub(super) enum Events {
+    /// The body is no stream of events.
+    None,
+    /// The body is passed on as it arrives.
+    Passed(EventScanner),
+    /// The stream may be resumed, so it is passed on in whole events.
+    Split(EventSplitter),
+}
+
 /// Splits a stream into whole server-sent events.
 #[derive(Debug, Default)]
 pub(super) struct EventSplitter {
@@ -22,14 +32,59 @@
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 const ID_FIELD: &[u8] = b"id:";
 
+impl Events {
+    /// Creates the events of a stream that may be resumed and continues after the event
+    /// `last`.
+    pub fn split_after(last: Option<String>) -> Self {
+        Self::Split(EventSplitter::resuming_after(last))
+    }
+
+    /// Adds bytes and returns those that can be passed on.
+    pub fn push(&mut self, data: Bytes) -> Bytes {
+        match self {
+            Self::None => data,
+            Self::Passed(scanner) => {
+                scanner.scan(&data);
+                data
+            }
+            Self::Split(splitter) => splitter.push(&data),
+        }
+    }
+
+    /// Returns whether the body, if it ends here, ends inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        match self {
+            Self::None => false,
+            Self::Passed(scanner) => scanner.is_inside_event(),
+            Self::Split(splitter) => splitter.is_inside_event(),
+        }
+    }
+
+    /// Returns the bytes that were held back.
+    pub fn take_rest(&mut self) -> Bytes {
+        match self {
+            Self::None | Self::Passed(_) => Bytes::new(),
+            Self::Split(splitter) => splitter.take_partial(),
+        }
+    }
+
+    /// Returns the events after which the stream can be resumed.
+    pub fn resumable(&mut self) -> Option<&mut EventSplitter> {
+        match self {
+            Self::None | Self::Passed(_) => None,
+            Self::Split(splitter) => Some(splitter).filter(|s| s.can_resume()),
+        }
+    }
+}
+
 impl EventSplitter {
     /// Creates a splitter for a stream that continues after the event `last`.
-    pub fn resuming_after(last: Option<String>) -> Self {
+    fn resuming_after(last: Option<String>) -> Self {
         Self { last_event_id: last, ..Self::default() }
     }
 
     /// Adds bytes and returns the whole events received so far.
-    pub fn push(&mut self, data: &[u8]) -> Bytes {
+    fn push(&mut self, data: &[u8]) -> Bytes {
         let buffered = self.buf.len();
         self.buf.extend_from_slice(data);
         let boundary = self.scanner.scan(data).map(|len| buffered + len);
@@ -47,18 +102,17 @@
         returned
     }
 
-    /// Returns whether the stream, if it ends here, ends inside an event.
-    pub fn is_inside_event(&self) -> bool {
+    fn is_inside_event(&self) -> bool {
         self.scanner.is_inside_event()
     }
 
     /// Returns whether the stream can be resumed after the last event.
-    pub fn can_resume(&self) -> bool {
+    fn can_resume(&self) -> bool {
         !self.is_inside_returned
     }
 
     /// Returns the bytes after the last whole event.
-    pub fn take_partial(&mut self) -> Bytes {
+    fn take_partial(&mut self) -> Bytes {
         self.buf.split().freeze()
     }
 
--- a/crates/larkspring/src/direct/entry/fleet.rs
+++ b/crates/larkspring/src/direct/entry/fleet.rs
@@ -1,32 +1,32 @@
 //! The endpoints of each service, kept up to date with the platform's list.
 
+mod agents;
+mod notices;
+
 use std::collections::{BTreeSet, HashMap, HashSet};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 use event_listener::{Event, EventListener};
 use futures_lite::future;
-use larkspring_core::fleet::availability::{Availability, AvailabilityChanges, Notice};
+use larkspring_core::fleet::availability::{Availability, Notice};
 use larkspring_core::fleet::build_history::BuildHistory;
-use larkspring_core::fleet::choose::{rank_endpoints, rendezvous_weight, Distance};
+use larkspring_core::fleet::choose::Distance;
 use larkspring_core::fleet::cold::{permit_rate, ColdTolerance};
 use larkspring_core::fleet::endpoint_list::Endpoint;
-use larkspring_core::fleet::following::{EntryCounts, RecentCount};
-use larkspring_core::fleet::permits::RunHash;
-use larkspring_core::fleet::read_timing::MAX_AGENTS_PER_READ;
+use larkspring_core::fleet::following::RecentCount;
 use larkspring_core::fleet::routes::{HallRegions, Service};
-use larkspring_core::fleet::stream_origins::{self, StreamKey};
 use larkspring_core::ids::{BuildId, HallId, Incarnation, ServiceId, StorePoint};
 use parking_lot::Mutex;
 use smol::Timer;
-use xxhash_rust::xxh3::xxh3_64;
 
-use super::link::{AgentStatus, EntryIdentity, Link, LinkContext, MessageSinks};
+pub(super) use self::agents::Reader;
+pub(super) use self::notices::NoticeSource;
+use super::link::{EntryIdentity, Link, LinkContext, MessageSinks};
 use super::peer::{Peer, PeerPlacement};
 use crate::direct::cfg::EntryCfg;
-use crate::direct::logs::{self, LineKind};
 use crate::direct::platform_api::StateKind;
 use crate::direct::replicated_state::ReplicatedState;
 
@@ -68,14 +68,6 @@
     by_service: HashMap<ServiceId, Vec<Arc<Peer>>>,
 }
 
-/// An agent from which entries read the declared state.
-pub(super) struct Reader {
-    /// The run of the engine beside it.
-    pub id: Incarnation,
-    /// The agent's address.
-    pub addr: SocketAddr,
-}
-
 /// When an endpoint of a service may be sent a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ServiceAvailability {
@@ -190,48 +182,6 @@
         }
     }
 
-    /// Applies a notice about an endpoint from one of its answers or from its agent.
-    pub fn apply_notice(
-        &self,
-        peer: &Peer,
-        sent_at: Instant,
-        notice: Notice,
-        source: NoticeSource<'_>,
-    ) {
-        let changes = peer.apply_notice(sent_at, notice);
-        log_notice(peer, notice, changes, source);
-        if changes.draining || changes.backoff {
-            // Wakes requests that wait for an adapter there, so that they go elsewhere.
-            self.availability_changed.notify(usize::MAX);
-        }
-    }
-
-    /// Returns the agents of a hall from which its entries read the declared state, the
-    /// first `count` in the order on which all entries agree. Leaves out agents that can't
-    /// be asked or whose engines are draining.
-    pub fn readers_in(&self, hall: &HallId, count: usize) -> Vec<Reader> {
-        let can_ask = self.askable_links();
-        let peers = self.peers.load();
-        let usable = |p: &Peer| {
-            p.link.as_ref().is_some_and(|link| can_ask(link))
-                && p.endpoint().hall == *hall
-                && p.stays_in_service()
-        };
-        let known = peers.by_id.values().filter(|p| usable(p)).map(|p| p.endpoint());
-        let endpoints: Vec<_> = match peers.by_id.is_empty() {
-            false => known.collect(),
-            // No routing is known yet, by which services are told apart.
-            true => self.listed_engines().filter(|e| e.hall == *hall).collect(),
-        };
-        let key = xxh3_64(hall.as_bytes());
-        let ranked = rank_endpoints(key, endpoints, |endpoint| &endpoint.id);
-        let reader = |endpoint: Arc<Endpoint>| Reader {
-            id: endpoint.id.clone(),
-            addr: self.agent_addr(endpoint.addr),
-        };
-        ranked.into_iter().take(count).map(reader).collect()
-    }
-
     /// Returns whether the platform lists any endpoint.
     pub fn has_listed_endpoints(&self) -> bool {
         self.replicated_state.has_endpoints()
@@ -247,56 +197,6 @@
         endpoints.filter(|e| e.runs_models && !e.leaving)
     }
 
-    /// Returns whether the entry follows all agents.
-    pub fn follows_all(&self) -> bool {
-        let agents = match self.peers.load().by_id.is_empty() {
-            true => self.listed_engines().count(),
-            false => self.links.lock().len(),
-        };
-        agents <= self.max_followed_agents
-    }
-
-    /// Returns the connection to an agent.
-    pub fn link_to(&self, agent: SocketAddr) -> Option<Arc<Link>> {
-        self.links.lock().get(&agent).cloned()
-    }
-
-    /// Returns the connection to the agent that ranks first for a run, whether the agent
-    /// is live or not: the platform's list is the same for all entries, the set of live
-    /// agents is not.
-    pub fn ranked_link(
-        &self,
-        run: RunHash,
-        without: Option<&Arc<Link>>,
-    ) -> Option<Arc<Link>> {
-        let links = self.links.lock();
-        let weight_of = |addr: &SocketAddr| match addr.ip() {
-            IpAddr::V4(ip) => rendezvous_weight(&ip.octets(), run),
-            IpAddr::V6(ip) => rendezvous_weight(&ip.octets(), run),
-        };
-        let is_left_out =
-            |link: &Arc<Link>| without.is_some_and(|w| Arc::ptr_eq(w, link));
-        let ranked = links.iter().filter(|(_, link)| !is_left_out(link));
-        let first = ranked.max_by_key(|(addr, _)| weight_of(addr));
-        first.map(|(_, link)| link.clone())
-    }
-
-    /// Returns the addresses of the agents that keep where a stream began, and the
-    /// connections to them, whether the agents are live or not.
-    pub fn stream_keepers(&self, key: StreamKey) -> Vec<(SocketAddr, Arc<Link>)> {
-        let peers = self.peers.load();
-        let endpoints: Vec<_> = peers
-            .by_id
-            .values()
-            .filter_map(|p| Some((p.endpoint(), p.link.as_ref()?)))
-            .collect();
-        let agents = endpoints
-            .iter()
-            .map(|(endpoint, link)| (link.addr().as_bytes(), &endpoint.hall, *link));
-        let links = stream_origins::keepers(key, agents).into_iter();
-        links.filter_map(|link| Some((link.addr().parse().ok()?, link.clone()))).collect()
-    }
-
     /// Returns the only software version that the endpoints of a service had within
     /// `window`, and whether this entry has known them for so long.
     ///
@@ -328,25 +228,6 @@
         halls.into_iter().collect()
     }
 
-    /// Returns the addresses of all agents that can be asked, and the connections to them.
-    pub fn usable_links(&self) -> Vec<(SocketAddr, Arc<Link>)> {
-        let can_ask = self.askable_links();
-        let links = self.links.lock();
-        let usable = links.iter().filter(|(_, link)| can_ask(link));
-        usable.map(|(addr, link)| (*addr, link.clone())).collect()
-    }
-
-    /// Returns a check whether an agent can be asked: it is live if all agents are
-    /// followed, else nothing is known against it.
-    fn askable_links(&self) -> impl Fn(&Link) -> bool {
-        let follows_all = self.follows_all();
-        move |link| match link.status() {
-            AgentStatus::Live => true,
-            AgentStatus::Unknown => !follows_all,
-            AgentStatus::Unresponsive => false,
-        }
-    }
-
     /// Returns a listener for the next change that may make an endpoint usable.
     pub fn listen(&self) -> EventListener {
         self.availability_changed.listen()
@@ -406,45 +287,6 @@
         self.peers.load().by_id.len()
     }
 
-    /// Returns the number of entries that share the limits, by the highest count of any
-    /// followed agent; at least 1.
-    pub fn entry_counts(&self) -> EntryCounts {
-        let followed = self.followed.load();
-        let counts = followed.iter().map(|link| link.entry_counts());
-        let (all, in_hall) =
-            counts.fold((1, 1), |(all, hall), (a, h)| (all.max(a), hall.max(h)));
-        if self.follows_all() {
-            return EntryCounts { all, in_hall };
-        }
-        let in_hall = self.entries_in_hall.lock().record(Instant::now(), in_hall);
-        let halls = match self.regions.len() {
-            0 => self.halls().len(),
-            declared => declared,
-        };
-        EntryCounts::from_hall(in_hall, halls)
-    }
-
-    /// Returns whether a followed agent has reported the number of entries.
-    pub fn has_entry_counts(&self) -> bool {
-        self.followed.load().iter().any(|link| link.entry_counts().0 > 0)
-    }
-
-    /// Follows all agents of a small fleet, and in a larger one those from which the hall
-    /// reads the declared state.
-    fn update_followed(&self) {
-        let followed: Vec<_> = match self.follows_all() {
-            true => self.links.lock().values().cloned().collect(),
-            false => {
-                let readers = self.readers_in(&self.hall, MAX_AGENTS_PER_READ);
-                readers.iter().filter_map(|reader| self.link_to(reader.addr)).collect()
-            }
-        };
-        for link in self.links.lock().values() {
-            link.set_followed(followed.iter().any(|f| Arc::ptr_eq(f, link)));
-        }
-        self.followed.store(Arc::new(followed));
-    }
-
     fn rebuild(&self) {
         let routing = self.replicated_state.routing();
         let before = self.peers.load();
@@ -577,59 +419,6 @@
         endpoints.extend(coming);
         endpoints
     }
-
-    fn link(&self, endpoint: SocketAddr, service: &ServiceId) -> Arc<Link> {
-        let addr = self.agent_addr(endpoint);
-        let mut links = self.links.lock();
-        let new =
-            || Link::new(addr.to_string(), service.clone(), self.link_context.clone());
-        links.entry(addr).or_insert_with(new).clone()
-    }
-
-    /// Returns the address of an endpoint's agent, which listens on the same VM.
-    fn agent_addr(&self, endpoint: SocketAddr) -> SocketAddr {
-        SocketAddr::new(endpoint.ip(), self.agent_port)
-    }
-}
-
-/// The source of a notice about an endpoint.
-#[derive(Debug, Clone, Copy)]
-pub(super) enum NoticeSource<'a> {
-    /// An answer of the endpoint to a request.
-    Answer { request: &'a str, status: u16 },
-    /// The agent beside the endpoint.
-    Agent,
-}
-
-fn log_notice(
-    peer: &Peer,
-    notice: Notice,
-    changes: AvailabilityChanges,
-    source: NoticeSource<'_>,
-) {
-    if !changes.is_any() || !logs::is_allowed(LineKind::StateChange) {
-        return;
-    }
-    let (request, status) = match source {
-        NoticeSource::Answer { request, status } => (Some(request), Some(status)),
-        NoticeSource::Agent => (None, None),
-    };
-    let rate = peer.availability().lock().advertised_rate();
-    tracing::info!(
-        event = match changes {
-            AvailabilityChanges { draining: true, .. } => "endpoint leaves",
-            AvailabilityChanges { backoff: true, .. } => "endpoint rests",
-            AvailabilityChanges { cold: true, .. } => "endpoint is cold",
-            AvailabilityChanges { .. } if rate.is_some() => "endpoint names a rate",
-            AvailabilityChanges { .. } => "endpoint names no rate any more",
-        },
-        endpoint = %peer.endpoint().id,
-        request,
-        status,
-        rest_ms = notice.rest.map(|rest| rest.as_millis() as u64),
-        cold_ms = notice.cold.map(|left| left.as_millis() as u64),
-        rate_per_sec = rate.map(|rate| rate.as_per_sec()),
-    );
 }
 
 /// Removes runs whose address a later run has. Their listings outlive them for a while.
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -2,8 +2,10 @@
 //! engines. A connection is open while the entry follows the agent or uses it.
 
 mod hold;
+mod incoming;
 mod permit;
 mod stream_query;
+mod usage;
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
@@ -13,7 +15,6 @@
 use event_listener::Event;
 use fastrand::Rng;
 use larkspring_core::fleet::choose::AdapterLocation;
-use larkspring_core::fleet::following::UNUSED_TIMEOUT;
 use larkspring_core::fleet::permits::PermitResponse;
 use larkspring_core::fleet::rate::AdvertisedRate;
 use larkspring_core::fleet::routes::{Routing, RoutingVersion};
@@ -22,7 +23,6 @@
 use larkspring_core::limits::bucket_owner::{Grant, UnitsRequest};
 use larkspring_core::retry::backoff;
 use larkspring_proto::residency as wire;
-use larkspring_proto::residency::from_agent::Kind as FromAgentKind;
 use larkspring_proto::residency::from_entry::Kind;
 use larkspring_proto::residency::residency_client::ResidencyClient;
 use parking_lot::Mutex;
@@ -33,8 +33,9 @@
 use self::hold::HoldRecord;
 pub(super) use self::hold::{Hold, HoldEnd, HoldRequest};
 pub(super) use self::stream_query::StreamQuery;
+use self::usage::LinkUsage;
 use super::engine_state::{EngineState, EngineView, ReportedRun};
-use crate::direct::limits::{decode_grant, encode_unit_request};
+use crate::direct::limits::encode_unit_request;
 use crate::direct::logs;
 use crate::direct::quarantine::CrashReports;
 use crate::direct::replicated_state::ReplicatedState;
@@ -64,20 +65,6 @@
     created: Instant,
 }
 
-/// Why and since when a connection is open.
-#[derive(Debug, Default)]
-struct LinkUsage {
-    /// Whether the connection stays open without use.
-    is_followed: bool,
-    last_used: Option<Instant>,
-    /// Whether a task keeps the connection open.
-    is_running: bool,
-    /// Whether the engine is no longer in the fleet.
-    is_retired: bool,
-    /// When the agent last failed to answer; `None` once it has answered since.
-    failed_at: Option<Instant>,
-}
-
 /// Messages to the agent.
 #[derive(Debug, Default)]
 struct Outgoing {
@@ -152,8 +139,6 @@
 /// First and longest pause before reconnecting.
 const MIN_RECONNECT_PAUSE: Duration = Duration::from_millis(60);
 const MAX_RECONNECT_PAUSE: Duration = Duration::from_millis(250);
-/// Time after a failure in which an agent that is not connected counts as unresponsive.
-const FAILURE_PAUSE: Duration = Duration::from_secs(2);
 /// Limits the messages that wait for a connection.
 const MAX_WAITING_MESSAGES: usize = 256;
 /// Limits the messages queued for an agent. The connection to an agent that lets more
@@ -420,86 +405,6 @@
         self.engine_state.lock().entry_counts()
     }
 
-    fn receive(&self, message: wire::FromAgent) {
-        let mut engine_state = self.engine_state.lock();
-        let now = Instant::now();
-        engine_state.last_message = Some(now);
-        let regained = !std::mem::replace(&mut engine_state.live, true);
-        let had_failed = regained && self.usage.lock().record_answer();
-        match message.kind {
-            Some(FromAgentKind::State(state)) => {
-                let own_holds = self.granted_holds.load(Ordering::Relaxed);
-                let changed = engine_state.apply(now, state, own_holds);
-                if regained || changed.engagement {
-                    self.context.availability_changed.notify(usize::MAX);
-                }
-                if changed.run || changed.rate {
-                    self.context.run_changed.notify(usize::MAX);
-                }
-            }
-            Some(FromAgentKind::Granted(granted)) => {
-                drop(engine_state);
-                let copy_pays = granted.copy_pays;
-                self.end_wait(granted.id, HoldEnd::Granted { copy_pays });
-            }
-            Some(FromAgentKind::Reserved(reserved)) => {
-                drop(engine_state);
-                let grants = reserved.grants.iter().map(decode_grant).collect();
-                // The receiver lives as long as the entry.
-                let _ = self.context.sinks.grants.try_send(grants);
-            }
-            Some(FromAgentKind::Permitted(reply)) => {
-                drop(engine_state);
-                self.receive_permit(&reply);
-            }
-            Some(FromAgentKind::StreamReply(reply)) => {
-                drop(engine_state);
-                self.receive_stream_reply(&reply);
-            }
-            Some(FromAgentKind::Findings(findings)) => {
-                drop(engine_state);
-                self.context.sinks.crash_reports.apply(&findings);
-            }
-            Some(FromAgentKind::Refused(refused)) => {
-                drop(engine_state);
-                let retry_after = Duration::from_millis(refused.retry_after_ms);
-                let end = match refused.full {
-                    true => HoldEnd::Full,
-                    false => HoldEnd::Refused { reason: refused.reason, retry_after },
-                };
-                self.end_wait(refused.id, end);
-            }
-            None => {}
-        }
-        if had_failed {
-            logs::log_dependency(&format!("agent {}", self.addr), true, "");
-        }
-    }
-
-    /// Marks the agent as unresponsive and fails the holds and permits that await a
-    /// reply; returns whether the agent was live before.
-    fn mark_unresponsive(&self) -> bool {
-        let was_live = std::mem::replace(&mut self.engine_state.lock().live, false);
-        self.usage.lock().failed_at = Some(Instant::now());
-        self.fail_waiting();
-        was_live
-    }
-
-    /// Fails the holds, permits and queries that await a reply.
-    fn fail_waiting(&self) {
-        // Dropping the senders ends the waits for permits and replies.
-        self.pending_permits.lock().clear();
-        self.pending_queries.lock().clear();
-        let mut holds = self.holds.lock();
-        holds.retain(|_, held| match held.waiter.take() {
-            Some(waiter) => {
-                let _ = waiter.try_send(HoldEnd::Lost);
-                false
-            }
-            None => true,
-        });
-    }
-
     fn disconnect(&self) -> bool {
         *self.outgoing.lock() = Outgoing::default();
         self.mark_unresponsive()
@@ -540,23 +445,6 @@
     }
 }
 
-impl LinkUsage {
-    fn is_needed(&self) -> bool {
-        let is_used = self.last_used.is_some_and(|at| at.elapsed() < UNUSED_TIMEOUT);
-        !self.is_retired && (self.is_followed || is_used)
-    }
-
-    /// Records that the agent answers; returns whether it had failed, or is followed and
-    /// answers for the first time.
-    fn record_answer(&mut self) -> bool {
-        self.failed_at.take().is_some() || self.is_followed
-    }
-
-    fn has_failed_recently(&self) -> bool {
-        self.failed_at.is_some_and(|at| at.elapsed() < FAILURE_PAUSE)
-    }
-}
-
 /// Returns the declaration of a service's engines: base models, adapter slots, health
 /// path.
 pub(super) fn engine_declaration(
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -31,6 +31,7 @@
 mod fair;
 mod fleet;
 mod framing;
+mod hop_by_hop;
 mod idle_connections;
 mod link;
 mod log;
--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -22,9 +22,10 @@
 use super::answer::RelayError;
 use super::attempt::OpenAnswer;
 use super::crashes::CrashDetector;
-use super::event_splitter::EventSplitter;
+use super::event_splitter::Events;
 use super::framing::{BodyEnd, Framing};
-use super::request_handler::{take_up_time, RequestHandler};
+use super::request_handler::RequestHandler;
+use super::stream_tracker::take_up_time;
 use super::EntryState;
 use crate::direct::conn::error_with_source;
 use crate::direct::logs::{self, LineKind};
@@ -58,16 +59,6 @@
     longest: Duration,
 }
 
-/// The events of the body that is relayed.
-enum Events {
-    /// The body is no stream of events.
-    None,
-    /// The body is passed on as it arrives.
-    Passed(EventScanner),
-    /// The stream may be resumed, so it is passed on in whole events.
-    Split(EventSplitter),
-}
-
 /// The source of the bytes.
 enum AnswerSource {
     Endpoint(Box<OpenAnswer>),
@@ -85,9 +76,7 @@
         let may_resume = handler.route.class == RouteClass::Stream { resumable: true };
         let events = match open.is_event_stream {
             false => Events::None,
-            true if may_resume => {
-                Events::Split(EventSplitter::resuming_after(handler.resume_after.clone()))
-            }
+            true if may_resume => Events::split_after(handler.resume_after.clone()),
             true => Events::Passed(EventScanner::default()),
         };
         let resumable = matches!(events, Events::Split(_));
@@ -395,44 +384,6 @@
     }
 }
 
-impl Events {
-    /// Adds bytes and returns those that can be passed on.
-    fn push(&mut self, data: Bytes) -> Bytes {
-        match self {
-            Self::None => data,
-            Self::Passed(scanner) => {
-                scanner.scan(&data);
-                data
-            }
-            Self::Split(splitter) => splitter.push(&data),
-        }
-    }
-
-    fn is_inside_event(&self) -> bool {
-        match self {
-            Self::None => false,
-            Self::Passed(scanner) => scanner.is_inside_event(),
-            Self::Split(splitter) => splitter.is_inside_event(),
-        }
-    }
-
-    /// Returns the bytes that were held back.
-    fn take_rest(&mut self) -> Bytes {
-        match self {
-            Self::None | Self::Passed(_) => Bytes::new(),
-            Self::Split(splitter) => splitter.take_partial(),
-        }
-    }
-
-    /// Returns the events after which the stream can be resumed.
-    fn resumable(&mut self) -> Option<&mut EventSplitter> {
-        match self {
-            Self::None | Self::Passed(_) => None,
-            Self::Split(splitter) => Some(splitter).filter(|s| s.can_resume()),
-        }
-    }
-}
-
 impl LongestPause {
     fn new(handler: &RequestHandler) -> Self {
         let (entry, route) = (handler.entry.clone(), handler.route.clone());
--- a/crates/larkspring/src/direct/entry/request_handler.rs
+++ b/crates/larkspring/src/direct/entry/request_handler.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::future;
-use http::header::{HeaderName, CONNECTION, CONTENT_LENGTH, HOST};
+use http::header::{CONTENT_LENGTH, HOST};
 use http::{HeaderMap, Method, Request, Response, Uri, Version};
 use hyper::body::Incoming;
 use larkspring_core::fleet::attempt::{
@@ -13,7 +13,7 @@
 };
 use larkspring_core::fleet::idle::Reuse;
 use larkspring_core::fleet::mechanisms::Mechanism;
-use larkspring_core::fleet::routes::{Route, RouteClass, Service};
+use larkspring_core::fleet::routes::{Route, Service};
 use larkspring_core::fleet::stream_origins::StreamStart;
 use larkspring_core::ids::{ContentHash, Incarnation};
 use larkspring_core::workspaces::Workspace;
@@ -26,9 +26,11 @@
 use super::body::{discard, read_body, request_fingerprint, RequestBody};
 use super::connections::ExchangeGuard;
 use super::framing::Framing;
+use super::hop_by_hop::strip_hop_by_hop_headers;
 use super::log::{log_answered, log_refused, Refusal};
 use super::peer::Peer;
 use super::relay::Relay;
+use super::stream_tracker::stream_start;
 use super::view::SelectionInputs;
 use super::EntryState;
 use crate::direct::conn::SendBody;
@@ -76,7 +78,7 @@
 }
 
 /// Time-out of a request without a deadline on a route without a time-out.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
+pub(super) const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 /// How long a request waits for the routing, which is loaded shortly after the start.
 const ROUTING_TIMEOUT: Duration = Duration::from_millis(100);
 /// Fraction of the latency objective within which a refusal still leaves the caller time
@@ -84,18 +86,6 @@
 const EARLY_FRACTION: f64 = 0.25;
 /// Time reserved for the answer when a request waits for an endpoint.
 const ANSWER_RESERVE: Duration = Duration::from_millis(500);
-/// Hop-by-hop headers, which are not forwarded.
-const HOP_BY_HOP_HEADERS: [HeaderName; 8] = [
-    CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-    http::header::PROXY_AUTHENTICATE,
-    http::header::TE,
-    http::header::TRAILER,
-    http::header::TRANSFER_ENCODING,
-    http::header::UPGRADE,
-];
-
 /// Serves one request.
 pub(super) async fn serve(
     entry: Arc<EntryState>,
@@ -440,38 +430,6 @@
     }
 }
 
-/// Returns for how long a caller may take a stream up: for its deadline or the route's
-/// time-out, and as long again if it counts anew.
-pub(super) fn take_up_time(caller: &CallerRequest, route: &Route) -> Duration {
-    let own = caller.deadline.unwrap_or(DEFAULT_TIMEOUT);
-    2 * own.max(route.timeout.unwrap_or(own))
-}
-
-/// Returns where the stream began that a request takes up.
-async fn stream_start(
-    entry: &EntryState,
-    route: &Route,
-    caller: &CallerRequest,
-) -> Result<StreamStart, ErrorReason> {
-    let may_resume = route.class == RouteClass::Stream { resumable: true };
-    if !may_resume || caller.resume_after.is_none() {
-        return Ok(StreamStart::NotBegun);
-    }
-    let service = match &route.targets[..] {
-        [only] => Some(&only.service),
-        _ => None,
-    };
-    let attempt = caller.resumed_attempt.as_deref();
-    let window = take_up_time(caller, route);
-    let origin = entry.streams.find(attempt, service, window).await;
-    let origin = origin.ok_or(ErrorReason::UnknownBuild)?;
-    // A stream does not go on at a service to which its route no longer leads.
-    if !route.targets.iter().any(|target| target.service == origin.service) {
-        return Err(ErrorReason::NoSameBuild);
-    }
-    Ok(StreamStart::At(origin))
-}
-
 /// Returns the routing; just after the entry's start waits briefly for the first routing.
 async fn routing_view(entry: &EntryState) -> Option<RoutingView> {
     let changed = entry.replicated_state.changed();
@@ -481,18 +439,3 @@
     with_timeout(ROUTING_TIMEOUT, changed).await;
     entry.replicated_state.routing_view()
 }
-
-/// Removes hop-by-hop headers.
-fn strip_hop_by_hop_headers(mut headers: HeaderMap) -> HeaderMap {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in HOP_BY_HOP_HEADERS.iter().chain(&named) {
-        headers.remove(name);
-    }
-    headers
-}
--- a/crates/larkspring/src/direct/entry/stream_tracker.rs
+++ b/crates/larkspring/src/direct/entry/stream_tracker.rs
@@ -12,8 +12,9 @@
 
 use event_listener::Event;
 use futures_lite::future;
+use larkspring_core::fleet::routes::{Route, RouteClass};
 use larkspring_core::fleet::stream_origins::{
-    KeptOrigin, StreamKey, StreamOrigin, StreamOrigins, MAX_KEPT,
+    KeptOrigin, StreamKey, StreamOrigin, StreamOrigins, StreamStart, MAX_KEPT,
 };
 use larkspring_core::ids::{BuildId, ServiceId};
 use larkspring_proto::residency as wire;
@@ -21,8 +22,12 @@
 use smol::Timer;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use super::answer::ErrorReason;
 use super::fleet::Fleet;
 use super::link::{Link, StreamQuery};
+use super::request_handler::DEFAULT_TIMEOUT;
+use super::EntryState;
+use crate::direct::platform_api::CallerRequest;
 use crate::direct::stats::Stats;
 use crate::direct::streams::encode_start;
 use crate::exec::with_timeout;
@@ -237,6 +242,38 @@
     }
 }
 
+/// Returns for how long a caller may take a stream up: for its deadline or the route's
+/// time-out, and as long again if it counts anew.
+pub(super) fn take_up_time(caller: &CallerRequest, route: &Route) -> Duration {
+    let own = caller.deadline.unwrap_or(DEFAULT_TIMEOUT);
+    2 * own.max(route.timeout.unwrap_or(own))
+}
+
+/// Returns where the stream began that a request takes up.
+pub(super) async fn stream_start(
+    entry: &EntryState,
+    route: &Route,
+    caller: &CallerRequest,
+) -> Result<StreamStart, ErrorReason> {
+    let may_resume = route.class == RouteClass::Stream { resumable: true };
+    if !may_resume || caller.resume_after.is_none() {
+        return Ok(StreamStart::NotBegun);
+    }
+    let service = match &route.targets[..] {
+        [only] => Some(&only.service),
+        _ => None,
+    };
+    let attempt = caller.resumed_attempt.as_deref();
+    let window = take_up_time(caller, route);
+    let origin = entry.streams.find(attempt, service, window).await;
+    let origin = origin.ok_or(ErrorReason::UnknownBuild)?;
+    // A stream does not go on at a service to which its route no longer leads.
+    if !route.targets.iter().any(|target| target.service == origin.service) {
+        return Err(ErrorReason::NoSameBuild);
+    }
+    Ok(StreamStart::At(origin))
+}
+
 /// Returns what the agents keep, by the replies that come in time.
 async fn ask(queries: &[StreamQuery]) -> KeptOrigin {
     let deadline = Instant::now() + REPLY_TIMEOUT;
