Keep the origins of streams at 64 agents of a fleet at most

Cause: the agents that keep where a stream began were the first of all agents by the stream's key. In a fleet whose entries connect by use, each entry would have connected to nearly all agents. Found by reading.

Change: they are the first among 64 agents that a fixed rendezvous order names, chosen when the fleet changes. Smaller fleets: as before.

Evidence: `few_agents_of_a_large_fleet_keep_origins` (2,000 agents).

--- a/crates/larkspring-core/src/fleet/stream_origins.rs
+++ b/crates/larkspring-core/src/fleet/stream_origins.rs
@@ -166,6 +166,24 @@
 /// Number of agents that keep where a stream began.
 pub const KEEPERS: usize = 3;
 
+/// Limits the agents of a fleet that keep origins, and so the connections of an entry for
+/// them.
+pub const MAX_KEEPER_SET: usize = 64;
+/// Key by which the agents of [`keeper_set`] are ranked.
+const KEEPER_SET_KEY: u64 = 0;
+
+/// Returns the agents of a fleet that keep origins of streams, at most
+/// [`MAX_KEEPER_SET`]. Entries that list the same agents agree on them.
+///
+/// `agents` are the agents' names and a value; one agent may come twice.
+pub fn keeper_set<'a, T>(agents: impl Iterator<Item = (&'a [u8], T)>) -> Vec<T> {
+    let weighted = agents.map(|(name, it)| (rendezvous_weight(name, KEEPER_SET_KEY), it));
+    let mut ranked: Vec<_> = weighted.collect();
+    ranked.sort_by_key(|(weight, _)| Reverse(*weight));
+    ranked.dedup_by_key(|(weight, _)| *weight);
+    ranked.into_iter().take(MAX_KEEPER_SET).map(|(_, agent)| agent).collect()
+}
+
 /// Returns the agents that keep the origin of a stream, at most [`KEEPERS`], in several
 /// halls if there are. Entries that list the same agents agree on them.
 ///
--- a/crates/larkspring-core/tests/stream_origins.rs
+++ b/crates/larkspring-core/tests/stream_origins.rs
@@ -7,7 +7,8 @@
 use larkspring_core::fleet::build_history::BuildHistory;
 use larkspring_core::fleet::endpoint_list::Endpoint;
 use larkspring_core::fleet::stream_origins::{
-    keepers, KeptOrigin, StreamOrigin, StreamOrigins, StreamStart, KEEPERS, MAX_KEPT,
+    keeper_set, keepers, KeptOrigin, StreamOrigin, StreamOrigins, StreamStart, KEEPERS,
+    MAX_KEEPER_SET, MAX_KEPT,
 };
 use larkspring_core::ids::{BuildId, HallId, ServiceId, StorePoint};
 
@@ -99,6 +100,21 @@
     assert!(keepers(7, agents[..2].iter().copied()).len() == 2);
 }
 
+/// Guards against an entry that connects to each agent of a large fleet, since the agents
+/// that keep origins are different for each stream.
+#[test]
+fn few_agents_of_a_large_fleet_keep_origins() {
+    let names: Vec<_> =
+        (0..2000).map(|n| format!("10.0.{}.{}:7380", n / 200, n % 200)).collect();
+    let agents = || names.iter().enumerate().map(|(n, name)| (name.as_bytes(), n));
+    let set = keeper_set(agents().chain(agents()));
+    assert_eq!(set.len(), MAX_KEEPER_SET);
+    assert_eq!(set, keeper_set(agents().collect::<Vec<_>>().into_iter().rev()));
+    let without = keeper_set(agents().filter(|(_, n)| *n != set[0]));
+    let same = set.iter().filter(|n| without.contains(n)).count();
+    assert_eq!(same, MAX_KEEPER_SET - 1, "an agent that leaves moves others");
+}
+
 /// Agents restart, messages are lost and ids repeat, in random order: what the replies
 /// say of a stream is where it began, or that it is not known.
 #[test]
--- a/crates/larkspring/src/direct/entry/fleet.rs
+++ b/crates/larkspring/src/direct/entry/fleet.rs
@@ -18,6 +18,7 @@
 use larkspring_core::fleet::endpoint_list::Endpoint;
 use larkspring_core::fleet::following::RecentCount;
 use larkspring_core::fleet::routes::{HallRegions, Service};
+use larkspring_core::fleet::stream_origins;
 use larkspring_core::ids::{BuildId, HallId, Incarnation, ServiceId, StorePoint};
 use parking_lot::Mutex;
 use smol::Timer;
@@ -66,6 +67,8 @@
 struct Peers {
     by_id: HashMap<Incarnation, Arc<Peer>>,
     by_service: HashMap<ServiceId, Vec<Arc<Peer>>>,
+    /// The agents that keep where streams began, with their halls.
+    keeper_set: Vec<(HallId, Arc<Link>)>,
 }
 
 /// When an endpoint of a service may be sent a request.
@@ -333,6 +336,7 @@
             now.by_id.insert(endpoint.id.clone(), peer.clone());
             now.by_service.entry(endpoint.service.clone()).or_default().push(peer);
         }
+        now.keeper_set = keeper_set(&now.by_id);
         for peers in now.by_service.values_mut() {
             peers.sort_by(|a, b| a.endpoint().id.cmp(&b.endpoint().id));
         }
@@ -421,6 +425,14 @@
     }
 }
 
+/// Returns the agents that keep where streams began, with their halls.
+fn keeper_set(peers: &HashMap<Incarnation, Arc<Peer>>) -> Vec<(HallId, Arc<Link>)> {
+    let with_links = peers.values().filter_map(|p| Some((p, p.link.as_ref()?)));
+    let agents = with_links.map(|(peer, link)| (link.addr().as_bytes(), (peer, link)));
+    let kept = stream_origins::keeper_set(agents).into_iter();
+    kept.map(|(peer, link)| (peer.endpoint().hall.clone(), link.clone())).collect()
+}
+
 /// Removes runs whose address a later run has. Their listings outlive them for a while.
 fn latest_by_addr(endpoints: Vec<Arc<Endpoint>>) -> Vec<Arc<Endpoint>> {
     let mut latest: HashMap<SocketAddr, StorePoint> = HashMap::new();
--- a/crates/larkspring/src/direct/entry/fleet/agents.rs
+++ b/crates/larkspring/src/direct/entry/fleet/agents.rs
@@ -90,14 +90,8 @@
     /// connections to them, whether the agents are live or not.
     pub fn stream_keepers(&self, key: StreamKey) -> Vec<(SocketAddr, Arc<Link>)> {
         let peers = self.peers.load();
-        let endpoints: Vec<_> = peers
-            .by_id
-            .values()
-            .filter_map(|p| Some((p.endpoint(), p.link.as_ref()?)))
-            .collect();
-        let agents = endpoints
-            .iter()
-            .map(|(endpoint, link)| (link.addr().as_bytes(), &endpoint.hall, *link));
+        let agents = peers.keeper_set.iter();
+        let agents = agents.map(|(hall, link)| (link.addr().as_bytes(), hall, link));
         let links = stream_origins::keepers(key, agents).into_iter();
         links.filter_map(|link| Some((link.addr().parse().ok()?, link.clone()))).collect()
     }
