Tell restarted agents where streams began, also while new ones begin

What callers would see: a stream that only agents before their restart knew was refused when its caller took it up, for as long as other streams began more often than once a second.

Cause: the check for agents that lost their state waited for a second without a new stream, and a stream recorded between the telling and the next wait was told only with the next one.

Change: the check is due by a time, and the wait for news begins before the telling.

Evidence: `restarted_agents_learn_where_streams_began` failed before (not seen within a minute) and passes. Found by reading the diff.

--- a/crates/larkspring/src/direct/entry/stream_tracker.rs
+++ b/crates/larkspring/src/direct/entry/stream_tracker.rs
@@ -183,23 +183,20 @@
     /// Tells agents where streams began, until dropped.
     pub async fn run(self: Arc<Self>) {
         let mut agents = Vec::new();
+        let mut check_at = Instant::now() + CHECK_INTERVAL;
         loop {
             let changed = self.changed.listen();
-            let tick = async {
-                Timer::after(CHECK_INTERVAL).await;
-                true
-            };
-            let news = async {
-                changed.await;
-                false
-            };
-            let is_tick = future::or(news, tick).await;
             let now = Instant::now();
             self.began.lock().retain(|stream| stream.until > now);
-            if is_tick && !self.agents_changed(&mut agents) {
-                continue;
+            let is_check_due = now >= check_at;
+            if is_check_due {
+                check_at = now + CHECK_INTERVAL;
             }
-            self.tell(now);
+            self.tell(now, is_check_due && self.agents_changed(&mut agents));
+            let check = async {
+                Timer::at(check_at).await;
+            };
+            future::or(changed, check).await;
         }
     }
 
@@ -215,11 +212,13 @@
         std::mem::replace(known, agents.clone()) != agents
     }
 
-    /// Tells each stream to those of its agents that were not told yet.
-    fn tell(&self, now: Instant) {
+    /// Tells streams to those of their agents that were not told yet: all streams if the
+    /// agents changed, else those that have just begun.
+    fn tell(&self, now: Instant, has_changed: bool) {
         let mut messages: Vec<(Arc<Link>, Vec<wire::StreamStart>)> = Vec::new();
         let mut began = self.began.lock();
-        for stream in began.iter_mut() {
+        let is_due = |stream: &&mut BegunStream| has_changed || stream.told.is_empty();
+        for stream in began.iter_mut().filter(is_due) {
             for (addr, link) in self.fleet.stream_keepers(stream.key) {
                 let agent = (addr, link.connection_count());
                 if !link.is_usable() || stream.told.contains(&agent) {
