Repeat a list that is lost

What was seen: an entry whose watch and next list of the routing both went unanswered was 2.26 s behind at a bound of 2 s, and took the store for unavailable for all kinds, although it answered every other call.

Cause: docs/design/reads.md claims 0.15 of the bound for the list after a lost watch; the code let it take the client's time-out of one second. full_read_timeout was used only where a denial is confirmed.

Change: a list has that part of the bound, or three times the slowest recent answer, and is repeated once on another connection. Not before the store has answered once.

What remains: up to a second for an answer just after a slow one.

--- a/crates/larkspring-core/src/fleet/read_timing.rs
+++ b/crates/larkspring-core/src/fleet/read_timing.rs
@@ -18,7 +18,7 @@
     /// Time for the answer after that wait. Without an answer the read counts as lost,
     /// and the complete state is read again.
     pub answer_timeout: Duration,
-    /// Time for the answer to the complete read.
+    /// Time for the answer to the complete read. Without an answer it is repeated.
     pub full_read_timeout: Duration,
 }
 
@@ -33,7 +33,8 @@
     pub answer_timeout: Duration,
     /// Age of an agent's state at which other agents are asked.
     pub max_age: Duration,
-    /// Time for the store to answer the entry if no agent does.
+    /// Time for the store to answer the entry if no agent does: that of a watch without a
+    /// wait and, if it is lost, of a complete read.
     pub store_read_timeout: Duration,
 }
 
@@ -98,9 +99,13 @@
         }
     }
 
-    /// Longest time from a change until the reader knows it, with one lost read.
-    pub fn max_delay(&self) -> Duration {
-        self.pause + self.long_poll + self.answer_timeout + self.full_read_timeout
+    /// Longest time from a change until the reader knows it, with a lost watch and
+    /// `lost_lists` lost complete reads.
+    pub fn max_delay(&self, lost_lists: u32) -> Duration {
+        self.pause
+            + self.long_poll
+            + self.answer_timeout
+            + self.full_read_timeout * (1 + lost_lists)
     }
 
     fn from_fractions(bound: Duration, pause: f64, wait: f64) -> Self {
@@ -121,7 +126,7 @@
             long_poll: bound.mul_f64(RELAY_POLL_FRACTION),
             answer_timeout: bound.mul_f64(ANSWER_FRACTION),
             max_age: bound.mul_f64(MAX_AGE_FRACTION),
-            store_read_timeout: bound.mul_f64(FULL_READ_FRACTION),
+            store_read_timeout: bound.mul_f64(ANSWER_FRACTION + FULL_READ_FRACTION),
         }
     }
 
@@ -131,8 +136,8 @@
         self.long_poll.min(self.max_age.saturating_sub(age))
     }
 
-    /// Longest time from a change until the entry knows it, with no answer from any
-    /// agent.
+    /// Longest time from a change until the entry knows it, with no answer from any agent
+    /// and a lost watch of the store.
     pub fn max_delay(&self) -> Duration {
         self.max_age
             + self.pause
--- a/crates/larkspring/src/direct/reader.rs
+++ b/crates/larkspring/src/direct/reader.rs
@@ -16,10 +16,11 @@
 use crate::exec::with_timeout;
 use crate::platform::PlatformError;
 
-/// Reads the store; sends a list request after a watch that is not answered in time.
+/// Reads the store; sends a list request after a watch that is not answered in time, and
+/// another one after a list that is not.
 ///
 /// A single connection may become unresponsive while others work, so a lost watch does
-/// not show that the store is unavailable.
+/// not show that the store is unavailable, nor does a lost list.
 pub(super) struct StoreReader {
     directory: Arc<dyn StateStore>,
     stats: Arc<Stats>,
@@ -29,8 +30,8 @@
 
 /// Limits the time for an answer, however slow the store is.
 const MAX_ANSWER_TIME: Duration = Duration::from_secs(1);
-/// Multiple of the slowest answer time after which a watch counts as lost, if that is
-/// longer than its pace allows.
+/// Multiple of the slowest answer time after which a read counts as lost, if that is longer
+/// than its pace allows.
 const LOST_AFTER_FACTOR: f64 = 3.0;
 /// Factor by which the slowest answer time decays with each faster answer.
 const SLOWEST_DECAY: f64 = 0.8;
@@ -47,7 +48,7 @@
         ask: StateQuery,
         pace: &StoreReadTiming,
     ) -> Result<ReadOutcome, PlatformError> {
-        let Some(after) = ask.changes else { return self.list(ask).await };
+        let Some(after) = ask.changes else { return self.list(ask, pace).await };
         let limit = after.max_wait + self.answer_timeout(pace);
         let began = Instant::now();
         match with_timeout(limit, self.directory.read(ask)).await {
@@ -58,8 +59,8 @@
                 read.map(|read| keep_known_point(read, after.known))
             }
             None => {
-                self.record_lost_watch(ask.kind, limit);
-                self.list(StateQuery::whole(ask.kind)).await
+                self.record_lost("watch lost", ask.kind, limit);
+                self.list(StateQuery::whole(ask.kind), pace).await
             }
         }
     }
@@ -78,7 +79,24 @@
         self.directory.holds_same_items(a, b)
     }
 
-    async fn list(&self, ask: StateQuery) -> Result<ReadOutcome, PlatformError> {
+    async fn list(
+        &self,
+        ask: StateQuery,
+        pace: &StoreReadTiming,
+    ) -> Result<ReadOutcome, PlatformError> {
+        let Some(limit) = self.list_timeout(pace) else {
+            return self.list_once(ask).await;
+        };
+        match with_timeout(limit, self.list_once(ask)).await {
+            Some(read) => read,
+            None => {
+                self.record_lost("list lost", ask.kind, limit);
+                self.list_once(ask).await
+            }
+        }
+    }
+
+    async fn list_once(&self, ask: StateQuery) -> Result<ReadOutcome, PlatformError> {
         let began = Instant::now();
         let read = self.directory.read(ask).await;
         if read.is_ok() {
@@ -92,17 +110,25 @@
         pace.answer_timeout.max(slow).min(MAX_ANSWER_TIME)
     }
 
+    /// Returns the time after which a list counts as lost; `None` while it is not known how
+    /// long the store takes, and if that is as long as a call may take anyway.
+    fn list_timeout(&self, pace: &StoreReadTiming) -> Option<Duration> {
+        let slowest = *self.slowest.lock();
+        let limit = pace.full_read_timeout.max(slowest.mul_f64(LOST_AFTER_FACTOR));
+        (!slowest.is_zero() && limit < MAX_ANSWER_TIME).then_some(limit)
+    }
+
     fn record_answer(&self, took: Duration) {
         let mut slowest = self.slowest.lock();
         *slowest = took.max(slowest.mul_f64(SLOWEST_DECAY));
     }
 
-    fn record_lost_watch(&self, kind: StateKind, after: Duration) {
+    fn record_lost(&self, event: &'static str, kind: StateKind, after: Duration) {
         let kind = kind.name();
         self.stats.count_store_call(kind, false);
         if logs::is_allowed(LineKind::StateChange) {
             let after_ms = after.as_millis() as u64;
-            tracing::info!(event = "watch lost", kind, after_ms);
+            tracing::info!(event, kind, after_ms);
         }
     }
 }
