Agent: refuse an answer that has neither a length nor chunks

What callers saw: on the product's own path, an answer of a service that ends with its connection arrived as 200, complete and empty.

Cause: the HTTP client of the agent reads a body by its length or its chunks and leaves out any other; without a length the agent took nothing for the whole answer.

Evidence: an_answer_without_length_or_chunks_is_refused failed before with 200 and an empty body that was complete. It passes now, as do the other tests of faults.

Change: such an answer is refused as failed (502), also where a stream is resumed. Statuses without a body and HEAD are let through. Why it works: nothing that can't be read in full is begun to the caller.

--- a/crates/larkspring-cli/tests/faults.rs
+++ b/crates/larkspring-cli/tests/faults.rs
@@ -2,10 +2,13 @@
 
 mod common;
 
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpListener;
 use std::thread;
 
 use common::client::{
-    completion_request, expected_text, post_json, send, send_completion, streamed_body,
+    call, completion_request, expected_text, post_json, send, send_completion,
+    streamed_body,
 };
 use common::{wait_until, Cluster, ClusterSpec, CALLER_KEY};
 use serde_json::json;
@@ -377,3 +380,74 @@
         assert_ne!(answer.outcome(), "not-run", "{answer:?}");
     }
 }
+
+/// Guards against an answer that reaches its caller as complete and empty: the agent
+/// can't read a body that ends with the connection.
+#[test]
+fn an_answer_without_length_or_chunks_is_refused() {
+    struct Case {
+        name: &'static str,
+        answer: &'static str,
+        status: u16,
+        /// The body that the caller gets; `None` for a refusal.
+        body: Option<&'static str>,
+    }
+    let cases = [
+        Case {
+            name: "no length",
+            answer: "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\nread",
+            status: 502,
+            body: None,
+        },
+        Case {
+            name: "no length, nothing after the head",
+            answer: "HTTP/1.1 200 OK\r\n\r\n",
+            status: 502,
+            body: None,
+        },
+        Case {
+            name: "an error without length",
+            answer: "HTTP/1.1 404 Not Found\r\n\r\nread",
+            status: 502,
+            body: None,
+        },
+        Case {
+            name: "a length",
+            answer: "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nread",
+            status: 200,
+            body: Some("read"),
+        },
+        Case {
+            name: "chunks",
+            answer: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n\
+                4\r\nread\r\n0\r\n\r\n",
+            status: 200,
+            body: Some("read"),
+        },
+        Case {
+            name: "a status without a body",
+            answer: "HTTP/1.1 204 No Content\r\n\r\n",
+            status: 204,
+            body: Some(""),
+        },
+    ];
+    let mut cluster = Cluster::start(ClusterSpec::default());
+    cluster.service.kill();
+    let listener = TcpListener::bind(&cluster.service.addr).unwrap();
+    for case in cases {
+        let answer = thread::scope(|scope| {
+            scope.spawn(|| {
+                let (mut sock, _) = listener.accept().unwrap();
+                let head = BufReader::new(&sock).lines().map(Result::unwrap);
+                head.take_while(|line| !line.is_empty()).for_each(drop);
+                sock.write_all(case.answer.as_bytes()).unwrap();
+            });
+            call(cluster.entry(), "GET", "/services/loggers/readings")
+        });
+        assert_eq!(answer.status, case.status, "{}: {answer:?}", case.name);
+        match case.body {
+            Some(body) => assert_eq!(answer.body, body, "{}: {answer:?}", case.name),
+            None => assert_eq!(answer.outcome(), "failed", "{}: {answer:?}", case.name),
+        }
+    }
+}
--- a/crates/larkspring/src/agent/request_handler.rs
+++ b/crates/larkspring/src/agent/request_handler.rs
@@ -34,6 +34,7 @@
 /// Last event of an engine's streamed answer; without it the answer is incomplete.
 const STREAM_END: &[u8] = b"data: [DONE]\n\n";
 const EVENT_STREAM: &str = "text/event-stream";
+const NO_FRAMING: &str = "the endpoint's answer has neither a length nor chunks";
 /// Attempts to get the rest of an answer after the connection broke.
 const MAX_RESUME_ATTEMPTS: u32 = 2;
 const RESUME_DELAY: Duration = Duration::from_millis(50);
@@ -227,7 +228,11 @@
         };
         let res = self.with_deadline(deadline, deadline_refusal, exchange).await?;
         self.check_head(slot, &res, target, run.as_deref())?;
-        Ok(res)
+        let is_head = self.start.service.as_ref().is_some_and(|of| of.method == "HEAD");
+        match is_head || is_readable(&res) {
+            true => Ok(res),
+            false => Err(Refusal::failed(Step::Begin, NO_FRAMING).into()),
+        }
     }
 
     /// Checks the head of an answer.
@@ -364,7 +369,8 @@
         let same_run =
             res.header(INCARNATION_HEADER).map(|v| v.as_str()) == run.as_deref();
         match res.status() as u16 {
-            200 if same_run => Ok(res.take_body()),
+            200 if same_run && is_readable(&res) => Ok(res.take_body()),
+            200 if same_run => Err(fail(NO_FRAMING.into())),
             200 => Err(fail("the engine restarted".into())),
             status => Err(fail(format!("the engine answered {status}"))),
         }
@@ -432,6 +438,16 @@
     }
 }
 
+/// Returns whether the HTTP client reads the body of an answer: it takes one that ends with
+/// the connection for empty.
+fn is_readable(res: &Response) -> bool {
+    let is_chunked = res
+        .header("transfer-encoding")
+        .is_some_and(|codings| codings.last().as_str() == "chunked");
+    let has_no_body = matches!(res.status() as u16, 100..=199 | 204 | 304);
+    has_no_body || is_chunked || res.header("content-length").is_some()
+}
+
 fn deadline_refusal(step: Step, outcome: fn(Step, &'static str) -> Refusal) -> Refusal {
     outcome(step, "the deadline passed")
 }
