Send fewer streams to an endpoint that breaks them off

Callers saw: one of three engines broke off each non-resumable stream after two events, and 240 of 240 callers in a row lost theirs while two engines were idle.

Cause: the outcome of an answer was recorded with its head. What broke off later counted only if the stream could be resumed, and each good head outweighed it; and what recent failures cost is less than a load of the adapter at another engine.

Change: an answer of a plain service counts at the end of its body. Streams have a record of their own, in a window by ends: from a probability of 0.3 on, and twice that of the other endpoints, a stream there costs the probability times two seconds, until whole streams have shown that the endpoint has recovered. These are trials, one at a time after a second, with streams that may be resumed first and with one in 33 others. Callers that leave, deadlines and processes that end under a request count against no endpoint; streams that were open together and break together count once.

Open: each entry learns for itself; breaks before the head count only as recent failures.

--- a/crates/larkspring-core/src/fleet/choose.rs
+++ b/crates/larkspring-core/src/fleet/choose.rs
@@ -11,6 +11,7 @@
 use super::mechanisms::{DisabledMechanisms, Mechanism};
 use super::prefill::PREFILL_TOKENS_PER_MS;
 use super::routes::HallRegions;
+use super::stream_outcomes::StreamLoss;
 use crate::ids::{Incarnation, TargetHash};
 
 /// The state of one endpoint, as an entry knows it when it places a request.
@@ -38,6 +39,8 @@
     pub prefill_backlog_tokens: u32,
     /// Expected cost of a failure, from the endpoint's recent failure rate.
     pub failure_cost: Duration,
+    /// Expected loss if the request is a stream.
+    pub stream_loss: StreamLoss,
     /// Cost of a new connection; zero if an idle one can be used.
     pub connection_cost: Duration,
     /// Whether a recent connection attempt to the endpoint failed.
--- a/crates/larkspring-core/src/fleet/mod.rs
+++ b/crates/larkspring-core/src/fleet/mod.rs
@@ -22,6 +22,7 @@
 //! 19. [`response_time`]: the expected response time of an endpoint of a plain service.
 //! 20. [`idle`]: the reuse of idle connections.
 //! 21. [`slow_readers`]: the callers whose connections are closed for lack of memory.
+//! 22. [`stream_outcomes`]: the endpoints that break off their streams.
 //!
 //! [`mechanisms`] lists the mechanisms that can be disabled in a benchmark.
 
@@ -46,6 +47,7 @@
 pub mod routes;
 pub mod slow_readers;
 pub mod stream_origins;
+pub mod stream_outcomes;
 pub mod urgency;
 pub mod utility;
 pub mod versions;
--- a/crates/larkspring-core/src/fleet/quality.rs
+++ b/crates/larkspring-core/src/fleet/quality.rs
@@ -47,10 +47,20 @@
         }
     }
 
-    /// Records a successful answer with `time` to the first byte.
+    /// Records a complete answer with `time` to the first byte.
     pub fn record_success(&mut self, now: Instant, time: Duration) {
+        self.record_first_byte(time);
+        self.record_complete(now);
+    }
+
+    /// Records that an answer ended in order.
+    pub fn record_complete(&mut self, now: Instant) {
         self.decay(now);
         self.answers += 1.0;
+    }
+
+    /// Records the head of a successful answer, with `time` to the first byte.
+    pub fn record_first_byte(&mut self, time: Duration) {
         self.failed_connections = 0;
         self.avoid_until = None;
         self.mean_response_time = match self.mean_response_time.is_zero() {
@@ -69,6 +79,11 @@
         self.failures += 1.0;
     }
 
+    /// Forgets failures that were not the endpoint's.
+    pub fn forget_failures(&mut self) {
+        (self.failures, self.answers) = (0.0, 0.0);
+    }
+
     /// Records a failed connection attempt.
     pub fn record_unreachable(&mut self, now: Instant) {
         let wait = INITIAL_AVOIDANCE.saturating_mul(1 << self.failed_connections.min(8));
--- a/crates/larkspring-core/tests/fleet_choose.rs
+++ b/crates/larkspring-core/tests/fleet_choose.rs
@@ -10,8 +10,12 @@
 use larkspring_core::fleet::mechanisms::{DisabledMechanisms, Mechanism};
 use larkspring_core::fleet::quality::EndpointQuality;
 use larkspring_core::fleet::request_rates::RequestRates;
+use larkspring_core::fleet::stream_outcomes::StreamLoss;
 use larkspring_core::ids::{AdapterId, Incarnation};
 
+const NO_LOSS: StreamLoss =
+    StreamLoss { probability: 0.0, breaks_off: false, is_trial: false };
+
 const RESIDENT: EndpointView = EndpointView {
     distance: Distance::SameHall,
     adapter_location: AdapterLocation::Resident,
@@ -24,6 +28,7 @@
     uncached_prompt_tokens: 100,
     prefill_backlog_tokens: 0,
     failure_cost: Duration::ZERO,
+    stream_loss: NO_LOSS,
     connection_cost: Duration::ZERO,
     avoided: false,
     is_rate_limited: false,
--- a/crates/larkspring-core/tests/load/mod.rs
+++ b/crates/larkspring-core/tests/load/mod.rs
@@ -315,6 +315,7 @@
             uncached_prompt_tokens: 640,
             prefill_backlog_tokens: 0,
             failure_cost: Duration::ZERO,
+            stream_loss: Default::default(),
             connection_cost: Duration::ZERO,
             avoided: false,
             is_rate_limited: false,
--- a/crates/larkspring-core/tests/plain_balancing.rs
+++ b/crates/larkspring-core/tests/plain_balancing.rs
@@ -226,6 +226,7 @@
                 Way::OwnRequests => peer.quality.cost(now),
                 _ => peer.quality.retried_cost(now),
             },
+            stream_loss: Default::default(),
             avoided: false,
             connection_cost: Duration::ZERO,
             is_rate_limited: false,
--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -64,6 +64,15 @@
     pub payload: Result<Bytes, OpenAnswer>,
 }
 
+impl EndpointAnswer {
+    /// Returns whether the answer counts as good or bad at the end of its body alone. The
+    /// head of a stream counts as the success of the attempt, and its end by itself.
+    fn counts_at_end(&self) -> bool {
+        let is_plain = |open: &OpenAnswer| !open.selection.open_request.is_stream;
+        self.head.status.is_success() && self.payload.as_ref().is_err_and(is_plain)
+    }
+}
+
 /// An answer whose body has not been read to its end.
 pub(super) struct OpenAnswer {
     /// Bytes of the body that were read already.
@@ -426,6 +435,9 @@
     fn record_quality(&self, ended: &AttemptOutcome, peer: &Arc<Peer>, sent: Instant) {
         let now = Instant::now();
         match ended {
+            AttemptOutcome::Answered(answer) if answer.counts_at_end() => {
+                peer.quality(|q| q.record_first_byte(now - sent))
+            }
             AttemptOutcome::Answered(_) => {
                 peer.quality(|q| q.record_success(now, now - sent))
             }
--- a/crates/larkspring/src/direct/entry/crashes.rs
+++ b/crates/larkspring/src/direct/entry/crashes.rs
@@ -192,6 +192,10 @@
         if !crashed {
             return;
         }
+        // The requests are held against themselves. An endpoint that restarts under the
+        // same id starts anew.
+        peer.streams(|s| s.forget(Instant::now()));
+        peer.quality(|q| q.forget_failures());
         let run = xxh3_64(endpoint.id.as_bytes());
         for InterruptedRequest { fingerprint, id, sent_at, crashed_at } in interrupted {
             let attempt = xxh3_64_with_seed(id.as_bytes(), run);
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -15,11 +15,13 @@
 //! 7. [`permits`]: permits to send to rate-limited endpoints.
 //! 8. [`crashes`]: detection of endpoint crashes and of the requests that cause them.
 //! 9. [`stream_tracker`]: where streams began, so that callers can take them up.
-//! 10. [`unread_answers`]: the bound of the bytes held for callers that read slowly.
+//! 10. [`answer_ends`]: what the end of an answer says about its endpoint.
+//! 11. [`unread_answers`]: the bound of the bytes held for callers that read slowly.
 
 mod absence;
 mod admission;
 mod answer;
+mod answer_ends;
 mod answer_times;
 mod attempt;
 mod body;
--- a/crates/larkspring/src/direct/entry/peer.rs
+++ b/crates/larkspring/src/direct/entry/peer.rs
@@ -14,6 +14,7 @@
 use larkspring_core::fleet::endpoint_list::Endpoint;
 use larkspring_core::fleet::quality::EndpointQuality;
 use larkspring_core::fleet::rate::{AdvertisedRate, Rate};
+use larkspring_core::fleet::stream_outcomes::StreamOutcomes;
 use larkspring_core::ids::{ContentHash, TargetHash};
 use parking_lot::Mutex;
 
@@ -44,6 +45,7 @@
     /// Until when the endpoint counts as gone, after another run answered at its address.
     gone_until: Mutex<Option<Instant>>,
     quality: Mutex<EndpointQuality>,
+    streams: Mutex<StreamOutcomes>,
     /// Response times, recorded for endpoints of plain services.
     pub answer_times: Arc<AnswerTimes>,
     cached_parts: Mutex<CachedParts>,
@@ -79,6 +81,8 @@
 /// Counts a request at an endpoint until dropped.
 pub(super) struct OpenRequest {
     pub peer: Arc<Peer>,
+    /// Whether the request is for a stream.
+    pub is_stream: bool,
     /// Prompt tokens of the request that count as being in prefill.
     prefill_tokens: AtomicU32,
 }
@@ -117,6 +121,7 @@
             prefill_tokens: AtomicU32::new(0),
             gone_until: Mutex::default(),
             quality: Mutex::new(EndpointQuality::new(Instant::now())),
+            streams: Mutex::new(StreamOutcomes::new(Instant::now())),
             answer_times: Arc::default(),
             cached_parts: Mutex::default(),
             interrupted: Mutex::default(),
@@ -313,9 +318,12 @@
     }
 
     /// Counts a request as open until the result is dropped.
-    pub fn open_request(self: &Arc<Self>) -> OpenRequest {
+    pub fn open_request(self: &Arc<Self>, is_stream: bool) -> OpenRequest {
         self.open_requests.fetch_add(1, Ordering::Relaxed);
-        OpenRequest { peer: self.clone(), prefill_tokens: AtomicU32::new(0) }
+        if is_stream {
+            self.streams(|s| s.open());
+        }
+        OpenRequest { peer: self.clone(), is_stream, prefill_tokens: AtomicU32::new(0) }
     }
 
     /// Returns the prompt tokens of this entry's requests that are in prefill.
@@ -328,6 +336,11 @@
         f(&mut self.quality.lock())
     }
 
+    /// Reads or updates the record of how the endpoint's streams end.
+    pub fn streams<T>(&self, f: impl FnOnce(&mut StreamOutcomes) -> T) -> T {
+        f(&mut self.streams.lock())
+    }
+
     /// Returns the tokens of a prompt that are probably not in the endpoint's cache.
     pub fn uncached_tokens(&self, target: TargetHash, req: &ModelRequest) -> u32 {
         let cached = self.cached_parts.lock();
@@ -364,6 +377,9 @@
     fn drop(&mut self) {
         self.end_prefill();
         self.peer.open_requests.fetch_sub(1, Ordering::Relaxed);
+        if self.is_stream {
+            self.peer.streams(|s| s.close());
+        }
     }
 }
 
--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -46,6 +46,7 @@
     /// The framing of the answer to the caller.
     caller_framing: Framing,
     deadline: Timer,
+    deadline_at: Instant,
     sent: u64,
     is_success: bool,
     pause: LongestPause,
@@ -94,6 +95,7 @@
             source: AnswerSource::Endpoint(Box::new(open)),
             events,
             deadline: Timer::at(handler.deadline),
+            deadline_at: handler.deadline,
             sent: 0,
             is_success,
             pause: LongestPause::new(&handler),
@@ -254,6 +256,7 @@
         } else if self.is_success {
             self.crashes.record_answer(self.fingerprint);
         }
+        self.record_outcome(&open, end);
         let peer = open.selection.open_request.peer.clone();
         peer.idle.add(open.conn, cx);
         match self.events.take_rest() {
@@ -262,6 +265,13 @@
         }
     }
 
+    fn record_outcome(&self, open: &OpenAnswer, end: BodyEnd) {
+        if self.is_success {
+            let time_left = self.deadline_at.saturating_duration_since(Instant::now());
+            open.record_end(&self.pause.entry, end, time_left);
+        }
+    }
+
     fn check_for_crash(&self, open: &OpenAnswer) {
         let selection = &open.selection;
         self.crashes.connection_broke(
@@ -280,6 +290,7 @@
             return Step::Interrupted(cause.into());
         };
         self.check_for_crash(&open);
+        self.record_outcome(&open, end);
         let Some(events) = self.events.resumable() else {
             return Step::Interrupted(cause.into());
         };
@@ -294,7 +305,6 @@
         drop(open);
         events.discard_partial();
         handler.resume_after = events.last_event_id.clone();
-        peer.quality(|q| q.record_failure(Instant::now()));
         if handler.record_attempt(AttemptStatus::Unknown, &peer)
             != NextStep::RetryElsewhere
         {
--- a/crates/larkspring/src/direct/entry/select.rs
+++ b/crates/larkspring/src/direct/entry/select.rs
@@ -11,12 +11,13 @@
 use larkspring_core::fleet::endpoint_list::Endpoint;
 use larkspring_core::fleet::routes::EngineCapacity;
 use larkspring_core::fleet::stream_origins::StreamStart;
+use larkspring_core::fleet::stream_outcomes::price_stream_losses;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::answer::{retry_after_backoff, ErrorReason};
 use super::attempt::Selection;
 use super::fleet::ServiceAvailability;
-use super::peer::Peer;
+use super::peer::{OpenRequest, Peer};
 use super::permits::{Permit, PermitOutcome};
 use super::request_handler::RequestHandler;
 use super::view::SelectionInputs;
@@ -146,10 +147,12 @@
         let is_first_message_pending = |p: &Peer| {
             p.link.as_ref().is_some_and(|link| link.is_first_message_pending())
         };
-        let (views, peers): (Vec<_>, Vec<_>) = viewed
+        let (mut views, peers): (Vec<_>, Vec<_>) = viewed
             .filter(|(view, p)| !view.loading_base && !is_first_message_pending(p))
             .unzip();
+        let suspects = price_stream_losses(&mut views);
         let chosen = choose_any(&views, Duration::ZERO);
+        record_passed_over(&peers, &suspects, chosen);
         if let Some(at) = chosen {
             peers[at].record_prompt(base, model);
         }
@@ -206,7 +209,23 @@
             return Err((ErrorReason::NoEndpoint, None));
         };
         let inputs = SelectionInputs::new(&peers[at], views, at);
-        Ok(Selection::new(peers[at].open_request(), None, inputs, None))
+        Ok(Selection::new(self.open_request(&peers[at]), None, inputs, None))
+    }
+
+    /// Counts this request as open at an endpoint until the result is dropped.
+    fn open_request(&self, peer: &Arc<Peer>) -> OpenRequest {
+        peer.open_request(self.route.class.is_stream())
+    }
+}
+
+/// Records at each endpoint that breaks streams off that another one was chosen.
+pub(super) fn record_passed_over(
+    peers: &[Arc<Peer>],
+    suspects: &[usize],
+    chosen: Option<usize>,
+) {
+    for at in suspects.iter().filter(|at| Some(**at) != chosen) {
+        peers[*at].streams(|s| s.record_passed_over());
     }
 }
 
--- a/crates/larkspring/src/direct/entry/select/adapter.rs
+++ b/crates/larkspring/src/direct/entry/select/adapter.rs
@@ -10,6 +10,7 @@
 use larkspring_core::fleet::mechanisms::Mechanism;
 use larkspring_core::fleet::prefill::prefill_time;
 use larkspring_core::fleet::routes::EngineCapacity;
+use larkspring_core::fleet::stream_outcomes::price_stream_losses;
 use larkspring_core::fleet::utility;
 use larkspring_core::ids::{AdapterId, Incarnation, Target, VersionId};
 
@@ -19,7 +20,9 @@
 use super::super::peer::Peer;
 use super::super::request_handler::RequestHandler;
 use super::super::view::{holding_name, SelectionInputs};
-use super::{choose_random, least_running, NoSelection, MIN_TIME_LEFT};
+use super::{
+    choose_random, least_running, record_passed_over, NoSelection, MIN_TIME_LEFT,
+};
 use crate::direct::logs::{self, LineKind};
 use crate::direct::platform_api::ModelRequest;
 use crate::exec::with_timeout;
@@ -107,7 +110,7 @@
         let hash = target.hash();
         let uncached_tokens = inputs.uncached_tokens;
         let load_time_limit = self.load_time_limit(&inputs);
-        let open = peer.open_request();
+        let open = self.open_request(&peer);
         let selection =
             |open, hold| Selection::new(open, Some(target.clone()), inputs, hold);
         let link = peer.link.as_ref().filter(|_| needs_hold);
@@ -152,7 +155,7 @@
         let open = if Arc::ptr_eq(&current_peer, &peer) {
             open
         } else {
-            current_peer.open_request()
+            self.open_request(&current_peer)
         };
         let peer = current_peer;
         let (label, reason) = match end {
@@ -226,8 +229,9 @@
             |e| &e.0.id,
         );
         let peers: Vec<_> = peers.into_iter().map(|(_, p)| p).collect();
-        let views: Vec<_> =
+        let mut views: Vec<_> =
             peers.iter().map(|p| self.engine_view(now, p, hash, model, engine)).collect();
+        let suspects = price_stream_losses(&mut views);
         let resident =
             views.iter().any(|v| v.adapter_location == AdapterLocation::Resident);
         if !resident {
@@ -251,6 +255,7 @@
             PlacementPolicy::Random => choose_random(&views)?,
             PlacementPolicy::FewestRequests => least_running(&views)?,
         };
+        record_passed_over(&peers, &suspects, Some(at));
         let needs_hold = views[at].can_load;
         let inputs = SelectionInputs::new(&peers[at], &views, at);
         Some(AdapterSelection { peer: peers[at].clone(), target, needs_hold, inputs })
@@ -270,10 +275,11 @@
         let hash = target.hash();
         let view = |p: &Arc<Peer>| self.engine_view(now, p, hash, model, engine);
         let holds = |v: &EndpointView| v.adapter_location == AdapterLocation::Resident;
-        let views: Vec<_> = peers.iter().map(view).collect();
+        let mut views: Vec<_> = peers.iter().map(view).collect();
         if !views.iter().any(holds) {
             return None;
         }
+        price_stream_losses(&mut views);
         let open: Vec<_> = views
             .iter()
             .map(|v| if holds(v) { *v } else { EndpointView { can_load: false, ..*v } })
--- a/crates/larkspring/src/direct/entry/select_plain.rs
+++ b/crates/larkspring/src/direct/entry/select_plain.rs
@@ -4,11 +4,12 @@
 use std::time::{Duration, Instant};
 
 use larkspring_core::fleet::choose::{choose_any, choose_plain, PlacementPolicy};
+use larkspring_core::fleet::stream_outcomes::price_stream_losses;
 
 use super::attempt::Selection;
 use super::peer::Peer;
 use super::request_handler::RequestHandler;
-use super::select::{choose_random, least_running, NoSelection};
+use super::select::{choose_random, least_running, record_passed_over, NoSelection};
 
 /// Response time assumed without recorded answers; calls of the deployed services take
 /// about 30 ms.
@@ -20,8 +21,9 @@
     pub(super) fn select_plain(&self) -> Result<Selection, NoSelection> {
         let peers = self.candidates();
         let now = Instant::now();
-        let views: Vec<_> =
+        let mut views: Vec<_> =
             peers.iter().map(|p| self.plain_service_view(now, p)).collect();
+        let suspects = price_stream_losses(&mut views);
         let expected: Vec<Duration> = peers
             .iter()
             .map(|p| p.answer_times.expected(now).unwrap_or_default())
@@ -36,6 +38,7 @@
                 }
             }
         };
+        record_passed_over(&peers, &suspects, chosen);
         let mut selection = self.selection(&peers, &views, chosen)?;
         selection.inputs.expected =
             chosen.map(|at| expected[at]).filter(|expected| !expected.is_zero());
--- a/crates/larkspring/src/direct/entry/view.rs
+++ b/crates/larkspring/src/direct/entry/view.rs
@@ -7,7 +7,8 @@
     AdapterLocation, Distance, EndpointView, NEW_CONNECTION_COST,
 };
 use larkspring_core::fleet::mechanisms::Mechanism;
-use larkspring_core::fleet::routes::EngineCapacity;
+use larkspring_core::fleet::routes::{EngineCapacity, RouteClass};
+use larkspring_core::fleet::stream_outcomes::StreamLoss;
 use larkspring_core::ids::{Incarnation, TargetHash};
 use larkspring_proto::residency::Engagement;
 
@@ -38,6 +39,7 @@
             } else {
                 Duration::ZERO
             },
+            stream_loss: self.stream_loss(now, peer),
             connection_cost: match peer.idle.has_any(now, self.reuse()) {
                 true => Duration::ZERO,
                 false => NEW_CONNECTION_COST,
@@ -47,6 +49,19 @@
         }
     }
 
+    /// Returns the expected loss of this request at an endpoint, if it is a stream.
+    fn stream_loss(&self, now: Instant, peer: &Peer) -> StreamLoss {
+        let mechanisms = self.entry.cfg().disabled_mechanisms;
+        match self.route.class {
+            RouteClass::Stream { resumable }
+                if mechanisms.is_enabled(Mechanism::Quality) =>
+            {
+                peer.streams(|s| s.loss(now, resumable))
+            }
+            _ => StreamLoss::default(),
+        }
+    }
+
     /// Returns the view of an endpoint of a plain service for this request. A failure
     /// costs less if the request may be retried.
     pub(super) fn plain_service_view(
--- a/crates/larkspring/src/direct/stats.rs
+++ b/crates/larkspring/src/direct/stats.rs
@@ -25,6 +25,7 @@
     wait: HistogramVec,
     attempts: IntCounterVec,
     answer_ends: IntCounterVec,
+    stream_changes: IntCounterVec,
     taken_up: IntCounterVec,
     connections: IntCounterVec,
     slow_readers: IntCounterVec,
@@ -106,6 +107,11 @@
                 "Relayed bodies of endpoints by their framing and how they ended.",
                 &["framing", "end"],
             ),
+            stream_changes: counter(
+                "larkspring_stream_changes_total",
+                "Endpoints that began to break off streams, or recovered.",
+                &["change"],
+            ),
             taken_up: counter(
                 "larkspring_streams_taken_up_total",
                 "Streams that callers took up, by who knew where they began.",
@@ -245,6 +251,11 @@
         self.answer_ends.with_label_values(&[framing, end]).inc();
     }
 
+    /// Counts an endpoint that began to break off streams, or recovered.
+    pub fn count_stream_change(&self, change: &str) {
+        self.stream_changes.with_label_values(&[change]).inc();
+    }
+
     /// Counts a stream that its caller takes up.
     pub fn count_taken_up(&self, known_by: &str) {
         self.taken_up.with_label_values(&[known_by]).inc();
