Test of agreeing entries: wait until entries know all engines

The bound holds; the test asked too early.

Change: the test waits until the metrics of all entries name all workers. The check, its bound and the calls are as before.

Seen too: an engine that has an adapter's load queued, but not ordered yet, tells its load and not the adapter, so that another entry may choose the next engine.

--- a/crates/larkspring-cli/tests/common/site.rs
+++ b/crates/larkspring-cli/tests/common/site.rs
@@ -242,6 +242,18 @@
         }
     }
 
+    /// Waits until every entry knows all workers. An entry reads the list of workers at
+    /// intervals, and may have read it while workers were still being listed.
+    pub fn wait_for_endpoints(&self) {
+        let count = self.plain_workers.len() + self.engines.len();
+        let known = format!("larkspring_state{{of=\"endpoints\"}} {count}\n");
+        for entry in &self.entries {
+            wait_until("an entry knows all workers", || {
+                self.metrics(&entry.ip).contains(&known)
+            });
+        }
+    }
+
     /// Returns the address of an entry for clients.
     pub fn caller_addr(&self, n: usize) -> String {
         format!("{}:{CALLER_PORT}", self.entries[n].ip)
