Tell all entries that an engine breaks its streams off

Callers saw: with 15 entries each learned for itself that an engine breaks its streams off, and 30 of the first 30 callers lost theirs, two an entry.

Cause: the outcomes of streams were known to the entry that relayed them alone.

Change: the release of a hold tells the engine's agent how the stream ended and when it was sent. The agent keeps the same record for the current run, tells all entries at once when the engine begins to break streams off or has recovered, and the probability with each state. An entry leaves an engine by its own record or by the agent's, and forgets its own when the agent says that the engine has recovered. Entries and agents of earlier builds leave the fields out, and each entry then learns for itself.

--- a/crates/larkspring-core/src/fleet/stream_outcomes.rs
+++ b/crates/larkspring-core/src/fleet/stream_outcomes.rs
@@ -17,6 +17,8 @@
     last_break: Option<Instant>,
     /// Whether the endpoint is left if others are better, until it has recovered.
     breaks_off: bool,
+    /// What the endpoint's agent last reported, by the ends that all entries told it.
+    report: Option<StreamReport>,
     /// Streams that are open at the endpoint.
     open: u32,
     trials: Trials,
@@ -43,6 +45,15 @@
     Recovered,
 }
 
+/// What is known of an endpoint's streams.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StreamReport {
+    /// Probability that the endpoint breaks a stream off.
+    pub probability: f64,
+    /// Whether the endpoint breaks streams off and has not recovered.
+    pub breaks_off: bool,
+}
+
 /// The expected loss of a stream at an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct StreamLoss {
@@ -103,8 +114,9 @@
             decayed_at: now,
             last_break: None,
             breaks_off: false,
+            report: None,
             open: 0,
-            trials: Trials { max_open: 1, not_before: None, passed_over: 0 },
+            trials: Trials::default(),
         }
     }
 
@@ -140,11 +152,7 @@
                     self.add(now, 1.0);
                     self.last_break = Some(now);
                 }
-                self.trials = Trials {
-                    max_open: 1,
-                    not_before: Some(now + TRIAL_INTERVAL),
-                    passed_over: 0,
-                };
+                self.trials = Trials::after_break(now);
             }
         }
         self.update_breaks_off(now)
@@ -169,20 +177,40 @@
 
     /// Forgets all ends, after the endpoint's process has ended.
     pub fn forget(&mut self, now: Instant) {
-        *self = Self { open: self.open, ..Self::new(now) };
+        *self = Self { open: self.open, report: self.report, ..Self::new(now) };
+    }
+
+    /// Applies what the endpoint's agent knows; `None` if there is no agent that knows it.
+    pub fn apply_report(&mut self, now: Instant, report: Option<StreamReport>) {
+        let before = std::mem::replace(&mut self.report, report);
+        let Some(report) = report else { return };
+        match (before.is_some_and(|before| before.breaks_off), report.breaks_off) {
+            (false, true) => self.trials = Trials::after_break(now),
+            // Trials of all entries have shown that it has recovered.
+            (true, false) => self.forget(now),
+            _ => {}
+        }
+    }
+
+    /// Returns what the recorded ends say.
+    pub fn to_report(&self, now: Instant) -> StreamReport {
+        let probability = self.break_probability(now);
+        StreamReport { probability, breaks_off: self.breaks_off }
     }
 
     /// Returns the expected loss of another stream. `is_resumable` tells whether the
     /// stream can go on at another endpoint if it is broken off.
     pub fn loss(&self, now: Instant, is_resumable: bool) -> StreamLoss {
+        let own = self.to_report(now);
+        let reported = self.report.unwrap_or(own);
         StreamLoss {
-            probability: self.break_probability(now),
-            breaks_off: self.breaks_off,
+            probability: own.probability.max(reported.probability),
+            breaks_off: own.breaks_off || reported.breaks_off,
             is_trial: self.allows_trial(now, is_resumable),
         }
     }
 
-    /// Returns the probability that another stream is broken off.
+    /// Returns the probability that another stream is broken off, by the recorded ends.
     pub fn break_probability(&self, now: Instant) -> f64 {
         let factor = self.decay_factor(now);
         self.broken * factor / (self.ended * factor + PRIOR_COMPLETE)
@@ -216,6 +244,18 @@
     }
 }
 
+impl Trials {
+    fn after_break(now: Instant) -> Self {
+        Self { not_before: Some(now + TRIAL_INTERVAL), ..Self::default() }
+    }
+}
+
+impl Default for Trials {
+    fn default() -> Self {
+        Self { max_open: 1, not_before: None, passed_over: 0 }
+    }
+}
+
 /// Adds the expected loss of a stream to the cost of each endpoint that breaks off clearly
 /// more streams than the others. Returns these endpoints.
 pub fn price_stream_losses(views: &mut [EndpointView]) -> Vec<usize> {
--- a/crates/larkspring-core/tests/stream_outcomes.rs
+++ b/crates/larkspring-core/tests/stream_outcomes.rs
@@ -10,6 +10,7 @@
 use larkspring_core::fleet::quality::EndpointQuality;
 use larkspring_core::fleet::stream_outcomes::{
     price_stream_losses, StreamChange, StreamLoss, StreamOutcome, StreamOutcomes,
+    StreamReport,
 };
 
 /// Broken streams after which callers are sent elsewhere.
@@ -325,3 +326,29 @@
     outcomes.forget(at(30));
     assert_eq!(outcomes.break_probability(at(30)), 0.0);
 }
+
+/// An entry that has sent no stream to an endpoint learns from the endpoint's agent that it
+/// breaks streams off, and that it has recovered.
+#[test]
+fn a_report_of_the_agent_holds_until_the_endpoint_has_recovered() {
+    let start = Instant::now();
+    let at = |secs| start + Duration::from_secs(secs);
+    let report = |probability, breaks_off| Some(StreamReport { probability, breaks_off });
+    let mut outcomes = StreamOutcomes::new(start);
+    outcomes.apply_report(start, report(0.5, true));
+    let loss = outcomes.loss(start, true);
+    assert!(loss.breaks_off && loss.probability == 0.5 && !loss.is_trial, "{loss:?}");
+    assert!(outcomes.loss(at(2), true).is_trial, "a stream that may be resumed");
+    assert!(!outcomes.loss(at(2), false).is_trial, "a stream that would be lost");
+    (0..40).for_each(|_| outcomes.record_passed_over());
+    outcomes.apply_report(at(2), report(0.5, true));
+    assert!(outcomes.loss(at(2), false).is_trial, "the same report again");
+    for n in 2..6 {
+        outcomes.record(at(n), at(n), StreamOutcome::Broken);
+    }
+    outcomes.apply_report(at(6), report(0.09, false));
+    let loss = outcomes.loss(at(6), false);
+    assert!(!loss.breaks_off && loss.probability == 0.09, "{loss:?}");
+    outcomes.apply_report(at(7), None);
+    assert_eq!(outcomes.loss(at(7), false).probability, 0.0);
+}
--- a/crates/larkspring-proto/src/gen/larkspring.residency.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.residency.rs
@@ -286,6 +286,12 @@
 pub struct Release {
     #[prost(uint64, tag = "1")]
     pub id: u64,
+    /// How the stream for which the adapter was held ended, and the time since it was sent
+    /// to the engine, in milliseconds.
+    #[prost(enumeration = "StreamEnd", tag = "2")]
+    pub stream_end: i32,
+    #[prost(uint64, tag = "3")]
+    pub sent_ms_ago: u64,
 }
 /// The engine's adapter slots and base models, as declared in a version of the routing.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -435,6 +441,13 @@
     /// Rate limit that the engine advertises, in thousandths of requests a second.
     #[prost(uint64, optional, tag = "14")]
     pub rate_millis: ::core::option::Option<u64>,
+    /// Probability that the engine breaks a stream off, by the ends that all entries
+    /// reported, in thousandths; missing if it is 0, and from agents of an earlier build.
+    /// `breaks_off` is set until the engine has recovered.
+    #[prost(uint32, optional, tag = "15")]
+    pub broken_thousandths: ::core::option::Option<u32>,
+    #[prost(bool, tag = "16")]
+    pub breaks_off: bool,
 }
 /// Kinds of declared state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
@@ -469,6 +482,36 @@
         }
     }
 }
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum StreamEnd {
+    /// No stream, or an end that says nothing about the engine.
+    Unknown = 0,
+    Complete = 1,
+    Broken = 2,
+}
+impl StreamEnd {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unknown => "STREAM_END_UNKNOWN",
+            Self::Complete => "STREAM_END_COMPLETE",
+            Self::Broken => "STREAM_END_BROKEN",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "STREAM_END_UNKNOWN" => Some(Self::Unknown),
+            "STREAM_END_COMPLETE" => Some(Self::Complete),
+            "STREAM_END_BROKEN" => Some(Self::Broken),
+            _ => None,
+        }
+    }
+}
 /// Availability of an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
--- a/crates/larkspring/src/direct/agent/controller.rs
+++ b/crates/larkspring/src/direct/agent/controller.rs
@@ -33,6 +33,7 @@
 use super::driver::{Command, CommandResult};
 use super::orders::Engine;
 use super::publish::{EngineState, LastUpdate, PUBLISH_INTERVAL};
+use super::stream_ends::StreamEnds;
 use crate::direct::cfg::AgentCfg;
 use crate::direct::limits::{decode_unit_request, encode_grant, entry_id};
 use crate::direct::logs;
@@ -96,6 +97,8 @@
     pub(super) permit_issuer: PermitIssuer,
     /// Where streams of the entries began.
     pub(super) stream_origins: StreamOrigins,
+    /// How streams of the engine end.
+    pub(super) stream_ends: StreamEnds,
     /// Crash reports known to this agent.
     crash_reports: Arc<CrashReports>,
     /// Notes that an entry follows this agent.
@@ -195,6 +198,7 @@
             bucket_owner: BucketOwner::new(cfg.process.limits),
             permit_issuer: PermitIssuer::default(),
             stream_origins: StreamOrigins::default(),
+            stream_ends: StreamEnds::new(now),
             crash_reports,
             followed,
             followed_since: None,
@@ -296,7 +300,10 @@
                 }
             }
             EntryMessage::Hold(hold) => self.hold(now, number, hold),
-            EntryMessage::Release(release) => self.release(now, (number, release.id)),
+            EntryMessage::Release(release) => {
+                self.stream_ends.record(now, &release);
+                self.release(now, (number, release.id));
+            }
             EntryMessage::Reserve(req) => self.grant_units(now, number, &req),
             EntryMessage::Permit(req) => self.answer_permit_request(now, number, &req),
             EntryMessage::StreamStarts(told) => {
--- a/crates/larkspring/src/direct/agent/mod.rs
+++ b/crates/larkspring/src/direct/agent/mod.rs
@@ -10,6 +10,7 @@
 //! 6. [`state_cache`]: reads the declared state once for all entries of the hall.
 //! 7. [`quarantine_sync`]: keeps quarantined request fingerprints in the platform's
 //!    store.
+//! 8. [`stream_ends`]: whether the engine breaks off its streams.
 
 mod controller;
 mod driver;
@@ -18,6 +19,7 @@
 mod quarantine_sync;
 mod serve;
 mod state_cache;
+mod stream_ends;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/larkspring/src/direct/agent/orders.rs
+++ b/crates/larkspring/src/direct/agent/orders.rs
@@ -8,6 +8,7 @@
 
 use super::controller::{Controller, MAX_REPORT_FAILURES};
 use super::driver::Command;
+use super::stream_ends::StreamEnds;
 use crate::direct::logs::{self, LineKind};
 use crate::direct::platform_api::{Change, Order, OrderOutcome, Report};
 use crate::direct::unknown_names::NameSource;
@@ -355,6 +356,7 @@
             self.engine.availability = Availability::default();
         }
         self.engine.run_count += 1;
+        self.stream_ends = StreamEnds::new(Instant::now());
         self.engine.previous_name = self.engine.run_name.take();
         let run: Incarnation = format!("run {}", self.engine.run_count).into();
         self.engine.run = Some(run.clone());
--- a/crates/larkspring/src/direct/agent/publish.rs
+++ b/crates/larkspring/src/direct/agent/publish.rs
@@ -33,6 +33,8 @@
     pub(super) draining: bool,
     /// The engine's advertised rate limit.
     pub(super) advertised_rate: Option<Rate>,
+    /// Whether the engine breaks streams off.
+    pub(super) breaks_off: bool,
     /// The run's name, and the run's number, which distinguishes it from an earlier run
     /// of the same name.
     pub(super) run: Option<(Incarnation, u64)>,
@@ -62,6 +64,10 @@
             _ if current.run.is_some() && current.run != self.last_update.state.run => {
                 Duration::ZERO
             }
+            // Until they know it, all entries lose streams to the engine.
+            _ if current.breaks_off != self.last_update.state.breaks_off => {
+                Duration::ZERO
+            }
             true => self.min_publish_interval(),
             false => PUBLISH_INTERVAL,
         };
@@ -150,6 +156,7 @@
             loading: loading.into_iter().map(Target::hash).collect(),
             draining: self.engine.availability.is_draining(),
             advertised_rate: self.engine.availability.advertised_rate(),
+            breaks_off: self.stream_ends.report(now).breaks_off,
             run: self.engine.run_name.clone().map(|name| (name, self.engine.run_count)),
         }
     }
@@ -178,6 +185,7 @@
         };
         let run = new.run.as_ref().filter(|_| new.run != old.run);
         let before = old.resident.iter().chain(&old.loading);
+        let ends = self.stream_ends.report(now);
         wire::State {
             engagement: new.engagement,
             held: self.scheduler.running() as u32,
@@ -187,6 +195,9 @@
             entries_in_hall: 0,
             whole: false,
             leaving: new.draining,
+            broken_thousandths: Some((ends.probability * 1000.0) as u32)
+                .filter(|thousandths| *thousandths > 0),
+            breaks_off: new.breaks_off,
             rate_millis: new.advertised_rate.map(Rate::as_millis),
             resident: new.resident.difference(&old.resident).copied().collect(),
             loading: new.loading.difference(&old.loading).copied().collect(),
--- a/crates/larkspring/src/direct/entry/answer_ends.rs
+++ b/crates/larkspring/src/direct/entry/answer_ends.rs
@@ -18,7 +18,7 @@
     /// Records in the endpoint's quality how its answer ended; `time_left` is the time to
     /// the deadline.
     pub(super) fn record_end(
-        &self,
+        &mut self,
         entry: &EntryState,
         end: BodyEnd,
         time_left: Duration,
@@ -33,6 +33,9 @@
             };
         }
         let sent = self.selection.selected_at;
+        if let Some(hold) = &mut self.selection.hold {
+            hold.record_stream_end(outcome, sent);
+        }
         let (change, share) =
             peer.streams(|s| (s.record(now, sent, outcome), s.break_probability(now)));
         if let Some(change) = change {
--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -41,7 +41,7 @@
     /// The permit to send the request, if the endpoint is rate-limited.
     pub permit: Option<Permit>,
     /// Keeps the adapter loaded until dropped.
-    pub _hold: Option<Hold>,
+    pub hold: Option<Hold>,
 }
 
 /// The result of an attempt.
@@ -106,7 +106,7 @@
             selected_at: Instant::now(),
             inputs,
             permit: None,
-            _hold: hold,
+            hold,
         }
     }
 }
--- a/crates/larkspring/src/direct/entry/engine_state.rs
+++ b/crates/larkspring/src/direct/entry/engine_state.rs
@@ -7,6 +7,7 @@
 use larkspring_core::fleet::host_copies::HostCopies;
 use larkspring_core::fleet::prefill::PrefillBacklog;
 use larkspring_core::fleet::rate::{AdvertisedRate, Rate};
+use larkspring_core::fleet::stream_outcomes::StreamReport;
 use larkspring_core::ids::{Incarnation, TargetHash};
 use larkspring_proto::residency::{self as wire, Engagement};
 
@@ -114,6 +115,17 @@
         Some((run, self.rate_change.take()?))
     }
 
+    /// Returns what the agent reports of the streams of a run; `None` if it is not
+    /// responsive or does not know.
+    pub fn stream_report(&self, run: &str) -> Option<StreamReport> {
+        let is_of_run = self.run.as_ref().is_some_and(|known| &*known.id == run);
+        let thousandths = self.state.broken_thousandths?;
+        (self.live && is_of_run).then(|| StreamReport {
+            probability: f64::from(thousandths) / 1000.0,
+            breaks_off: self.state.breaks_off,
+        })
+    }
+
     /// Returns whether the agent is responsive and reports an advertised rate of the
     /// engine.
     pub fn has_advertised_rate(&self) -> bool {
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -19,6 +19,7 @@
 use larkspring_core::fleet::rate::AdvertisedRate;
 use larkspring_core::fleet::routes::{Routing, RoutingVersion};
 use larkspring_core::fleet::stream_origins::KeptOrigin;
+use larkspring_core::fleet::stream_outcomes::StreamReport;
 use larkspring_core::ids::{HallId, Incarnation, ServiceId, TargetHash, VmId};
 use larkspring_core::limits::bucket_owner::{Grant, UnitsRequest};
 use larkspring_core::retry::backoff;
@@ -383,6 +384,11 @@
         self.engine_state.lock().draining_run()
     }
 
+    /// Returns what the agent reports of the streams of a run, if it knows.
+    pub fn stream_report(&self, run: &str) -> Option<StreamReport> {
+        self.engine_state.lock().stream_report(run)
+    }
+
     /// Takes the agent's latest change of a run's advertised rate, if any.
     pub fn take_rate_change(&self) -> Option<(Incarnation, AdvertisedRate)> {
         self.engine_state.lock().take_rate_change()
--- a/crates/larkspring/src/direct/entry/link/hold.rs
+++ b/crates/larkspring/src/direct/entry/link/hold.rs
@@ -2,8 +2,9 @@
 
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use larkspring_core::fleet::stream_outcomes::StreamOutcome;
 use larkspring_core::ids::Target;
 use larkspring_proto::residency as wire;
 use larkspring_proto::residency::from_entry::Kind;
@@ -18,6 +19,8 @@
     id: u64,
     end: Option<Receiver<HoldEnd>>,
     granted: bool,
+    /// How the stream ended for which the adapter was held, and when it was sent.
+    stream_end: Option<(StreamOutcome, Instant)>,
 }
 
 /// The terms of a request for a hold.
@@ -91,7 +94,7 @@
             // Drops the waiter, so that the hold ends as lost.
             self.holds.lock().remove(&id);
         }
-        Hold { link: self.clone(), id, end: Some(end), granted: false }
+        Hold { link: self.clone(), id, end: Some(end), granted: false, stream_end: None }
     }
 
     /// Ends the wait for a hold.
@@ -149,6 +152,11 @@
         self.granted = end.is_granted();
         end
     }
+
+    /// Records how the stream ended that was sent at `sent`, for the agent.
+    pub fn record_stream_end(&mut self, outcome: StreamOutcome, sent: Instant) {
+        self.stream_end = Some((outcome, sent));
+    }
 }
 
 impl Drop for Hold {
@@ -158,6 +166,19 @@
         if held.waiter.is_none() {
             self.link.granted_holds.fetch_sub(1, Ordering::Relaxed);
         }
-        self.link.send_message(Kind::Release(wire::Release { id: self.id }));
+        let (outcome, sent_ms_ago) = match self.stream_end {
+            Some((outcome, sent)) => (outcome, sent.elapsed().as_millis() as u64),
+            None => (StreamOutcome::Unknown, 0),
+        };
+        let stream_end = match outcome {
+            StreamOutcome::Unknown => wire::StreamEnd::Unknown,
+            StreamOutcome::Complete => wire::StreamEnd::Complete,
+            StreamOutcome::Broken => wire::StreamEnd::Broken,
+        };
+        self.link.send_message(Kind::Release(wire::Release {
+            id: self.id,
+            stream_end: stream_end.into(),
+            sent_ms_ago,
+        }));
     }
 }
--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -244,7 +244,7 @@
 
     /// Ends the answer to the caller in order.
     fn finish(&mut self, end: BodyEnd, cx: &mut Context<'_>) -> Step {
-        let AnswerSource::Endpoint(open) =
+        let AnswerSource::Endpoint(mut open) =
             std::mem::replace(&mut self.source, AnswerSource::Ended)
         else {
             return Step::End;
@@ -256,7 +256,7 @@
         } else if self.is_success {
             self.crashes.record_answer(self.fingerprint);
         }
-        self.record_outcome(&open, end);
+        self.record_outcome(&mut open, end);
         let peer = open.selection.open_request.peer.clone();
         peer.idle.add(open.conn, cx);
         match self.events.take_rest() {
@@ -265,7 +265,7 @@
         }
     }
 
-    fn record_outcome(&self, open: &OpenAnswer, end: BodyEnd) {
+    fn record_outcome(&self, open: &mut OpenAnswer, end: BodyEnd) {
         if self.is_success {
             let time_left = self.deadline_at.saturating_duration_since(Instant::now());
             open.record_end(&self.pause.entry, end, time_left);
@@ -286,11 +286,11 @@
     fn handle_interruption(&mut self, end: BodyEnd, cause: &str) -> Step {
         let source = std::mem::replace(&mut self.source, AnswerSource::Ended);
         self.record_end(end);
-        let AnswerSource::Endpoint(open) = source else {
+        let AnswerSource::Endpoint(mut open) = source else {
             return Step::Interrupted(cause.into());
         };
         self.check_for_crash(&open);
-        self.record_outcome(&open, end);
+        self.record_outcome(&mut open, end);
         let Some(events) = self.events.resumable() else {
             return Step::Interrupted(cause.into());
         };
--- a/crates/larkspring/src/direct/entry/view.rs
+++ b/crates/larkspring/src/direct/entry/view.rs
@@ -56,7 +56,12 @@
             RouteClass::Stream { resumable }
                 if mechanisms.is_enabled(Mechanism::Quality) =>
             {
-                peer.streams(|s| s.loss(now, resumable))
+                let run = &peer.endpoint().id;
+                let report = peer.link.as_ref().and_then(|l| l.stream_report(run));
+                peer.streams(|s| {
+                    s.apply_report(now, report);
+                    s.loss(now, resumable)
+                })
             }
             _ => StreamLoss::default(),
         }
