Write the events before a break before the connection to the caller ends

Callers saw: a stream that broke off within moments of its head reached them as no answer at all, though whole events had arrived at the entry.

Cause: head, events and break often arrive at once. The relay handed the events to the caller's connection and then failed the body in the same poll; the HTTP library drops what it has buffered but not written when a body fails.

Change: before it fails, the relay waits for one poll, in which the connection writes.

Evidence: the_events_before_a_break_reach_the_caller failed in its first case (no head and no event) and passes; so do the other tests of platform_framing, and those of platform_faults, platform_builds, platform_crashes, platform_connections and platform_broken_streams.

--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -49,6 +49,8 @@
     deadline_at: Instant,
     sent: u64,
     is_success: bool,
+    /// Whether the caller's connection may hold bytes that it has not written.
+    has_unwritten: bool,
     pause: LongestPause,
 }
 
@@ -65,6 +67,8 @@
     Endpoint(Box<OpenAnswer>),
     /// The stream was interrupted and is being resumed at another endpoint.
     Resuming(Resume),
+    /// The answer broke off, which the caller learns once it has what came before.
+    Broken(String),
     Ended,
 }
 
@@ -98,6 +102,7 @@
             deadline_at: handler.deadline,
             sent: 0,
             is_success,
+            has_unwritten: true,
             pause: LongestPause::new(&handler),
             // Frees the request's body, which only a resumed stream needs again.
             handler: resumable.then(|| Box::new(handler)),
@@ -120,15 +125,41 @@
             (AnswerSource::Ended, _) => SizeHint::with_exact(0),
             (AnswerSource::Endpoint(_), Events::Split(_)) => SizeHint::default(),
             (AnswerSource::Endpoint(open), _) => open.body.size_hint(),
-            (AnswerSource::Resuming(_), _) => SizeHint::default(),
+            (AnswerSource::Resuming(_) | AnswerSource::Broken(_), _) => {
+                SizeHint::default()
+            }
         }
     }
 
     /// Returns the next bytes for the caller.
+    ///
+    /// An error makes the caller's connection discard what it has not written. So the
+    /// answer first waits once, which lets the connection write.
     pub fn poll(
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, RelayError>>> {
+        let mut polled = self.poll_next(cx);
+        if let Poll::Ready(Some(Err(RelayError::Interrupted(cause)))) = &polled {
+            if self.has_unwritten {
+                self.source = AnswerSource::Broken(cause.clone());
+                cx.waker().wake_by_ref();
+                polled = Poll::Pending;
+            }
+        }
+        self.has_unwritten = polled.is_ready();
+        polled
+    }
+
+    fn poll_next(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, RelayError>>> {
+        if let AnswerSource::Broken(cause) = &mut self.source {
+            let cause = std::mem::take(cause);
+            self.source = AnswerSource::Ended;
+            return Poll::Ready(Some(Err(RelayError::Interrupted(cause))));
+        }
         if Pin::new(&mut self.deadline).poll(cx).is_ready() {
             self.source = AnswerSource::Ended;
             self.record_end(BodyEnd::TimedOut);
@@ -139,7 +170,9 @@
             let read = self.take_read();
             let next = match &mut self.source {
                 _ if !read.is_empty() => Step::Data(self.events.push(read)),
-                AnswerSource::Ended => return Poll::Ready(None),
+                AnswerSource::Broken(_) | AnswerSource::Ended => {
+                    return Poll::Ready(None)
+                }
                 AnswerSource::Resuming(resume) => {
                     let resumed = ready!(resume.as_mut().poll(cx));
                     self.resume_with(resumed)
@@ -187,7 +220,9 @@
     fn take_read(&mut self) -> Bytes {
         match &mut self.source {
             AnswerSource::Endpoint(open) => std::mem::take(&mut open.read),
-            AnswerSource::Resuming(_) | AnswerSource::Ended => Bytes::new(),
+            AnswerSource::Resuming(_) | AnswerSource::Broken(_) | AnswerSource::Ended => {
+                Bytes::new()
+            }
         }
     }
 
