Split the request handler, the classification of answers and the link by job

Change, without a change of behaviour: request_handler.rs keeps the request's state and bounds and uses none of the files that select, send and relay; serving.rs serves it. classify.rs classifies answers, selection_inputs.rs, longest_pause.rs and link/context.rs hold what two sides need; returning a connection to the idle pool is a method of the pool.

Measured: clippy, and the tests of platform_broken_streams, platform_builds, platform_faults and platform_framing pass.

--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -1,4 +1,4 @@
-//! Sending of a request to an endpoint, and classification of the answer by its head.
+//! Sending of a request to an endpoint.
 
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -8,25 +8,23 @@
 use bytes::Bytes;
 use futures_lite::future::{self, poll_fn};
 use http::response::Parts;
-use http::{Request, Response, StatusCode};
-use hyper::body::{Body, Incoming};
+use http::{Request, Response};
+use hyper::body::Incoming;
 use larkspring_core::fleet::attempt::AttemptStatus;
 use larkspring_core::fleet::mechanisms::Mechanism;
-use larkspring_core::fleet::routes::RouteClass;
 use larkspring_core::fleet::urgency::{urgency, Urgency};
 use larkspring_core::ids::{Incarnation, Target};
 
 use super::answer_times::AnswerWait;
-use super::framing::{is_event_stream, Framing};
+use super::framing::Framing;
 use super::link::Hold;
 use super::peer::{OpenRequest, Peer};
 use super::permits::Permit;
 use super::request_handler::RequestHandler;
 use super::reused_connection::ReusedConnection;
-use super::view::SelectionInputs;
-use crate::direct::conn::{EndpointConn, ReadBody, SendBody, SendError};
-use crate::direct::logs::{self, LineKind};
-use crate::direct::platform_api::{Echo, ForwardHeaders, Identity};
+use super::selection_inputs::SelectionInputs;
+use crate::direct::conn::{EndpointConn, SendBody, SendError};
+use crate::direct::platform_api::{ForwardHeaders, Identity};
 
 /// The endpoint selected for a request, with the resources reserved there.
 pub(super) struct Selection {
@@ -88,10 +86,6 @@
 /// Connect time-out: a few round trips between halls. A connection that takes longer
 /// meets a full accept queue or a dead VM, and another endpoint is faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
-/// Size in bytes up to which an answer is buffered, so that the request can be retried if
-/// the answer is interrupted.
-const MAX_BUFFERED_ANSWER: u64 = 64 * 1024;
-
 impl Selection {
     /// Creates the record of a selected endpoint, without a permit.
     pub fn new(
@@ -216,32 +210,6 @@
         res.map(|res| (res, conn))
     }
 
-    async fn classify_result(
-        &mut self,
-        result: Result<(Response<Incoming>, EndpointConn), SendError>,
-        selection: Selection,
-        peer: &Arc<Peer>,
-    ) -> AttemptOutcome {
-        let (status, e) = match result {
-            Ok((res, conn)) => {
-                return self.classify_answer(res, conn, selection, peer).await
-            }
-            Err(e @ SendError::Unsent(..)) => (AttemptStatus::Unsent, e),
-            Err(e @ SendError::Cancelled(..)) => (AttemptStatus::Unknown, e),
-            Err(e) => {
-                self.entry.crashes.connection_broke(
-                    peer,
-                    self.fingerprint,
-                    &self.caller.id,
-                    selection.selected_at,
-                );
-                (AttemptStatus::Unknown, e)
-            }
-        };
-        log_attempt(self, peer, status, &e.to_string());
-        AttemptOutcome::NoAnswer(status)
-    }
-
     /// Returns the metric label that tells first sends, retries and resumed streams
     /// apart.
     fn send_label(&self) -> &'static str {
@@ -293,144 +261,6 @@
         urgency(priority, left, inputs.uncached_tokens)
     }
 
-    /// Classifies an answer by its head.
-    async fn classify_answer(
-        &mut self,
-        res: Response<Incoming>,
-        mut conn: EndpointConn,
-        selection: Selection,
-        peer: &Arc<Peer>,
-    ) -> AttemptOutcome {
-        selection.open_request.end_prefill();
-        let (head, body) = res.into_parts();
-        conn.record_answer(&head.headers);
-        peer.idle.record_answered(selection.selected_at);
-        let answer_head =
-            self.entry.protocol.decode_answer(&head.headers, &self.caller.id);
-        let endpoint = peer.endpoint();
-        let status = head.status;
-        self.apply_notice(&head, &answer_head, peer, selection.selected_at);
-        if answer_head.echo == Echo::Other {
-            peer.idle.mark_corrupted();
-            log_attempt(self, peer, AttemptStatus::Unknown, "answer to another request");
-            return AttemptOutcome::NoAnswer(AttemptStatus::Unknown);
-        }
-        if status == StatusCode::MISDIRECTED_REQUEST {
-            let same = answer_head.incarnation.is_none_or(|id| id == endpoint.id);
-            let attempt_status = if same {
-                AttemptStatus::AdapterMissing
-            } else {
-                AttemptStatus::EndpointReplaced
-            };
-            if attempt_status == AttemptStatus::EndpointReplaced {
-                self.entry.fleet.mark_gone(peer);
-            }
-            match (&peer.link, &selection.target) {
-                (Some(link), Some(target)) => link.record_missing(target.hash()),
-                // An engine that lacks its base model can't run any request for a while.
-                _ if attempt_status == AttemptStatus::AdapterMissing => {
-                    peer.quality(|q| q.record_unreachable(Instant::now()));
-                }
-                _ => {}
-            }
-            log_attempt(self, peer, attempt_status, "misdirected");
-            self.drain_refusal(conn, body, peer).await;
-            return AttemptOutcome::NoAnswer(attempt_status);
-        }
-        if answer_head.not_run {
-            log_attempt(self, peer, AttemptStatus::Rejected, status.as_str());
-            self.drain_refusal(conn, body, peer).await;
-            return AttemptOutcome::NoAnswer(AttemptStatus::Rejected);
-        }
-        if status.is_success()
-            && (!answer_head.signed || answer_head.echo == Echo::Missing)
-        {
-            log_attempt(self, peer, AttemptStatus::Unknown, "answer without signature");
-            return AttemptOutcome::NoAnswer(AttemptStatus::Unknown);
-        }
-        let buffers = self.route.class == RouteClass::Retryable
-            && body.size_hint().upper().is_none_or(|len| len <= MAX_BUFFERED_ANSWER);
-        let framing = Framing::of(&head, &body);
-        let open = OpenAnswer {
-            read: Bytes::new(),
-            framing,
-            is_event_stream: self.route.class.is_stream()
-                && status.is_success()
-                && is_event_stream(&head.headers),
-            body,
-            conn,
-            selection,
-        };
-        let payload = match buffers {
-            true => match self.buffer(open, &head, peer).await {
-                Some(payload) => payload,
-                None => return AttemptOutcome::NoAnswer(AttemptStatus::Unknown),
-            },
-            false => Err(open),
-        };
-        let endpoint = endpoint.id.clone();
-        let answered = EndpointAnswer { head, endpoint, framing, payload };
-        match status.is_server_error() {
-            true => AttemptOutcome::Failed(answered),
-            false => AttemptOutcome::Answered(answered),
-        }
-    }
-
-    /// Reads an answer to its end, or as far as it is buffered; `None` if the answer is
-    /// interrupted.
-    async fn buffer(
-        &self,
-        mut open: OpenAnswer,
-        head: &Parts,
-        peer: &Arc<Peer>,
-    ) -> Option<Result<Bytes, OpenAnswer>> {
-        let (addr, max) = (peer.endpoint().addr, MAX_BUFFERED_ANSWER as usize);
-        let read = open.conn.read_up_to(addr, &mut open.body, max).await;
-        let crashes = &self.entry.crashes;
-        let check_for_crash = || {
-            let selected_at = open.selection.selected_at;
-            crashes.connection_broke(
-                peer,
-                self.fingerprint,
-                &self.caller.id,
-                selected_at,
-            );
-        };
-        match read {
-            Ok(ReadBody::Whole(bytes)) => {
-                match open.framing {
-                    // The end of the endpoint's process looks the same.
-                    Framing::UntilClose => check_for_crash(),
-                    _ if head.status.is_success() => {
-                        crashes.record_answer(self.fingerprint)
-                    }
-                    _ => {}
-                }
-                recycle(peer, open.conn).await;
-                Some(Ok(bytes))
-            }
-            Ok(ReadBody::Part(read)) => Some(Err(OpenAnswer { read, ..open })),
-            Err(e) => {
-                check_for_crash();
-                log_attempt(self, peer, AttemptStatus::Unknown, &e.to_string());
-                None
-            }
-        }
-    }
-
-    /// Reads the body of a refusal, so that the connection can be reused.
-    async fn drain_refusal(
-        &self,
-        mut conn: EndpointConn,
-        body: Incoming,
-        peer: &Arc<Peer>,
-    ) {
-        let addr = peer.endpoint().addr;
-        if conn.read(addr, body, MAX_BUFFERED_ANSWER as usize).await.is_ok() {
-            recycle(peer, conn).await;
-        }
-    }
-
     /// Records the attempt's result in the endpoint's quality.
     fn record_quality(&self, ended: &AttemptOutcome, peer: &Arc<Peer>, sent: Instant) {
         let now = Instant::now();
@@ -452,39 +282,6 @@
     }
 }
 
-/// Returns a connection to the endpoint's idle pool.
-pub(super) async fn recycle(peer: &Peer, conn: EndpointConn) {
-    let mut conn = Some(conn);
-    poll_fn(|cx| {
-        if let Some(conn) = conn.take() {
-            peer.idle.add(conn, cx);
-        }
-        Poll::Ready(())
-    })
-    .await;
-}
-
-fn log_attempt(
-    handler: &RequestHandler,
-    peer: &Peer,
-    status: AttemptStatus,
-    cause: &str,
-) {
-    if logs::is_allowed(LineKind::Attempt) {
-        let endpoint = peer.endpoint();
-        tracing::info!(
-            event = "attempt ended",
-            request = handler.caller.id,
-            endpoint = %endpoint.id,
-            addr = %endpoint.addr,
-            end = end_name(status),
-            cause,
-            content = logs::format_hash(handler.fingerprint),
-            attempts = handler.history.attempts + 1,
-        );
-    }
-}
-
 /// Returns the name of an attempt's end in logs and metrics.
 pub(super) fn end_name(status: AttemptStatus) -> &'static str {
     match status {
--- a/crates/larkspring/src/direct/entry/connections.rs
+++ b/crates/larkspring/src/direct/entry/connections.rs
@@ -26,7 +26,7 @@
 
 use super::answer::AnswerBody;
 use super::framing::Framing;
-use super::request_handler;
+use super::serving;
 use super::unread_answers::Backlog;
 use super::{EntryState, Shutdown};
 use crate::direct::logs::{self, LineKind};
@@ -103,7 +103,7 @@
         request_phase.set(SERVING);
         let done = ExchangeGuard::new(request_phase.clone(), &req);
         let entry = served.clone();
-        async move { Ok::<_, Infallible>(request_handler::serve(entry, req, done).await) }
+        async move { Ok::<_, Infallible>(serving::serve(entry, req, done).await) }
     });
     let bounds = bounds(&entry);
     let conn = Builder::new()
--- a/crates/larkspring/src/direct/entry/crashes.rs
+++ b/crates/larkspring/src/direct/entry/crashes.rs
@@ -20,7 +20,6 @@
 use smol::Timer;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::attempt::recycle;
 use super::fleet::Fleet;
 use super::link::Link;
 use super::peer::{InterruptedRequest, Peer};
@@ -212,7 +211,7 @@
             Ok(sock) => {
                 // The probe's connection goes to the idle pool for the next request.
                 if let Ok(conn) = EndpointConn::from_socket(addr, sock).await {
-                    recycle(peer, conn).await;
+                    peer.idle.recycle(conn).await;
                 }
             }
             // The network is disturbed or the VM is gone. The agent may still report a
--- a/crates/larkspring/src/direct/entry/idle_connections.rs
+++ b/crates/larkspring/src/direct/entry/idle_connections.rs
@@ -1,9 +1,10 @@
 //! Idle connections to an endpoint.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::task::Context;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
+use futures_lite::future::poll_fn;
 use larkspring_core::fleet::idle::{max_idle_connections, IdleTime, Reuse};
 use parking_lot::Mutex;
 
@@ -72,6 +73,18 @@
         now.saturating_duration_since(conn.idle_since) < limit
     }
 
+    /// Returns a connection to the pool.
+    pub async fn recycle(&self, conn: EndpointConn) {
+        let mut conn = Some(conn);
+        poll_fn(|cx| {
+            if let Some(conn) = conn.take() {
+                self.add(conn, cx);
+            }
+            Poll::Ready(())
+        })
+        .await;
+    }
+
     /// Adds a connection, if it can carry another request.
     pub fn add(&self, mut conn: EndpointConn, cx: &mut Context<'_>) {
         if !conn.is_ready(cx) {
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -1,6 +1,7 @@
 //! Connections to agents: holds of adapters, permits, and the agents' reports on their
 //! engines. A connection is open while the entry follows the agent or uses it.
 
+mod context;
 mod hold;
 mod incoming;
 mod permit;
@@ -12,7 +13,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use event_listener::Event;
 use fastrand::Rng;
 use larkspring_core::fleet::choose::AdapterLocation;
 use larkspring_core::fleet::permits::PermitResponse;
@@ -20,8 +20,8 @@
 use larkspring_core::fleet::routes::{Routing, RoutingVersion};
 use larkspring_core::fleet::stream_origins::KeptOrigin;
 use larkspring_core::fleet::stream_outcomes::StreamReport;
-use larkspring_core::ids::{HallId, Incarnation, ServiceId, TargetHash, VmId};
-use larkspring_core::limits::bucket_owner::{Grant, UnitsRequest};
+use larkspring_core::ids::{Incarnation, ServiceId, TargetHash};
+use larkspring_core::limits::bucket_owner::UnitsRequest;
 use larkspring_core::retry::backoff;
 use larkspring_proto::residency as wire;
 use larkspring_proto::residency::from_entry::Kind;
@@ -31,6 +31,7 @@
 use smol::Timer;
 use tonic::Status;
 
+pub(super) use self::context::{EntryIdentity, LinkContext, MessageSinks};
 use self::hold::HoldRecord;
 pub(super) use self::hold::{Hold, HoldEnd, HoldRequest};
 pub(super) use self::stream_query::StreamQuery;
@@ -38,8 +39,6 @@
 use super::engine_state::{EngineState, EngineView, ReportedRun};
 use crate::direct::limits::encode_unit_request;
 use crate::direct::logs;
-use crate::direct::quarantine::CrashReports;
-use crate::direct::replicated_state::ReplicatedState;
 use crate::exec::{self, with_timeout};
 use crate::rpc::channel::Pool;
 
@@ -93,36 +92,6 @@
     Lost(String),
 }
 
-/// What the connections of an entry have in common.
-#[derive(Debug)]
-pub(super) struct LinkContext {
-    pub identity: EntryIdentity,
-    pub replicated_state: Arc<ReplicatedState>,
-    /// Notified when the agent is live again, or its engine's engagement changes.
-    pub availability_changed: Arc<Event>,
-    /// Notified when the agent reports another run of the engine, that the engine drains,
-    /// or another rate limit.
-    pub run_changed: Arc<Event>,
-    /// Receivers of grants and crash reports.
-    pub sinks: MessageSinks,
-}
-
-/// Receivers of the agents' grants and crash reports.
-#[derive(Debug, Clone)]
-pub(super) struct MessageSinks {
-    /// Receives the grants of agents that are bucket owners.
-    pub grants: Sender<Vec<Grant>>,
-    /// The known crash reports.
-    pub crash_reports: Arc<CrashReports>,
-}
-
-/// The identity of this entry.
-#[derive(Debug, Clone)]
-pub(super) struct EntryIdentity {
-    pub vm: VmId,
-    pub hall: HallId,
-}
-
 /// Time without a message after which an agent counts as unresponsive. Agents send one
 /// every 400 ms, so two are missing by then.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(900);
--- a/crates/larkspring/src/direct/entry/log.rs
+++ b/crates/larkspring/src/direct/entry/log.rs
@@ -6,7 +6,7 @@
 
 use super::answer::ErrorReason;
 use super::request_handler::RequestHandler;
-use super::view::SelectionInputs;
+use super::selection_inputs::SelectionInputs;
 use super::EntryState;
 use crate::clock::BootInstant;
 use crate::direct::logs::{self, LineKind};
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -2,13 +2,14 @@
 //! endpoints.
 //!
 //! 1. [`connections`]: caller connections, their limits and shutdown.
-//! 2. [`request_handler`]: handling of one request; [`admission`] authenticates its
+//! 2. [`serving`]: serving of one request, whose state is in [`request_handler`];
+//!    [`admission`] authenticates its
 //!    caller, [`workspace_limits`] enforces the limit of its workspace. [`absence`]
 //!    confirms that a route or key is missing before a request is refused for that.
 //! 3. [`select`]: endpoint selection and the wait for the request's adapter;
 //!    [`select_plain`] selects for plain services, by [`answer_times`].
 //!    [`fair`] divides a saturated plain service among workspaces.
-//! 4. [`attempt`]: sending to an endpoint and classification of the answer by its head.
+//! 4. [`attempt`]: sending to an endpoint; [`classify`] classifies the answer by its head.
 //! 5. [`relay`]: the answer's body; an interrupted stream is resumed at another endpoint.
 //!    [`framing`] tells how a body is framed and how it ended.
 //! 6. [`notices`]: notices about endpoints in the headers of their answers.
@@ -25,6 +26,7 @@
 mod answer_times;
 mod attempt;
 mod body;
+mod classify;
 mod connections;
 mod crashes;
 mod directory;
@@ -37,6 +39,7 @@
 mod idle_connections;
 mod link;
 mod log;
+mod longest_pause;
 mod notices;
 mod peer;
 mod permits;
@@ -45,6 +48,8 @@
 mod reused_connection;
 mod select;
 mod select_plain;
+mod selection_inputs;
+mod serving;
 mod stream_tracker;
 mod unread_answers;
 mod view;
--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -8,13 +8,13 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use hyper::body::{Body, SizeHint};
 use larkspring_core::event_stream::EventScanner;
 use larkspring_core::fleet::attempt::{AttemptStatus, NextStep};
-use larkspring_core::fleet::routes::{Route, RouteClass};
+use larkspring_core::fleet::routes::RouteClass;
 use larkspring_core::fleet::stream_origins::StreamStart;
 use larkspring_core::ids::{ContentHash, Incarnation};
 use smol::Timer;
@@ -24,9 +24,9 @@
 use super::crashes::CrashDetector;
 use super::event_splitter::Events;
 use super::framing::{BodyEnd, Framing};
+use super::longest_pause::LongestPause;
 use super::request_handler::RequestHandler;
 use super::stream_tracker::take_up_time;
-use super::EntryState;
 use crate::direct::conn::error_with_source;
 use crate::direct::logs::{self, LineKind};
 
@@ -54,14 +54,6 @@
     pause: LongestPause,
 }
 
-/// The longest pause between two chunks for the caller, recorded when the answer is over.
-struct LongestPause {
-    entry: Arc<EntryState>,
-    route: Arc<Route>,
-    last: Instant,
-    longest: Duration,
-}
-
 /// The source of the bytes.
 enum AnswerSource {
     Endpoint(Box<OpenAnswer>),
@@ -103,7 +95,7 @@
             sent: 0,
             is_success,
             has_unwritten: true,
-            pause: LongestPause::new(&handler),
+            pause: LongestPause::new(handler.entry.clone(), handler.route.clone()),
             // Frees the request's body, which only a resumed stream needs again.
             handler: resumable.then(|| Box::new(handler)),
         }
@@ -429,25 +421,6 @@
     }
 }
 
-impl LongestPause {
-    fn new(handler: &RequestHandler) -> Self {
-        let (entry, route) = (handler.entry.clone(), handler.route.clone());
-        Self { entry, route, last: Instant::now(), longest: Duration::ZERO }
-    }
-
-    fn record(&mut self) {
-        let now = Instant::now();
-        self.longest = self.longest.max(now.saturating_duration_since(self.last));
-        self.last = now;
-    }
-}
-
-impl Drop for LongestPause {
-    fn drop(&mut self) {
-        self.entry.stats.observe_pause(&self.route.name, self.longest);
-    }
-}
-
 enum Step {
     Data(Bytes),
     Continue,
--- a/crates/larkspring/src/direct/entry/select.rs
+++ b/crates/larkspring/src/direct/entry/select.rs
@@ -20,7 +20,7 @@
 use super::peer::{OpenRequest, Peer};
 use super::permits::{Permit, PermitOutcome};
 use super::request_handler::RequestHandler;
-use super::view::SelectionInputs;
+use super::selection_inputs::SelectionInputs;
 use crate::direct::platform_api::ModelRequest;
 use crate::exec::with_timeout;
 
--- a/crates/larkspring/src/direct/entry/select/adapter.rs
+++ b/crates/larkspring/src/direct/entry/select/adapter.rs
@@ -19,7 +19,7 @@
 use super::super::link::{AgentStatus, HoldEnd, HoldRequest};
 use super::super::peer::Peer;
 use super::super::request_handler::RequestHandler;
-use super::super::view::{holding_name, SelectionInputs};
+use super::super::selection_inputs::{holding_name, SelectionInputs};
 use super::{
     choose_random, least_running, record_passed_over, NoSelection, MIN_TIME_LEFT,
 };
