Count the origins of streams that agents of a large fleet keep

The test fails if an agent gets twice the mean, or drops an origin before its time. Memory stays an estimate.

--- a/crates/larkspring-core/tests/stream_origins.rs
+++ b/crates/larkspring-core/tests/stream_origins.rs
@@ -246,3 +246,47 @@
         cold_left: Duration::ZERO,
     }
 }
+
+/// Streams of a second at the size designed for, and the time for which each is kept.
+const STREAMS_PER_SEC: u64 = 26_000;
+const KEPT: Duration = Duration::from_secs(24);
+const AGENTS: usize = 2_000;
+
+/// Guards against agents that get many more origins than others, or keep so many that the
+/// oldest give way before their time.
+#[test]
+fn origins_of_a_large_fleet_are_spread_over_few_agents() {
+    let halls: Vec<HallId> = ["a", "b", "c"].map(HallId::from).to_vec();
+    let names: Vec<_> =
+        (0..AGENTS).map(|n| format!("10.{}.{}.1:7380", n % 3, n)).collect();
+    let set = keeper_set(names.iter().enumerate().map(|(n, name)| (name.as_bytes(), n)));
+    assert_eq!(set.len(), MAX_KEEPER_SET);
+    let mut rng = Rng::with_seed(1);
+    let start = Instant::now();
+    let mut told = HashMap::<usize, u64>::new();
+    let mut kept = StreamOrigins::default();
+    let mut most_kept = 0;
+    for n in 0..STREAMS_PER_SEC * KEPT.as_secs() {
+        let now =
+            start + KEPT.mul_f64(n as f64 / (STREAMS_PER_SEC * KEPT.as_secs()) as f64);
+        let key = rng.u64(..);
+        let agents = set.iter().map(|n| (names[*n].as_bytes(), &halls[n % 3], *n));
+        let chosen = keepers(key, agents);
+        assert_eq!(chosen.len(), KEEPERS);
+        if chosen.contains(&set[0]) {
+            kept.record(now, key, origin("v1"), now + KEPT);
+            most_kept = most_kept.max(kept.len());
+        }
+        chosen.into_iter().for_each(|agent| *told.entry(agent).or_default() += 1);
+    }
+    let all: u64 = told.values().sum();
+    let mean = all as f64 / MAX_KEEPER_SET as f64;
+    let most = *told.values().max().unwrap() as f64;
+    println!(
+        "{} a second at the mean agent, {} at the busiest, {most_kept} kept at one",
+        mean / KEPT.as_secs_f64(),
+        most / KEPT.as_secs_f64(),
+    );
+    assert!(most < 2.0 * mean, "{most} at the busiest of {mean}");
+    assert_eq!(most_kept as u64, told[&set[0]], "all are kept for their time");
+}
