--- a/crates/larkspring-core/tests/stream_outcomes.rs
+++ b/crates/larkspring-core/tests/stream_outcomes.rs
@@ -46,7 +46,7 @@
     is_rate_limited: false,
 };
 
-/// By what the endpoint of a stream is chosen.
+/// What decides on the endpoint of a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Way {
     /// The recent failures alone, each recorded at the end of its stream.
--- a/crates/larkspring/src/direct/entry/select.rs
+++ b/crates/larkspring/src/direct/entry/select.rs
@@ -218,7 +218,7 @@
     }
 }
 
-/// Records at each endpoint that breaks streams off that another one was chosen.
+/// Records at each endpoint that breaks streams off that another one got the stream.
 pub(super) fn record_passed_over(
     peers: &[Arc<Peer>],
     suspects: &[usize],
