--- a/crates/larkspring-core/src/ids.rs
+++ b/crates/larkspring-core/src/ids.rs
@@ -46,6 +46,8 @@
 /// Fingerprint of a request: a hash of its content and workspace, the same for all
 /// attempts.
 pub type ContentHash = u64;
+/// Identifies the text of a prompt part.
+pub type PartId = u64;
 
 /// Separates the adapter from the version in the name of a model.
 pub const VERSION_SEPARATOR: char = '@';
--- a/crates/larkspring/src/direct/entry/classify.rs
+++ b/crates/larkspring/src/direct/entry/classify.rs
@@ -39,7 +39,7 @@
             Err(e) => {
                 self.entry.crashes.connection_broke(
                     peer,
-                    self.fingerprint,
+                    self.features.content,
                     &self.caller.id,
                     selection.selected_at,
                 );
@@ -148,7 +148,7 @@
             let selected_at = open.selection.selected_at;
             crashes.connection_broke(
                 peer,
-                self.fingerprint,
+                self.features.content,
                 &self.caller.id,
                 selected_at,
             );
@@ -159,7 +159,7 @@
                     // The end of the endpoint's process looks the same.
                     Framing::UntilClose => check_for_crash(),
                     _ if head.status.is_success() => {
-                        crashes.record_answer(self.fingerprint)
+                        crashes.record_answer(self.features.content)
                     }
                     _ => {}
                 }
@@ -204,7 +204,9 @@
             addr = %endpoint.addr,
             end = end_name(status),
             cause,
-            content = logs::format_hash(handler.fingerprint),
+            content = logs::format_hash(handler.features.content),
+            parts = handler.features.parts_text(),
+            adapter = handler.features.adapter.as_deref(),
             attempts = handler.history.attempts + 1,
         );
     }
--- /dev/null
+++ b/crates/larkspring/src/direct/entry/features.rs
@@ -0,0 +1,42 @@
+//! What a request may have in common with others that crash endpoints.
+
+use std::sync::Arc;
+
+use larkspring_core::ids::{AdapterId, ContentHash, PartId};
+
+use crate::direct::platform_api::ModelRequest;
+
+/// The features of a request.
+#[derive(Debug)]
+pub(super) struct RequestFeatures {
+    /// The request fingerprint, which recognises a retry under another id.
+    pub content: ContentHash,
+    /// Ids of the prompt parts that other requests may share.
+    pub parts: Vec<PartId>,
+    /// The adapter, if the request names one.
+    pub adapter: Option<AdapterId>,
+}
+
+/// Limits the prompt parts that count as features, so that one request can't fill the
+/// records of crashes.
+const MAX_PARTS: usize = 64;
+
+impl RequestFeatures {
+    /// Creates the features of a request with a fingerprint.
+    pub fn new(content: ContentHash, model: Option<&ModelRequest>) -> Arc<Self> {
+        // The last part is the request's own.
+        let shared = model.and_then(|m| m.parts.split_last()).map(|(_, shared)| shared);
+        let ids = shared.unwrap_or_default().iter().map(|part| part.id);
+        let mut parts: Vec<_> = ids.take(MAX_PARTS).collect();
+        parts.sort_unstable();
+        parts.dedup();
+        let adapter = model.and_then(|m| m.adapter.clone());
+        Arc::new(Self { content, parts, adapter })
+    }
+
+    /// Returns the ids of the parts for log lines.
+    pub fn parts_text(&self) -> Option<String> {
+        let ids: Vec<_> = self.parts.iter().map(|id| format!("{id:x}")).collect();
+        (!ids.is_empty()).then(|| ids.join(" "))
+    }
+}
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -33,6 +33,7 @@
 mod engine_state;
 mod event_splitter;
 mod fair;
+mod features;
 mod fleet;
 mod framing;
 mod hop_by_hop;
--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -16,13 +16,14 @@
 use larkspring_core::fleet::attempt::{AttemptStatus, NextStep};
 use larkspring_core::fleet::routes::RouteClass;
 use larkspring_core::fleet::stream_origins::StreamStart;
-use larkspring_core::ids::{ContentHash, Incarnation};
+use larkspring_core::ids::Incarnation;
 use smol::Timer;
 
 use super::answer::RelayError;
 use super::attempt::OpenAnswer;
 use super::crashes::CrashDetector;
 use super::event_splitter::Events;
+use super::features::RequestFeatures;
 use super::framing::{BodyEnd, Framing};
 use super::longest_pause::LongestPause;
 use super::request_handler::RequestHandler;
@@ -36,7 +37,7 @@
     handler: Option<Box<RequestHandler>>,
     crashes: Arc<CrashDetector>,
     id: String,
-    fingerprint: ContentHash,
+    features: Arc<RequestFeatures>,
     /// The run whose answer is relayed.
     endpoint: Incarnation,
     source: AnswerSource,
@@ -80,7 +81,7 @@
         Self {
             crashes: handler.entry.crashes.clone(),
             id: handler.caller.id.clone(),
-            fingerprint: handler.fingerprint,
+            features: handler.features.clone(),
             endpoint: open.selection.open_request.peer.endpoint().id.clone(),
             framing: open.framing,
             caller_framing: match open.framing {
@@ -281,7 +282,7 @@
             // The end of the endpoint's process looks the same.
             self.check_for_crash(&open);
         } else if self.is_success {
-            self.crashes.record_answer(self.fingerprint);
+            self.crashes.record_answer(self.features.content);
         }
         self.record_outcome(&mut open, end);
         let peer = open.selection.open_request.peer.clone();
@@ -303,7 +304,7 @@
         let selection = &open.selection;
         self.crashes.connection_broke(
             &selection.open_request.peer,
-            self.fingerprint,
+            self.features.content,
             &self.id,
             selection.selected_at,
         );
@@ -342,7 +343,9 @@
             tracing::info!(
                 event = "stream resumed",
                 request = self.id,
-                content = logs::format_hash(self.fingerprint),
+                content = logs::format_hash(self.features.content),
+                parts = self.features.parts_text(),
+                adapter = self.features.adapter.as_deref(),
                 endpoint = %self.endpoint,
                 build = peer.endpoint().build.as_deref(),
                 cause,
@@ -412,7 +415,9 @@
             tracing::warn!(
                 event = "answer broke off",
                 request = self.id,
-                content = logs::format_hash(self.fingerprint),
+                content = logs::format_hash(self.features.content),
+                parts = self.features.parts_text(),
+                adapter = self.features.adapter.as_deref(),
                 endpoint = %self.endpoint,
                 cause,
                 sent,
--- a/crates/larkspring/src/direct/entry/request_handler.rs
+++ b/crates/larkspring/src/direct/entry/request_handler.rs
@@ -12,11 +12,12 @@
 use larkspring_core::fleet::mechanisms::Mechanism;
 use larkspring_core::fleet::routes::{Route, Service};
 use larkspring_core::fleet::stream_origins::StreamStart;
-use larkspring_core::ids::{ContentHash, Incarnation};
+use larkspring_core::ids::Incarnation;
 use larkspring_core::workspaces::Workspace;
 
 use super::admission::Charge;
 use super::body::RequestBody;
+use super::features::RequestFeatures;
 use super::peer::Peer;
 use super::selection_inputs::SelectionInputs;
 use super::EntryState;
@@ -48,8 +49,8 @@
     pub tried: Vec<Incarnation>,
     /// Whether an attempt that the endpoint may be executing is in progress.
     pub in_flight: Arc<AtomicBool>,
-    /// The request fingerprint, which recognises a retry under another id.
-    pub fingerprint: ContentHash,
+    /// What the request may have in common with others that crash endpoints.
+    pub features: Arc<RequestFeatures>,
     /// Whether the request is the retry of a recently refused request.
     pub is_retry: bool,
     /// Id of the last event of a stream that the caller has received.
--- a/crates/larkspring/src/direct/entry/serving.rs
+++ b/crates/larkspring/src/direct/entry/serving.rs
@@ -17,6 +17,7 @@
 use super::attempt::{AttemptOutcome, EndpointAnswer};
 use super::body::{discard, read_body, request_fingerprint};
 use super::connections::ExchangeGuard;
+use super::features::RequestFeatures;
 use super::framing::Framing;
 use super::hop_by_hop::strip_hop_by_hop_headers;
 use super::log::{log_answered, log_refused, Refusal};
@@ -131,7 +132,7 @@
     let fingerprint = request_fingerprint(head.uri.path(), name, &body);
     let is_retry = body.is_fingerprinted() && entry.take_refusal(fingerprint);
     let handler = RequestHandler {
-        fingerprint,
+        features: RequestFeatures::new(fingerprint, caller.model.as_ref()),
         is_retry,
         resume_after: caller.resume_after.clone(),
         start,
@@ -188,7 +189,7 @@
         };
         let after = after.or_else(|| reason.retry_after(self.caller.model.is_some()));
         if after.is_some() && self.body.is_fingerprinted() {
-            self.entry.record_refusal(self.fingerprint);
+            self.entry.record_refusal(self.features.content);
         }
         let refusal = Refusal {
             reason,
@@ -196,7 +197,7 @@
             view: Some(&self.view),
             workspace: self.workspace_name(),
             inputs: self.inputs.as_ref(),
-            fingerprint: Some(self.fingerprint),
+            fingerprint: Some(self.features.content),
         };
         log_refused(&self.entry, &self.caller, &refusal);
         self.entry.stats.count_request(&self.route.name, reason.name());
@@ -211,7 +212,7 @@
         self.admit_by_share()?;
         let mut own_failure = None;
         loop {
-            if self.entry.crashes.is_quarantined(self.fingerprint) {
+            if self.entry.crashes.is_quarantined(self.features.content) {
                 return own_failure.ok_or((ErrorReason::CrashesEndpoints, None));
             }
             let selection = match self.select_endpoint().await {
