Read a refusal's body beside the request that goes on

Callers saw: an endpoint that refuses a request as not executed and sends the body of the refusal slowly holds the request until its deadline (504), though another endpoint would run it. Cause: the body was read to its end before the next attempt, with the request's deadline as the only limit. A body that has arrived with its head is read at once, so that its connection is there for the next attempt; any other is read for a second in the background.

--- a/crates/larkspring/src/direct/entry/classify.rs
+++ b/crates/larkspring/src/direct/entry/classify.rs
@@ -1,9 +1,10 @@
 //! Classification of an endpoint's answer by its head, and buffering of short ones.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_lite::future;
 use http::response::Parts;
 use http::{Response, StatusCode};
 use hyper::body::{Body, Incoming};
@@ -17,11 +18,15 @@
 use crate::direct::conn::{EndpointConn, ReadBody, SendError};
 use crate::direct::logs::{self, LineKind};
 use crate::direct::platform_api::Echo;
+use crate::exec::{self, with_timeout};
 
 /// Size in bytes up to which an answer is buffered, so that the request can be retried if
 /// the answer is interrupted.
 const MAX_BUFFERED_ANSWER: u64 = 64 * 1024;
 
+/// Time for reading the body of a refusal, which is short.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_secs(1);
+
 impl RequestHandler {
     /// Classifies the result of a send.
     pub(super) async fn classify_result(
@@ -91,12 +96,12 @@
                 _ => {}
             }
             log_attempt(self, peer, attempt_status, "misdirected");
-            self.drain_refusal(conn, body, peer).await;
+            drain_refusal(conn, body, peer).await;
             return AttemptOutcome::NoAnswer(attempt_status);
         }
         if answer_head.not_run {
             log_attempt(self, peer, AttemptStatus::Rejected, status.as_str());
-            self.drain_refusal(conn, body, peer).await;
+            drain_refusal(conn, body, peer).await;
             return AttemptOutcome::NoAnswer(AttemptStatus::Rejected);
         }
         if status.is_success()
@@ -169,18 +174,21 @@
             }
         }
     }
+}
 
-    /// Reads the body of a refusal, so that the connection can be reused.
-    async fn drain_refusal(
-        &self,
-        mut conn: EndpointConn,
-        body: Incoming,
-        peer: &Arc<Peer>,
-    ) {
+/// Reads the body of a refusal, so that the connection can be reused. A body that has not
+/// arrived with its head is read while the request goes on elsewhere.
+async fn drain_refusal(mut conn: EndpointConn, body: Incoming, peer: &Arc<Peer>) {
+    let peer = peer.clone();
+    let mut drained = Box::pin(async move {
         let addr = peer.endpoint().addr;
-        if conn.read(addr, body, MAX_BUFFERED_ANSWER as usize).await.is_ok() {
+        let read = conn.read(addr, body, MAX_BUFFERED_ANSWER as usize);
+        if let Some(Ok(_)) = with_timeout(REFUSAL_BODY_TIMEOUT, read).await {
             peer.idle.recycle(conn).await;
         }
+    });
+    if future::poll_once(&mut drained).await.is_none() {
+        exec::spawn(drained).detach();
     }
 }
 
