Limit what a peer may send before and beside an answer's body

Seen in tests: a status line without end from the store filled a process with 1 GB in 2 s, until the peer stopped (answers_without_end_are_given_up); interim answers without end from an endpoint, sent fast, kept the entry's thread so that the request timed out (504) though another endpoint would have run it. Cause: the store's client limits only the body, and a peer that sends faster than its reader parses never lets the reader wait, so that no other task of the thread runs.

The bodies of events and plain answers were within bounds before: they are passed on as they come, until the caller leaves or the deadline passes, and the tests hold that now.

--- a/crates/larkspring/src/direct/conn.rs
+++ b/crates/larkspring/src/direct/conn.rs
@@ -20,13 +20,16 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::exec;
-use crate::http::client::connect;
+use crate::http::bounded_socket::{BoundedSocket, ReadBudget};
+use crate::http::client::{connect, MAX_HEAD_BYTES};
 
 /// A connection that carries one request at a time.
 pub(crate) struct EndpointConn {
     tx: SendRequest<SendBody>,
     /// The connection's I/O future; `None` once the connection has ended.
     io: Option<ConnFuture>,
+    /// Limits what the endpoint may send before an answer's body.
+    budget: ReadBudget,
     /// When the connection became idle.
     pub idle_since: Instant,
     /// How long the endpoint keeps an idle connection open, if stated.
@@ -40,7 +43,7 @@
 /// take a megabyte each.
 pub(crate) const MAX_BUFFER_BYTES: usize = 16 * 1024;
 
-type ConnFuture = Pin<Box<Connection<FuturesIo<TcpStream>, SendBody>>>;
+type ConnFuture = Pin<Box<Connection<FuturesIo<BoundedSocket>, SendBody>>>;
 
 /// The bytes of a body that were read.
 pub(crate) enum ReadBody {
@@ -82,11 +85,14 @@
         let unsent = |cause: String| SendError::Unsent(addr.to_string(), cause);
         let mut builder = Builder::new();
         let builder = builder.max_buf_size(MAX_BUFFER_BYTES);
+        let sock = BoundedSocket::new(sock);
+        let budget = sock.budget();
         let result = builder.handshake(FuturesIo::new(sock)).await;
         let (tx, io) = result.map_err(|e| unsent(e.to_string()))?;
         Ok(Self {
             tx,
             io: Some(Box::pin(io)),
+            budget,
             idle_since: Instant::now(),
             keep_alive: None,
             is_reused: false,
@@ -100,13 +106,17 @@
         req: Request<SendBody>,
     ) -> Result<Response<Incoming>, SendError> {
         self.is_reused = true;
+        self.budget.limit(MAX_HEAD_BYTES);
         let answer = self.tx.try_send_request(req);
         let mut answer = std::pin::pin!(answer);
         let got = poll_fn(|cx| {
             self.drive(cx);
             answer.as_mut().poll(cx)
         });
-        got.await.map_err(|mut e| {
+        let got = got.await;
+        // The library limits what a body holds beside its data.
+        self.budget.lift();
+        got.map_err(|mut e| {
             let unsent = e.take_message().is_some();
             let cause = error_with_source(&e.into_error());
             match unsent {
--- a/crates/larkspring/src/http/client.rs
+++ b/crates/larkspring/src/http/client.rs
@@ -10,6 +10,7 @@
 use rustix::net::sockopt::set_socket_linger;
 use smol::net::TcpStream;
 
+use super::bounded_socket::BoundedSocket;
 use crate::exec::with_timeout;
 
 quick_error! {
@@ -43,6 +44,9 @@
 /// Maximum size of a buffered answer, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 2 * 1024 * 1024;
 
+/// Maximum size of what precedes an answer's body, in bytes: its head and interim answers.
+pub const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// Builds a request to `addr`; `path` must begin with a slash.
 pub fn request(method: Method, addr: &str, path: &str) -> Result<Request, HttpError> {
     let url = Url::parse(&format!("http://{addr}{path}"));
@@ -79,6 +83,18 @@
     sock: TcpStream,
     addr: &str,
     req: Request,
+) -> Result<Response, HttpError> {
+    let sock = BoundedSocket::limited(sock, MAX_HEAD_BYTES);
+    let budget = sock.budget();
+    let res = exchange(sock, addr, req).await?;
+    budget.lift();
+    Ok(res)
+}
+
+async fn exchange(
+    sock: BoundedSocket,
+    addr: &str,
+    req: Request,
 ) -> Result<Response, HttpError> {
     let res = async_h1::connect(sock, req).await;
     res.map_err(|e| HttpError::Exchange(addr.into(), e.to_string()))
@@ -92,7 +108,10 @@
 ) -> Result<(Response, Vec<u8>), HttpError> {
     let work = async {
         let sock = connect(addr, limit).await?;
-        let mut res = send_request(sock, addr, req).await?;
+        // Of a body in chunks twice the size may be sizes of chunks.
+        let max = MAX_HEAD_BYTES + 2 * MAX_ANSWER_BYTES;
+        let sock = BoundedSocket::limited(sock, max);
+        let mut res = exchange(sock, addr, req).await?;
         let body = read_body(addr, &mut res).await?;
         Ok((res, body))
     };
--- a/crates/larkspring/src/http/mod.rs
+++ b/crates/larkspring/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 with callers, endpoints and the platform, by async-h1.
 
+pub mod bounded_socket;
 pub mod client;
 pub mod head;
 pub mod server;
