--- a/crates/larkspring-cli/src/args.rs
+++ b/crates/larkspring-cli/src/args.rs
@@ -102,19 +102,19 @@
 /// An operation on quarantined requests.
 #[derive(Debug, Subcommand)]
 pub enum QuarantineStep {
-    /// Print the name of each quarantined request, prompt part and adapter.
+    /// Print the name of each quarantined request and prompt part.
     List,
     /// Serve such requests again; agents apply this within 30 s.
     Lift {
         /// What is quarantined, as in log lines: a request by the 16 hexadecimal digits
-        /// of its content, a prompt part as part-ID, an adapter as adapter-HASH.
+        /// of its content, a prompt part as part-ID.
         feature: Feature,
     },
     /// Refuse such requests; agents that already refuse any apply this within 30 s, others
     /// when they start.
     Forbid {
         /// What is quarantined, as in log lines: a request by the 16 hexadecimal digits
-        /// of its content, a prompt part as part-ID, an adapter as adapter-HASH.
+        /// of its content, a prompt part as part-ID.
         feature: Feature,
     },
 }
--- a/crates/larkspring-core/src/ids.rs
+++ b/crates/larkspring-core/src/ids.rs
@@ -46,8 +46,6 @@
 /// Fingerprint of a request: a hash of its content and workspace, the same for all
 /// attempts.
 pub type ContentHash = u64;
-/// Hash of an adapter's name.
-pub type AdapterHash = u64;
 /// Identifies the text of a prompt part.
 pub type PartId = u64;
 
--- a/crates/larkspring-core/src/quarantine.rs
+++ b/crates/larkspring-core/src/quarantine.rs
@@ -3,7 +3,7 @@
 //! A fatal request comes again under new ids and at any entry, and each crash interrupts
 //! the answers of all other requests at the endpoint. What crashes endpoints may also be
 //! in requests of which no two are alike. So crashes count against [`Feature`]s: the whole
-//! request, each part of its prompt that others share, and its adapter.
+//! request, and each part of its prompt that others share.
 //!
 //! A fatal feature was present at several crashes, one after the other, and is never in a
 //! request that was answered in full. Each crash adds to the count of a feature, and an
@@ -94,9 +94,9 @@
 /// requests about ten meet two crashes, and one or two could meet three if they were sent
 /// three times; callers retry once. A bound of two would refuse those ten.
 pub const REFUSED_FROM_CRASHES: u32 = 3;
-/// The same for an adapter, and for a part that was answered shortly before. Both are in
-/// many requests, and at each crash under a fatal part of the same prompts.
-pub const SHARED_REFUSED_FROM_CRASHES: u32 = 5;
+/// The same for a part that was answered shortly before: sound requests have it, and it
+/// is at each crash under another part of the same prompts.
+pub const ANSWERED_REFUSED_FROM_CRASHES: u32 = 5;
 /// How long an answer speaks for a feature.
 pub const ANSWER_RETENTION: Duration = Duration::from_secs(60);
 /// Number of crashes from which on entries are notified of a feature, so that they report
@@ -348,7 +348,7 @@
         match feature {
             Feature::Content(_) => REFUSED_FROM_CRASHES,
             Feature::Part(_) if !was_answered => REFUSED_FROM_CRASHES,
-            Feature::Part(_) | Feature::Adapter(_) => SHARED_REFUSED_FROM_CRASHES,
+            Feature::Part(_) => ANSWERED_REFUSED_FROM_CRASHES,
         }
     }
 
--- a/crates/larkspring-core/src/quarantine/feature.rs
+++ b/crates/larkspring-core/src/quarantine/feature.rs
@@ -5,7 +5,7 @@
 
 use quick_error::quick_error;
 
-use crate::ids::{AdapterHash, ContentHash, PartId};
+use crate::ids::{ContentHash, PartId};
 
 /// Something that requests have in common, and that may crash the endpoints which run
 /// them.
@@ -18,20 +18,15 @@
     Content(ContentHash),
     /// A part of the prompt, whatever else the request holds.
     Part(PartId),
-    /// The adapter.
-    Adapter(AdapterHash),
 }
 
 quick_error! {
     /// A text that names no feature.
     #[derive(Debug, Clone, PartialEq, Eq)]
     pub enum InvalidFeature {
-        /// Neither a fingerprint nor a part or adapter.
+        /// Neither a fingerprint nor a part.
         Invalid(text: String) {
-            display(
-                "`{text}` is neither 16 hexadecimal digits nor part-ID or adapter-HASH, \
-                 in lower case",
-            )
+            display("`{text}` is neither 16 hexadecimal digits nor part-ID, in lower case")
         }
     }
 }
@@ -44,14 +39,12 @@
 }
 
 const PART: &str = "part-";
-const ADAPTER: &str = "adapter-";
 
 impl Display for Feature {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         match self {
             Self::Content(hash) => write!(f, "{hash:016x}"),
             Self::Part(id) => write!(f, "{PART}{id:x}"),
-            Self::Adapter(hash) => write!(f, "{ADAPTER}{hash:016x}"),
         }
     }
 }
@@ -61,12 +54,9 @@
 
     fn from_str(text: &str) -> Result<Self, InvalidFeature> {
         let number = |digits: &str| u64::from_str_radix(digits, 16).ok();
-        let feature = if let Some(id) = text.strip_prefix(PART) {
-            number(id).map(Self::Part)
-        } else if let Some(hash) = text.strip_prefix(ADAPTER) {
-            number(hash).map(Self::Adapter)
-        } else {
-            number(text).map(Self::Content)
+        let feature = match text.strip_prefix(PART) {
+            Some(id) => number(id).map(Self::Part),
+            None => number(text).map(Self::Content),
         };
         // Each feature has a single text.
         feature
--- a/crates/larkspring-proto/src/gen/larkspring.residency.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.residency.rs
@@ -132,18 +132,15 @@
 /// Reports crashes of endpoints that were running requests.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct EndedUnder {
-    /// By request fingerprint, by prompt part and by adapter. An earlier build reads only the
-    /// first.
+    /// By request fingerprint and by prompt part. An earlier build reads only the first.
     #[prost(message, repeated, tag = "1")]
     pub ends: ::prost::alloc::vec::Vec<End>,
     #[prost(message, repeated, tag = "2")]
     pub parts: ::prost::alloc::vec::Vec<End>,
-    #[prost(message, repeated, tag = "3")]
-    pub adapters: ::prost::alloc::vec::Vec<End>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct End {
-    /// Fingerprint of the request, id of the part or hash of the adapter; and hash of the
+    /// Fingerprint of the request or id of the part; and hash of the
     /// crashed run together with the attempt.
     #[prost(fixed64, tag = "1")]
     pub content: u64,
@@ -154,24 +151,22 @@
     pub began_ms: u64,
     #[prost(uint64, tag = "4")]
     pub age_ms: u64,
-    /// Time since the last answer to a request with the part or adapter, if known.
+    /// Time since the last answer to a request with the part, if known.
     #[prost(uint64, optional, tag = "5")]
     pub answered_ms: ::core::option::Option<u64>,
 }
-/// Crash reports by request fingerprint, by prompt part and by adapter. An earlier build
-/// reads only the first.
+/// Crash reports by request fingerprint and by prompt part. An earlier build reads only
+/// the first.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Findings {
     #[prost(message, repeated, tag = "1")]
     pub findings: ::prost::alloc::vec::Vec<Finding>,
     #[prost(message, repeated, tag = "2")]
     pub parts: ::prost::alloc::vec::Vec<Finding>,
-    #[prost(message, repeated, tag = "3")]
-    pub adapters: ::prost::alloc::vec::Vec<Finding>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Finding {
-    /// Fingerprint of the request, id of the part or hash of the adapter.
+    /// Fingerprint of the request or id of the part.
     #[prost(fixed64, tag = "1")]
     pub content: u64,
     /// Number of counted crashes; 0 if a complete answer cleared it.
@@ -182,7 +177,7 @@
     /// Time from the first counted crash to the last.
     #[prost(uint64, tag = "4")]
     pub span_ms: u64,
-    /// Time since the last answer to a request with the part or adapter, if known.
+    /// Time since the last answer to a request with the part, if known.
     #[prost(uint64, optional, tag = "5")]
     pub answered_ms: ::core::option::Option<u64>,
 }
--- a/crates/larkspring/src/direct/entry/crashes.rs
+++ b/crates/larkspring/src/direct/entry/crashes.rs
@@ -365,9 +365,7 @@
     fn counting(&self, feature: Feature) -> Vec<(SocketAddr, Arc<Link>)> {
         let key = match feature {
             Feature::Content(hash) => hash,
-            Feature::Part(_) | Feature::Adapter(_) => {
-                xxh3_64(feature.to_string().as_bytes())
-            }
+            Feature::Part(_) => xxh3_64(feature.to_string().as_bytes()),
         };
         let ranked = rank_endpoints(key, self.0.clone(), |(name, _, _)| name);
         let counting = ranked.into_iter().take(COUNTING_AGENTS);
--- a/crates/larkspring/src/direct/entry/features.rs
+++ b/crates/larkspring/src/direct/entry/features.rs
@@ -4,7 +4,6 @@
 
 use larkspring_core::ids::{AdapterId, ContentHash, PartId};
 use larkspring_core::quarantine::Feature;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::direct::platform_api::ModelRequest;
 
@@ -15,7 +14,9 @@
     pub content: ContentHash,
     /// Ids of the prompt parts that other requests may share.
     pub parts: Vec<PartId>,
-    /// The adapter, if the request names one.
+    /// The adapter, if the request names one; only for log lines. Crashes do not count
+    /// against it, since a caller with ever new fatal requests would then take it from all
+    /// others.
     pub adapter: Option<AdapterId>,
 }
 
@@ -36,12 +37,10 @@
         Arc::new(Self { content, parts, adapter })
     }
 
-    /// Returns all features.
+    /// Returns all features that crashes count against.
     pub fn iter(&self) -> impl Iterator<Item = Feature> + '_ {
         let parts = self.parts.iter().map(|id| Feature::Part(*id));
-        let adapter = self.adapter.as_ref().map(|id| xxh3_64(id.as_bytes()));
-        let shared = parts.chain(adapter.map(Feature::Adapter));
-        std::iter::once(Feature::Content(self.content)).chain(shared)
+        std::iter::once(Feature::Content(self.content)).chain(parts)
     }
 
     /// Returns the ids of the parts for log lines.
--- a/crates/larkspring/src/direct/quarantine.rs
+++ b/crates/larkspring/src/direct/quarantine.rs
@@ -8,7 +8,7 @@
 
 use larkspring_core::quarantine::{
     AnsweredFeatures, Crash, CrashReport, Feature, Quarantine, QuarantineStatus,
-    ANSWER_RETENTION, SHARED_REFUSED_FROM_CRASHES,
+    ANSWERED_REFUSED_FROM_CRASHES, ANSWER_RETENTION,
 };
 use parking_lot::Mutex;
 
@@ -148,7 +148,7 @@
     pub fn quarantine(&self, features: &[Feature]) -> Vec<CrashReport> {
         let found = |feature: &Feature| CrashReport {
             feature: *feature,
-            crashes: SHARED_REFUSED_FROM_CRASHES,
+            crashes: ANSWERED_REFUSED_FROM_CRASHES,
             age: Duration::ZERO,
             span: Duration::ZERO,
             answered: None,
--- a/crates/larkspring/src/direct/quarantine/encoding.rs
+++ b/crates/larkspring/src/direct/quarantine/encoding.rs
@@ -13,7 +13,6 @@
         let (list, content) = match *feature {
             Feature::Content(hash) => (&mut encoded.ends, hash),
             Feature::Part(id) => (&mut encoded.parts, id),
-            Feature::Adapter(hash) => (&mut encoded.adapters, hash),
         };
         list.push(wire::End {
             content,
@@ -30,8 +29,7 @@
 pub fn decode_crashes(encoded: &wire::EndedUnder) -> Vec<(Feature, Crash)> {
     let contents = encoded.ends.iter().map(|e| (Feature::Content(e.content), e));
     let parts = encoded.parts.iter().map(|e| (Feature::Part(e.content), e));
-    let adapters = encoded.adapters.iter().map(|e| (Feature::Adapter(e.content), e));
-    let all = contents.chain(parts).chain(adapters);
+    let all = contents.chain(parts);
     all.map(|(feature, end)| (feature, decode_crash(end))).collect()
 }
 
@@ -54,7 +52,6 @@
         let (list, content) = match report.feature {
             Feature::Content(hash) => (&mut encoded.findings, hash),
             Feature::Part(id) => (&mut encoded.parts, id),
-            Feature::Adapter(hash) => (&mut encoded.adapters, hash),
         };
         list.push(wire::Finding {
             content,
@@ -71,8 +68,7 @@
 pub fn decode_reports(encoded: &wire::Findings) -> Vec<CrashReport> {
     let contents = encoded.findings.iter().map(|f| (Feature::Content(f.content), f));
     let parts = encoded.parts.iter().map(|f| (Feature::Part(f.content), f));
-    let adapters = encoded.adapters.iter().map(|f| (Feature::Adapter(f.content), f));
-    let all = contents.chain(parts).chain(adapters);
+    let all = contents.chain(parts);
     all.map(|(feature, found)| CrashReport {
         feature,
         crashes: found.ends,
