Count a crash against prompt parts only before the answer has begun

Cause: each of the interrupted streams counted against its parts, also where its answer had begun, which a fatal part's does not. Change: an answer that had begun counts against its content alone; one whose endpoint turns out to be alive speaks for its parts.

--- a/crates/larkspring/src/direct/entry/classify.rs
+++ b/crates/larkspring/src/direct/entry/classify.rs
@@ -47,6 +47,7 @@
                     &self.features,
                     &self.caller.id,
                     selection.selected_at,
+                    false,
                 );
                 (AttemptStatus::Unknown, e)
             }
@@ -151,7 +152,13 @@
         let crashes = &self.entry.crashes;
         let check_for_crash = || {
             let selected_at = open.selection.selected_at;
-            crashes.connection_broke(peer, &self.features, &self.caller.id, selected_at);
+            crashes.connection_broke(
+                peer,
+                &self.features,
+                &self.caller.id,
+                selected_at,
+                false,
+            );
         };
         match read {
             Ok(ReadBody::Whole(bytes)) => {
--- a/crates/larkspring/src/direct/entry/crashes.rs
+++ b/crates/larkspring/src/direct/entry/crashes.rs
@@ -102,6 +102,7 @@
         features: &Arc<RequestFeatures>,
         id: &str,
         sent_at: Instant,
+        has_begun: bool,
     ) {
         let endpoint = peer.endpoint();
         // A draining endpoint exits as planned, whatever requests it runs.
@@ -111,6 +112,7 @@
         if peer.record_interrupted(InterruptedRequest {
             features: features.clone(),
             id: id.into(),
+            has_begun,
             sent_at,
             crashed_at: Instant::now(),
         }) {
@@ -121,7 +123,11 @@
     /// Records a complete answer, which voids the crashes before it for all features of
     /// its request.
     pub fn record_answer(&self, features: &RequestFeatures) {
-        for cleared in self.crash_reports.record_answer(features.iter()) {
+        self.clear(features.iter());
+    }
+
+    fn clear(&self, features: impl Iterator<Item = Feature>) {
+        for cleared in self.crash_reports.record_answer(features) {
             self.crashes.lock().retain(|crash| crash.feature != cleared.feature);
             let agents = Agents::of(&self.fleet);
             for (_, link) in agents.counting(cleared.feature) {
@@ -220,6 +226,10 @@
         }
         self.stats.count_endpoint_check(crashed);
         if !crashed {
+            // The endpoint survived the parts of these requests.
+            for request in interrupted.iter().filter(|request| request.has_begun) {
+                self.clear(request.features.iter().filter(|feature| feature.is_shared()));
+            }
             return;
         }
         // The requests are held against themselves. An endpoint that restarts under the
@@ -245,13 +255,17 @@
             self.crash_reports.status([*feature]) == QuarantineStatus::Refused
         };
         let mut blamed: HashMap<Feature, Crash> = HashMap::new();
-        for InterruptedRequest { features, id, sent_at, crashed_at } in interrupted {
+        for InterruptedRequest { features, id, has_begun, sent_at, crashed_at } in
+            interrupted
+        {
             let refused: Vec<_> = features.iter().filter(is_refused).collect();
             let counted = match refused.is_empty() {
                 true => features.iter().collect(),
                 false => refused,
             };
             let attempt = xxh3_64_with_seed(id.as_bytes(), run);
+            // The endpoint survived the beginning of an answer that had begun.
+            let counted = counted.into_iter().filter(|f| !(*has_begun && f.is_shared()));
             for feature in counted {
                 let answered_at = self.crash_reports.last_answer(feature);
                 let (sent_at, crashed_at) = (*sent_at, *crashed_at);
--- a/crates/larkspring/src/direct/entry/peer.rs
+++ b/crates/larkspring/src/direct/entry/peer.rs
@@ -74,6 +74,8 @@
 pub(super) struct InterruptedRequest {
     pub features: Arc<RequestFeatures>,
     pub id: RequestId,
+    /// Whether a part of the answer had arrived.
+    pub has_begun: bool,
     /// When the request was sent.
     pub sent_at: Instant,
     pub crashed_at: Instant,
--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -307,6 +307,7 @@
             &self.features,
             &self.id,
             selection.selected_at,
+            self.sent > 0,
         );
     }
 
