Count the crashes of one request content once against its parts

Cause, by the code and the soak's calls, not by lines of that run: the fatal request has one content and the first part of all prompts, so each of its crashes counted against both; entries and agents that had just restarted knew no answer to the part, and both were quarantined together. Change: of the crashes of one content only the first counts against its parts. A fatal part is in requests of which no two are alike, and is found as before.

--- a/crates/larkspring/src/direct/entry/crashes.rs
+++ b/crates/larkspring/src/direct/entry/crashes.rs
@@ -269,6 +269,11 @@
             for feature in counted {
                 let answered_at = self.crash_reports.last_answer(feature);
                 let (sent_at, crashed_at) = (*sent_at, *crashed_at);
+                // A request that comes again says no more of its parts than of itself.
+                let attempt = match feature.is_shared() {
+                    true => features.content,
+                    false => attempt,
+                };
                 let end = Crash { attempt, sent_at, crashed_at, answered_at };
                 let latest = blamed.entry(feature).or_insert(end);
                 if latest.sent_at < sent_at {
