Log when the store lists an older version or routing than is known

Change: the lines `older version listed` and `older routing listed`; the handling of versions moves to a module of its own.

No decision changes.

--- a/crates/larkspring-core/src/fleet/versions.rs
+++ b/crates/larkspring-core/src/fleet/versions.rs
@@ -56,11 +56,10 @@
         adapter: &AdapterId,
         number: u64,
     ) -> bool {
-        let old = self.announced.get(adapter);
-        let old_number = old.map_or(FIRST_VERSION, |n| n.number);
-        if number <= old_number {
+        if number <= self.newest_number(adapter) {
             return false;
         }
+        let old = self.announced.get(adapter);
         let latest = since + MAX_START_DELAY;
         let previous = PreviousVersion {
             version: old
@@ -85,6 +84,11 @@
             .map_or_else(|| format_version(FIRST_VERSION), |n| n.version.clone())
     }
 
+    /// Returns the number of the newest version of an adapter.
+    pub fn newest_number(&self, adapter: &AdapterId) -> u64 {
+        self.announced.get(adapter).map_or(FIRST_VERSION, |n| n.number)
+    }
+
     /// Returns the previous version of an adapter, while requests may still get it.
     pub fn previous_allowed(
         &self,
--- a/crates/larkspring/src/direct/replicated_state.rs
+++ b/crates/larkspring/src/direct/replicated_state.rs
@@ -1,5 +1,9 @@
 //! The replicated state of the fleet as this process knows it: routing, endpoints,
 //! versions and evacuations.
+//!
+//! [`versions`]: the newest versions of adapters.
+
+mod versions;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -12,9 +16,8 @@
 use larkspring_core::fleet::evacuations::Evacuations;
 use larkspring_core::fleet::routes::{Routing, RoutingVersion};
 use larkspring_core::fleet::versions::AdapterVersions;
-use larkspring_core::ids::{StorePoint, Target};
+use larkspring_core::ids::StorePoint;
 use parking_lot::Mutex;
-use smol::Timer;
 
 use super::logs::{self, LineKind};
 use super::platform_api::{DecodedState, Item, ReadContent, ReadSource, StateKind};
@@ -183,24 +186,6 @@
         &self.proofs[kind as usize]
     }
 
-    /// Returns the newest versions of adapters.
-    pub fn versions(&self) -> Arc<AdapterVersions> {
-        self.versions.load_full()
-    }
-
-    /// Returns once no request may start on this version of an adapter any more.
-    pub async fn wait_until_outdated(&self, target: &Target) {
-        loop {
-            let changed = self.changed();
-            let begin_by = self.versions().latest_start(&target.adapter, &target.version);
-            if let Some(at) = begin_by {
-                Timer::at(at).await;
-                return;
-            }
-            changed.await;
-        }
-    }
-
     /// Returns the evacuated halls.
     pub fn evacuations(&self) -> Arc<Evacuations> {
         self.evacuations.load_full()
@@ -384,21 +369,7 @@
                 self.update_evacuations(at, |evacuations| evacuations.lift(&hall));
             }
             Item::Version(adapter, number) => {
-                let mut versions = AdapterVersions::clone(&self.versions.load());
-                // The version was named after the last proof that the store held nothing
-                // newer.
-                let age = self.proof_age(StateKind::Versions).unwrap_or_default();
-                let since = now.checked_sub(age).unwrap_or(now);
-                if versions.announce(now, since, &adapter, number) {
-                    self.versions.store(Arc::new(versions));
-                    tracing::info!(
-                        event = "version named",
-                        adapter = %adapter,
-                        number,
-                        epoch,
-                        revision,
-                    );
-                }
+                self.apply_version(now, at, adapter, number)
             }
             Item::Invalid { kind, name, cause } => {
                 if kind == StateKind::Endpoints {
@@ -433,7 +404,15 @@
 
     fn apply_routing(&self, routing: Routing) {
         let known = self.routing.load().as_ref().map(|r| r.version);
-        self.proof(StateKind::Routing).lock().is_behind = known > Some(routing.version);
+        let is_behind = known > Some(routing.version);
+        let was_behind = std::mem::replace(
+            &mut self.proof(StateKind::Routing).lock().is_behind,
+            is_behind,
+        );
+        if is_behind && !was_behind {
+            let listed = routing.version;
+            tracing::warn!(event = "older routing listed", listed, known);
+        }
         if known.is_some_and(|version| version >= routing.version) {
             return;
         }
