Record the newest version of an adapter beside its object in the store

Cause: the store may carry out a write of the operator seconds late, after a newer one was acknowledged, so that the object names the older version from then on. A running entry passes over the lower number; the highest one stands only in its memory. An entry that starts afterwards reads the lower one and knows nothing else.

Hypotheses: (1) that; (2) the restarted entry gets an old copy of the list from an agent or a stale read; (3) it starts requests before it has read the versions, or on the previous version.

Change: entries record the newest version in the object's status, which the operator's writes leave alone, under the condition that the object is as read; one of them usually writes, after a random delay in proportion to their number. Whoever reads the object takes the higher of the two numbers. A record that is carried out late itself fails by its condition, and is written again as long as the record lacks the number. Returning to earlier weights is naming them by a higher number, as before.

--- a/crates/larkspring-cli/src/platform.rs
+++ b/crates/larkspring-cli/src/platform.rs
@@ -41,7 +41,8 @@
     let store = Arc::new(Store::new(settings.store(), STORE_TIMEOUT));
     exec::run(THREADS, async {
         let signals = SignalStream::new()?;
-        let entry = Entry::start(cfg, Arc::new(PlatformProtocol), store).await?;
+        let entry =
+            Entry::start(cfg, Arc::new(PlatformProtocol), store.clone(), store).await?;
         let reload = |settings: &Settings| {
             entry.reload(entry_cfg(settings)?);
             Ok(())
--- a/crates/larkspring-core/src/fleet/mod.rs
+++ b/crates/larkspring-core/src/fleet/mod.rs
@@ -9,20 +9,21 @@
 //! 7. [`quality`]: the failures and response times of an endpoint.
 //! 8. [`attempt`]: the next step after an attempt ended.
 //! 9. [`versions`]: the adapter version for a request.
-//! 10. [`utility`]: the utility of an answer relative to others.
-//! 11. [`urgency`]: the order in which an engine prefills waiting prompts.
-//! 12. [`availability`]: whether an endpoint accepts requests, according to its answers.
-//! 13. [`rate`]: the request rate that an endpoint accepts from all VMs together,
+//! 10. [`version_records`]: the versions that are still to be recorded in the store.
+//! 11. [`utility`]: the utility of an answer relative to others.
+//! 12. [`urgency`]: the order in which an engine prefills waiting prompts.
+//! 13. [`availability`]: whether an endpoint accepts requests, according to its answers.
+//! 14. [`rate`]: the request rate that an endpoint accepts from all VMs together,
 //!     according to its answers.
-//! 14. [`permits`]: the distribution of that rate over the requests of all VMs.
-//! 15. [`cold`]: the request rate that a cold endpoint takes.
-//! 16. [`evacuations`]: the halls whose endpoints get no requests.
-//! 17. [`read_timing`]: the timing of reads of the declared state.
-//! 18. [`following`]: the agents that an entry follows.
-//! 19. [`response_time`]: the expected response time of an endpoint of a plain service.
-//! 20. [`idle`]: the reuse of idle connections.
-//! 21. [`slow_readers`]: the callers whose connections are closed for lack of memory.
-//! 22. [`stream_outcomes`]: the endpoints that break off their streams.
+//! 15. [`permits`]: the distribution of that rate over the requests of all VMs.
+//! 16. [`cold`]: the request rate that a cold endpoint takes.
+//! 17. [`evacuations`]: the halls whose endpoints get no requests.
+//! 18. [`read_timing`]: the timing of reads of the declared state.
+//! 19. [`following`]: the agents that an entry follows.
+//! 20. [`response_time`]: the expected response time of an endpoint of a plain service.
+//! 21. [`idle`]: the reuse of idle connections.
+//! 22. [`slow_readers`]: the callers whose connections are closed for lack of memory.
+//! 23. [`stream_outcomes`]: the endpoints that break off their streams.
 //!
 //! [`mechanisms`] lists the mechanisms that can be disabled in a benchmark.
 
@@ -50,4 +51,5 @@
 pub mod stream_outcomes;
 pub mod urgency;
 pub mod utility;
+pub mod version_records;
 pub mod versions;
--- a/crates/larkspring-core/src/fleet/versions.rs
+++ b/crates/larkspring-core/src/fleet/versions.rs
@@ -32,7 +32,7 @@
 }
 
 /// The version of an adapter without announced versions.
-const FIRST_VERSION: u64 = 1;
+pub(super) const FIRST_VERSION: u64 = 1;
 /// How long requests may still get the previous version if the newer one is not loaded
 /// anywhere: half of the five seconds that the platform's operators allow.
 const PREVIOUS_SEND_WINDOW: Duration = Duration::from_millis(2500);
--- a/crates/larkspring-core/src/ids.rs
+++ b/crates/larkspring-core/src/ids.rs
@@ -79,6 +79,9 @@
     }
 }
 
+/// Name of an object in the platform's store.
+pub type ObjectName = Arc<str>;
+
 /// Number of times that the platform's store was restored from a backup.
 pub type StoreEpoch = u64;
 
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -18,6 +18,7 @@
 //! 9. [`stream_tracker`]: where streams began, so that callers can take them up.
 //! 10. [`answer_ends`]: what the end of an answer says about its endpoint.
 //! 11. [`unread_answers`]: the bound of the bytes held for callers that read slowly.
+//! 12. [`version_recorder`]: the record of the newest versions in the store.
 
 mod absence;
 mod admission;
@@ -53,6 +54,7 @@
 mod serving;
 mod stream_tracker;
 mod unread_answers;
+mod version_recorder;
 mod view;
 mod workspace_limits;
 
@@ -83,9 +85,10 @@
 use self::permits::Permits;
 use self::stream_tracker::StreamTracker;
 use self::unread_answers::UnreadAnswers;
+use self::version_recorder::VersionRecorder;
 use self::workspace_limits::Limits;
 use super::cfg::EntryCfg;
-use super::platform_api::{Protocol, StateKind, StateStore};
+use super::platform_api::{Protocol, StateKind, StateStore, VersionStore};
 use super::quarantine::CrashReports;
 use super::reader::StoreReader;
 use super::replicated_state::ReplicatedState;
@@ -171,6 +174,7 @@
         cfg: EntryCfg,
         protocol: Arc<dyn Protocol>,
         directory: Arc<dyn StateStore>,
+        version_store: Arc<dyn VersionStore>,
     ) -> Result<Self, StartError> {
         let replicated_state = Arc::new(ReplicatedState::default());
         let stats = Arc::new(Stats::new());
@@ -212,10 +216,17 @@
             unread_answers,
         });
         let process = inner.cfg().process.clone();
+        let recorder = VersionRecorder::new(
+            version_store,
+            replicated_state.clone(),
+            fleet.clone(),
+            stats.clone(),
+        );
         let store = StoreReader::new(directory, stats.clone());
         let directory = Arc::new(HallDirectory::new(store, fleet.clone(), &process));
         let mut tasks =
             watch::follow(directory, replicated_state, stats.clone(), &process);
+        tasks.push(exec::spawn(recorder.run()));
         tasks.push(exec::spawn(limits.run()));
         tasks.push(exec::spawn(crashes.run()));
         tasks.push(exec::spawn(streams.run()));
--- a/crates/larkspring/src/direct/platform_api.rs
+++ b/crates/larkspring/src/direct/platform_api.rs
@@ -9,8 +9,10 @@
 use larkspring_core::fleet::availability::Notice;
 use larkspring_core::fleet::endpoint_list::Endpoint;
 use larkspring_core::fleet::routes::Routing;
+use larkspring_core::fleet::version_records::VersionObject;
 use larkspring_core::ids::{
-    AdapterId, BaseId, HallId, Incarnation, StartMs, StoreEpoch, StorePoint, Target,
+    AdapterId, BaseId, HallId, Incarnation, ObjectName, StartMs, StoreEpoch, StorePoint,
+    Target,
 };
 use larkspring_core::quarantine::Feature;
 use larkspring_core::workspaces::Credential;
@@ -39,6 +41,18 @@
     fn holds_same_items(&self, a: &EncodedState, b: &EncodedState) -> bool;
 }
 
+/// Records the newest versions of adapters in the store, where a late write of the
+/// operator does not replace them.
+pub trait VersionStore: Send + Sync {
+    /// Records the newest version beside an object. Fails without an effect if the object
+    /// was changed since it was read.
+    fn record<'a>(
+        &'a self,
+        object: &'a VersionObject,
+        newest: u64,
+    ) -> PlatformFuture<'a, ()>;
+}
+
 /// Stores the quarantined features of requests, so that they survive a restart of all
 /// processes.
 pub trait QuarantineStore: Send + Sync {
@@ -231,8 +245,10 @@
     Endpoint(Endpoint, StorePoint),
     /// An endpoint that is no longer listed.
     EndpointRemoved(Incarnation),
-    /// The newest version of an adapter.
-    Version(AdapterId, u64),
+    /// An object that names a version of an adapter.
+    Version(VersionObject),
+    /// An object that named a version of an adapter and was deleted.
+    VersionRemoved(ObjectName),
     /// An evacuation of a hall, and the point at which it was written.
     Evacuation(HallId, StorePoint),
     /// An evacuation of a hall that was lifted.
--- a/crates/larkspring/src/direct/replicated_state.rs
+++ b/crates/larkspring/src/direct/replicated_state.rs
@@ -15,6 +15,7 @@
 };
 use larkspring_core::fleet::evacuations::Evacuations;
 use larkspring_core::fleet::routes::{Routing, RoutingVersion};
+use larkspring_core::fleet::version_records::VersionRecords;
 use larkspring_core::fleet::versions::AdapterVersions;
 use larkspring_core::ids::StorePoint;
 use parking_lot::Mutex;
@@ -29,6 +30,7 @@
     routing: ArcSwapOption<Routing>,
     proofs: [Mutex<Proof>; StateKind::ALL.len()],
     versions: ArcSwap<AdapterVersions>,
+    version_records: Mutex<VersionRecords>,
     endpoint_list: Mutex<EndpointList>,
     evacuations: ArcSwap<Evacuations>,
     store: Mutex<StoreHealth>,
@@ -118,6 +120,7 @@
             routing: ArcSwapOption::empty(),
             proofs: Default::default(),
             versions: ArcSwap::default(),
+            version_records: Mutex::default(),
             endpoint_list: Mutex::default(),
             evacuations: ArcSwap::default(),
             store: Mutex::default(),
@@ -230,7 +233,8 @@
     /// Replaces all items of a kind.
     pub fn replace_all(&self, now: Instant, kind: StateKind, listed: DecodedState) {
         match kind {
-            StateKind::Routing | StateKind::Versions => self.apply_changes(now, listed),
+            StateKind::Routing => self.apply_changes(now, listed),
+            StateKind::Versions => self.replace_versions(now, listed),
             StateKind::Endpoints => self.replace_endpoints(now, listed),
             StateKind::Evacuations => self.replace_evacuations(now, listed),
         }
@@ -368,9 +372,8 @@
             Item::EvacuationLifted(hall) => {
                 self.update_evacuations(at, |evacuations| evacuations.lift(&hall));
             }
-            Item::Version(adapter, number) => {
-                self.apply_version(now, at, adapter, number)
-            }
+            Item::Version(object) => self.apply_version(now, at, object),
+            Item::VersionRemoved(name) => self.version_records.lock().remove(&name),
             Item::Invalid { kind, name, cause } => {
                 if kind == StateKind::Endpoints {
                     // The endpoint's object was overwritten, so its address is unknown.
--- a/crates/larkspring/src/direct/replicated_state/versions.rs
+++ b/crates/larkspring/src/direct/replicated_state/versions.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use larkspring_core::fleet::version_records::VersionObject;
 use larkspring_core::fleet::versions::AdapterVersions;
-use larkspring_core::ids::{AdapterId, StorePoint, Target};
+use larkspring_core::ids::{StorePoint, Target};
 use smol::Timer;
 
 use super::ReplicatedState;
 use crate::direct::logs::{self, LineKind};
-use crate::direct::platform_api::StateKind;
+use crate::direct::platform_api::{DecodedState, Item, StateKind};
 
 impl ReplicatedState {
     /// Returns the newest versions of adapters.
@@ -30,21 +31,47 @@
         }
     }
 
-    /// Applies a version that the store names.
+    /// Returns the objects that lack the record of their adapter's newest version, each
+    /// with that version's number.
+    pub fn unrecorded_versions(&self) -> Vec<(VersionObject, u64)> {
+        self.version_records.lock().unrecorded(&self.versions.load())
+    }
+
+    /// Replaces all objects that name versions.
+    pub(super) fn replace_versions(&self, now: Instant, listed: DecodedState) {
+        let mut objects = Vec::new();
+        for item in listed.items {
+            match item {
+                Item::Version(object) => objects.push(object),
+                other => self.apply_item(now, listed.at, other),
+            }
+        }
+        for object in &objects {
+            self.announce_version(now, listed.at, object);
+        }
+        self.version_records.lock().replace(objects);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Applies a changed object that names a version.
     pub(super) fn apply_version(
         &self,
         now: Instant,
         at: StorePoint,
-        adapter: AdapterId,
-        number: u64,
+        object: VersionObject,
     ) {
+        self.announce_version(now, at, &object);
+        self.version_records.lock().update(object);
+    }
+
+    fn announce_version(&self, now: Instant, at: StorePoint, object: &VersionObject) {
         let (epoch, revision) = (at.epoch(), at.revision());
+        let (adapter, number) = (&object.adapter, object.newest());
         let mut versions = AdapterVersions::clone(&self.versions.load());
         // The version was named after the last proof that the store held nothing newer.
         let age = self.proof_age(StateKind::Versions).unwrap_or_default();
         let since = now.checked_sub(age).unwrap_or(now);
-        if versions.announce(now, since, &adapter, number) {
-            self.versions.store(Arc::new(versions));
+        if versions.announce(now, since, adapter, number) {
             tracing::info!(
                 event = "version named",
                 adapter = %adapter,
@@ -52,15 +79,16 @@
                 epoch,
                 revision,
             );
-            return;
         }
-        let newest = versions.newest_number(&adapter);
-        if number < newest && logs::is_allowed(LineKind::StateChange) {
+        let (named, newest) = (object.named, versions.newest_number(adapter));
+        self.versions.store(Arc::new(versions));
+        if named < newest && logs::is_allowed(LineKind::StateChange) {
             tracing::warn!(
                 event = "older version listed",
                 adapter = %adapter,
-                number,
+                number = named,
                 newest,
+                recorded = object.recorded,
                 epoch,
                 revision,
             );
--- a/crates/larkspring/src/direct/stats.rs
+++ b/crates/larkspring/src/direct/stats.rs
@@ -45,6 +45,7 @@
     unknown: UnknownNames,
     permits: IntCounterVec,
     rated_sends: IntCounterVec,
+    version_records: IntCounterVec,
     count_invalid_items: IntGaugeVec,
     set_gauge: IntGaugeVec,
 }
@@ -202,6 +203,11 @@
                 "Requests sent to endpoints that name a rate: first, again or going on.",
                 &["kind"],
             ),
+            version_records: counter(
+                "larkspring_version_records_total",
+                "Writes of the newest version of an adapter to the store, by outcome.",
+                &["outcome"],
+            ),
             set_reserved_units: gauge(
                 "larkspring_workspace_reserved",
                 "Units that the entry holds in reserve for a workspace.",
@@ -321,6 +327,11 @@
         }
     }
 
+    /// Counts a write of the newest version of an adapter to the store.
+    pub fn count_version_record(&self, ok: bool) {
+        self.version_records.with_label_values(&[outcome(ok)]).inc();
+    }
+
     /// Counts a change of a fingerprint's quarantine status.
     pub fn count_quarantine(&self, status: &str) {
         self.count_quarantine.with_label_values(&[status]).inc();
