Serve no adapter before the versions of adapters are read

Callers saw: an entry that has just started could be ready, and ask for the first version of an adapter, while its read of the versions was still without an answer.

Cause: readiness and requests waited for the routing and an endpoint only. With no version read, an adapter has its first one.

Change: an entry is ready once the versions were listed; a request that names an adapter waits for them like for the routing (100 ms), and is refused by 503 with a retry time after that.

Evidence: an_entry_serves_no_adapter_before_it_knows_the_versions, in which the first list of the versions is never answered; with the check taken out the entry asks for version 1.

--- a/crates/larkspring/src/direct/entry/answer.rs
+++ b/crates/larkspring/src/direct/entry/answer.rs
@@ -55,6 +55,7 @@
     CrashesEndpoints,
     Stopping,
     NoRouting,
+    NoVersions,
     NoEndpoint,
     NoAllowedHall,
     NoSameBuild,
@@ -85,6 +86,7 @@
             Self::CrashesEndpoints => "endpoints ended each time it ran",
             Self::Stopping => "the entry stops",
             Self::NoRouting => "routing not known yet",
+            Self::NoVersions => "versions of adapters not known yet",
             Self::NoEndpoint => "no endpoint",
             Self::NoAllowedHall => "no endpoint in a hall that may serve it",
             Self::NoSameBuild => "no endpoint has the software that began the stream",
@@ -118,6 +120,7 @@
             | Self::StaleRouting
             | Self::Stopping
             | Self::NoRouting
+            | Self::NoVersions
             | Self::NoEndpoint
             | Self::NoAllowedHall
             | Self::NoSameBuild
@@ -157,9 +160,10 @@
     pub fn retry_after(self, needs_adapter: bool) -> Option<Duration> {
         let after = match self {
             Self::Stopping | Self::StaleKeys => RETRY_ELSEWHERE,
-            Self::NoRouting | Self::NoAllowedHall | Self::NoSameBuild => {
-                RETRY_AFTER_LOADING
-            }
+            Self::NoRouting
+            | Self::NoVersions
+            | Self::NoAllowedHall
+            | Self::NoSameBuild => RETRY_AFTER_LOADING,
             Self::NoEndpoint if needs_adapter => RETRY_AFTER_LOADING,
             Self::NoEndpoint
             | Self::StaleRouting
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -294,14 +294,15 @@
         self.cfg.load()
     }
 
-    /// Returns 200 while the routing and an endpoint are known, the API keys are fresh
-    /// enough to authenticate with, and the entry is not stopping; 503 otherwise.
+    /// Returns 200 while the routing, the versions of adapters and an endpoint are known,
+    /// the API keys are fresh enough to authenticate with, and the entry is not stopping; 503 otherwise.
     fn readiness(&self) -> StatusCode {
         let view = self.replicated_state.routing_view();
         let keys_fresh = view.is_some_and(|view| {
             view.routing.workspaces.is_none() || self.has_fresh_keys(&view)
         });
-        let is_routable = keys_fresh && !self.fleet.is_empty();
+        let knows_versions = self.replicated_state.knows_versions();
+        let is_routable = keys_fresh && knows_versions && !self.fleet.is_empty();
         match is_routable && !self.shutdown.is_draining() {
             true => StatusCode::OK,
             false => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/larkspring/src/direct/entry/serving.rs
+++ b/crates/larkspring/src/direct/entry/serving.rs
@@ -29,8 +29,8 @@
 use crate::direct::replicated_state::RoutingView;
 use crate::exec::{self, with_timeout};
 
-/// How long a request waits for the routing, which is loaded shortly after the start.
-const ROUTING_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long a request waits for the declared state, which is read shortly after the start.
+const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Serves one request.
 pub(super) async fn serve(
@@ -74,6 +74,10 @@
     let Some(mut view) = routing_view(&entry).await else {
         return refuse(ErrorReason::NoRouting, None, Some(body), done);
     };
+    let names_adapter = caller.model.as_ref().is_some_and(|m| m.adapter.is_some());
+    if names_adapter && !wait_for_versions(&entry).await {
+        return refuse(ErrorReason::NoVersions, Some(&view), Some(body), done);
+    }
     let host = head.headers.get(HOST).and_then(|h| h.to_str().ok()).unwrap_or_default();
     let path = head.uri.path();
     let admitted = entry.admit(&mut view, host, path, caller.credential).await;
@@ -290,6 +294,21 @@
     if let Some(view) = entry.replicated_state.routing_view() {
         return Some(view);
     }
-    with_timeout(ROUTING_TIMEOUT, changed).await;
+    with_timeout(FIRST_READ_TIMEOUT, changed).await;
     entry.replicated_state.routing_view()
 }
+
+/// Returns whether the versions of adapters are known; just after the entry's start waits
+/// briefly for them.
+async fn wait_for_versions(entry: &EntryState) -> bool {
+    let known = async {
+        loop {
+            let changed = entry.replicated_state.changed();
+            if entry.replicated_state.knows_versions() {
+                return;
+            }
+            changed.await;
+        }
+    };
+    with_timeout(FIRST_READ_TIMEOUT, known).await.is_some()
+}
--- a/crates/larkspring/src/direct/replicated_state.rs
+++ b/crates/larkspring/src/direct/replicated_state.rs
@@ -5,6 +5,7 @@
 
 mod versions;
 
+use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -31,6 +32,7 @@
     proofs: [Mutex<Proof>; StateKind::ALL.len()],
     versions: ArcSwap<AdapterVersions>,
     version_records: Mutex<VersionRecords>,
+    versions_listed: AtomicBool,
     endpoint_list: Mutex<EndpointList>,
     evacuations: ArcSwap<Evacuations>,
     store: Mutex<StoreHealth>,
@@ -121,6 +123,7 @@
             proofs: Default::default(),
             versions: ArcSwap::default(),
             version_records: Mutex::default(),
+            versions_listed: AtomicBool::new(false),
             endpoint_list: Mutex::default(),
             evacuations: ArcSwap::default(),
             store: Mutex::default(),
--- a/crates/larkspring/src/direct/replicated_state/versions.rs
+++ b/crates/larkspring/src/direct/replicated_state/versions.rs
@@ -1,5 +1,6 @@
 //! The newest versions of adapters.
 
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -31,6 +32,12 @@
         }
     }
 
+    /// Returns whether the versions were read since the start. Until then an adapter may
+    /// have a newer version than any that is known.
+    pub fn knows_versions(&self) -> bool {
+        self.versions_listed.load(Ordering::Acquire)
+    }
+
     /// Returns the objects that lack the record of their adapter's newest version, each
     /// with that version's number.
     pub fn unrecorded_versions(&self) -> Vec<(VersionObject, u64)> {
@@ -50,6 +57,7 @@
             self.announce_version(now, listed.at, object);
         }
         self.version_records.lock().replace(objects);
+        self.versions_listed.store(true, Ordering::Release);
         self.changed.notify(usize::MAX);
     }
 
