Treat a version that is read at the start as named long ago

Callers saw: for up to 2.5 s after its start an entry could send retryable requests on the first version of an adapter, if only that was loaded, though a newer one had been acknowledged long before.

Cause: without a proof of the versions' age, the time since the announcement was taken as zero, which allows the previous version for some seconds. Just after the start there is no proof, and the version may have been named at any time.

Change: a version that is announced at an unknown time replaces the previous one at once.

--- a/crates/larkspring-core/src/fleet/versions.rs
+++ b/crates/larkspring-core/src/fleet/versions.rs
@@ -47,12 +47,13 @@
 const TIME_TO_START: Duration = Duration::from_millis(1500);
 
 impl AdapterVersions {
-    /// Records a version that was announced after `since`. Returns whether the version is
-    /// newer than the known one; otherwise nothing changes.
+    /// Records a version that was announced after `since`, or at any time if that is not
+    /// known, so that the previous version is no longer allowed. Returns whether the
+    /// version is newer than the known one; otherwise nothing changes.
     pub fn announce(
         &mut self,
         now: Instant,
-        since: Instant,
+        since: Option<Instant>,
         adapter: &AdapterId,
         number: u64,
     ) -> bool {
@@ -60,13 +61,19 @@
             return false;
         }
         let old = self.announced.get(adapter);
-        let latest = since + MAX_START_DELAY;
+        let (send_by, begin_by) = match since.map(|since| since + MAX_START_DELAY) {
+            Some(latest) => (
+                (now + PREVIOUS_SEND_WINDOW).min(latest - TIME_TO_START),
+                (now + PREVIOUS_START_WINDOW).min(latest),
+            ),
+            None => (now, now),
+        };
         let previous = PreviousVersion {
             version: old
                 .map_or_else(|| format_version(FIRST_VERSION), |n| n.version.clone()),
             replaced_at: now,
-            send_by: (now + PREVIOUS_SEND_WINDOW).min(latest - TIME_TO_START),
-            begin_by: (now + PREVIOUS_START_WINDOW).min(latest),
+            send_by,
+            begin_by,
         };
         let announced = AnnouncedVersion {
             number,
--- a/crates/larkspring-core/tests/fleet_version_records.rs
+++ b/crates/larkspring-core/tests/fleet_version_records.rs
@@ -31,12 +31,7 @@
     let mut versions = AdapterVersions::default();
     for state in states {
         let object = object(*state);
-        versions.announce(
-            Instant::now(),
-            Instant::now(),
-            &object.adapter,
-            object.newest(),
-        );
+        versions.announce(Instant::now(), None, &object.adapter, object.newest());
     }
     versions
 }
--- a/crates/larkspring-core/tests/fleet_versions.rs
+++ b/crates/larkspring-core/tests/fleet_versions.rs
@@ -59,7 +59,7 @@
         let mut versions = AdapterVersions::default();
         let adapter = "m/a".into();
         for (number, ms) in c.named {
-            versions.announce(at(*ms), at(*ms), &adapter, *number);
+            versions.announce(at(*ms), Some(at(*ms)), &adapter, *number);
         }
         assert_eq!(&*versions.newest(&adapter), c.newest, "{}", c.name);
         let allowed = versions.previous_allowed(at(c.at), &adapter);
@@ -84,8 +84,8 @@
     let mut versions = AdapterVersions::default();
     let adapter = "m/a".into();
     assert_eq!(versions.latest_start(&adapter, &"1".into()), None, "none was named");
-    versions.announce(now, now, &adapter, 7);
-    versions.announce(now, now, &adapter, 9);
+    versions.announce(now, Some(now), &adapter, 7);
+    versions.announce(now, Some(now), &adapter, 9);
     for c in cases {
         let begin_by = c.begin_by.map(|ms| now + Duration::from_millis(ms));
         assert_eq!(
@@ -107,7 +107,7 @@
         let learned = named + Duration::from_millis(late_ms);
         let mut versions = AdapterVersions::default();
         let adapter = "m/a".into();
-        versions.announce(learned, named, &adapter, 2);
+        versions.announce(learned, Some(named), &adapter, 2);
         let begin_by = versions.latest_start(&adapter, &"1".into()).expect("a time");
         let bound = named + Duration::from_millis(BOUND_MS);
         assert!(begin_by < bound, "{late_ms} ms late");
@@ -116,3 +116,16 @@
         }
     }
 }
+
+/// Guards against a process that, just after its start, takes the version that it reads
+/// for one that was announced at that moment, and still uses the previous one.
+#[test]
+fn a_version_announced_at_an_unknown_time_replaces_the_previous_one_at_once() {
+    let now = Instant::now();
+    let mut versions = AdapterVersions::default();
+    let adapter = "m/a".into();
+    assert!(versions.announce(now, None, &adapter, 2));
+    assert_eq!(versions.previous_allowed(now, &adapter), None);
+    assert_eq!(versions.latest_start(&adapter, &"1".into()), Some(now));
+    assert_eq!(versions.latest_start(&adapter, &"2".into()), None);
+}
--- a/crates/larkspring/src/direct/replicated_state/versions.rs
+++ b/crates/larkspring/src/direct/replicated_state/versions.rs
@@ -77,8 +77,8 @@
         let (adapter, number) = (&object.adapter, object.newest());
         let mut versions = AdapterVersions::clone(&self.versions.load());
         // The version was named after the last proof that the store held nothing newer.
-        let age = self.proof_age(StateKind::Versions).unwrap_or_default();
-        let since = now.checked_sub(age).unwrap_or(now);
+        let age = self.proof_age(StateKind::Versions);
+        let since = age.and_then(|age| now.checked_sub(age));
         if versions.announce(now, since, adapter, number) {
             tracing::info!(
                 event = "version named",
