Log the connection of an attempt that ended without an answer

The lines of an entry don't tell whether both refusals came on one connection.

Change: connections have a number, which `attempt ended` names as `connection`.

--- a/crates/larkspring/src/direct/conn.rs
+++ b/crates/larkspring/src/direct/conn.rs
@@ -7,6 +7,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 
@@ -23,8 +24,16 @@
 use crate::http::bounded_socket::{BoundedSocket, ReadBudget};
 use crate::http::client::{connect, MAX_HEAD_BYTES};
 
+/// Identifies a connection within the process.
+pub(crate) type ConnId = u64;
+
+/// The id of the next connection.
+static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+
 /// A connection that carries one request at a time.
 pub(crate) struct EndpointConn {
+    /// Identifies the connection.
+    pub id: ConnId,
     tx: SendRequest<SendBody>,
     /// The connection's I/O future; `None` once the connection has ended.
     io: Option<ConnFuture>,
@@ -90,6 +99,7 @@
         let result = builder.handshake(FuturesIo::new(sock)).await;
         let (tx, io) = result.map_err(|e| unsent(e.to_string()))?;
         Ok(Self {
+            id: NEXT_ID.fetch_add(1, Ordering::Relaxed),
             tx,
             io: Some(Box::pin(io)),
             budget,
--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -193,6 +193,7 @@
         let version = selection.target.as_ref().map(|t| &*t.version);
         let req = self.request(&endpoint.id, version, body);
         self.in_flight.store(true, Ordering::Release);
+        self.connections.push(conn.id);
         let outdated = async {
             match selection.target.as_ref().filter(|_| self.route.class.is_retryable()) {
                 Some(target) => {
--- a/crates/larkspring/src/direct/entry/classify.rs
+++ b/crates/larkspring/src/direct/entry/classify.rs
@@ -218,6 +218,7 @@
             parts = handler.features.parts_text(),
             adapter = handler.features.adapter.as_deref(),
             attempts = handler.history.attempts + 1,
+            connection = handler.connections.last(),
         );
     }
 }
--- a/crates/larkspring/src/direct/entry/request_handler.rs
+++ b/crates/larkspring/src/direct/entry/request_handler.rs
@@ -21,7 +21,7 @@
 use super::peer::Peer;
 use super::selection_inputs::SelectionInputs;
 use super::EntryState;
-use crate::direct::conn::SendBody;
+use crate::direct::conn::{ConnId, SendBody};
 use crate::direct::platform_api::CallerRequest;
 use crate::direct::replicated_state::RoutingView;
 
@@ -47,6 +47,8 @@
     pub history: AttemptHistory,
     /// Endpoints that the request was sent to or that could not be reached.
     pub tried: Vec<Incarnation>,
+    /// Connections on which the request was sent.
+    pub connections: Vec<ConnId>,
     /// Whether an attempt that the endpoint may be executing is in progress.
     pub in_flight: Arc<AtomicBool>,
     /// What the request may have in common with others that crash endpoints.
--- a/crates/larkspring/src/direct/entry/serving.rs
+++ b/crates/larkspring/src/direct/entry/serving.rs
@@ -145,6 +145,7 @@
         headers: strip_hop_by_hop_headers(head.headers),
         history: AttemptHistory::default(),
         tried: Vec::new(),
+        connections: Vec::new(),
         in_flight: Arc::default(),
         waited: Duration::ZERO,
         inputs: None,
