Send a request at most once on a connection

Cause: the connection that brought a refusal goes back to the idle ones, and the next send of the request takes the latest idle one, the same.

Hypotheses: (1) that; (2) the connection goes back while its refusal is still being drained, so that the rest is read as the next answer; (3) an unclear end counts as a refusal. `attempt ended` with the connection's number tells: two ends `rejected` by a whole 503 on one connection, 0.2 ms apart, while the worker refused once.

Change: a request does not use a connection on which it was sent before, whatever ended that send; the next idle one or a new one takes it. Two answers with one id then come on two connections, and a copy meets another request, whose id differs.

--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -128,7 +128,8 @@
 
     async fn send(&mut self, selection: Selection, peer: &Arc<Peer>) -> AttemptOutcome {
         let reuse = self.reuse();
-        let take = |cx: &mut Context<'_>| Poll::Ready(peer.idle.take(cx, reuse));
+        let used = &self.connections;
+        let take = |cx: &mut Context<'_>| Poll::Ready(peer.idle.take(cx, reuse, used));
         if let Some(conn) = poll_fn(take).await {
             let reused = ReusedConnection::new(peer, &conn, self.deadline);
             self.entry.stats.count_connection(reused.label());
--- a/crates/larkspring/src/direct/entry/idle_connections.rs
+++ b/crates/larkspring/src/direct/entry/idle_connections.rs
@@ -8,7 +8,7 @@
 use larkspring_core::fleet::idle::{max_idle_connections, IdleTime, Reuse};
 use parking_lot::Mutex;
 
-use crate::direct::conn::EndpointConn;
+use crate::direct::conn::{ConnId, EndpointConn};
 
 /// Connections to an endpoint that carry no request, the latest last.
 pub(super) struct IdleConnections {
@@ -41,13 +41,22 @@
 
 impl IdleConnections {
     /// Takes a connection that can carry a request now.
-    pub fn take(&self, cx: &mut Context<'_>, reuse: Reuse) -> Option<EndpointConn> {
+    ///
+    /// `used` are the connections on which the request was sent before. A late copy of its
+    /// earlier answer there has the request's own id, so it could not be told from the
+    /// answer to another send.
+    pub fn take(
+        &self,
+        cx: &mut Context<'_>,
+        reuse: Reuse,
+        used: &[ConnId],
+    ) -> Option<EndpointConn> {
         let now = Instant::now();
         if reuse == Reuse::Once && self.is_corrupted(now) {
             return None;
         }
         loop {
-            let mut conn = self.pop(now, reuse)?;
+            let mut conn = self.pop(now, reuse, used)?;
             if conn.is_ready(cx) {
                 return Some(conn);
             }
@@ -61,11 +70,12 @@
         conns.last().is_some_and(|conn| self.is_usable(now, conn, reuse))
     }
 
-    /// Removes the latest connection if a request may use it.
-    fn pop(&self, now: Instant, reuse: Reuse) -> Option<EndpointConn> {
+    /// Removes the latest connection that is not among `used`, if a request may use it.
+    fn pop(&self, now: Instant, reuse: Reuse, used: &[ConnId]) -> Option<EndpointConn> {
         let mut conns = self.conns.lock();
-        let is_usable = self.is_usable(now, conns.last()?, reuse);
-        is_usable.then(|| conns.pop()).flatten()
+        let latest = conns.iter().rposition(|conn| !used.contains(&conn.id))?;
+        let is_usable = self.is_usable(now, &conns[latest], reuse);
+        is_usable.then(|| conns.remove(latest))
     }
 
     fn is_usable(&self, now: Instant, conn: &EndpointConn, reuse: Reuse) -> bool {
