Send bodies of unknown length with every method

Cause: the caller's `transfer-encoding` is removed, as it concerns one connection only, and the HTTP library sends such methods without a body unless a length is known or that header is set.

Change: a request whose body has no known length states chunks itself.

Evidence: bodies_reach_the_endpoint_as_they_were_sent, methods x sizes around the limit of kept bodies x framing, first sends and repeats; before, it failed at `GET, just above the limit of kept bodies, chunked: true: another body`.

--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -7,9 +7,10 @@
 
 use bytes::Bytes;
 use futures_lite::future::{self, poll_fn};
+use http::header::TRANSFER_ENCODING;
 use http::response::Parts;
-use http::{Request, Response};
-use hyper::body::Incoming;
+use http::{HeaderValue, Request, Response};
+use hyper::body::{Body, Incoming};
 use larkspring_core::fleet::attempt::AttemptStatus;
 use larkspring_core::fleet::mechanisms::Mechanism;
 use larkspring_core::fleet::urgency::{urgency, Urgency};
@@ -232,6 +233,7 @@
         version: Option<&str>,
         body: SendBody,
     ) -> Request<SendBody> {
+        let has_length = body.size_hint().exact().is_some();
         let mut req = Request::new(body);
         *req.method_mut() = self.method.clone();
         *req.uri_mut() = self.uri.clone();
@@ -248,6 +250,12 @@
             },
         };
         self.entry.protocol.rewrite_headers(req.headers_mut(), &forward);
+        if !has_length {
+            // The library sends GET and HEAD requests of unknown length without a body
+            // otherwise.
+            let chunked = HeaderValue::from_static("chunked");
+            req.headers_mut().insert(TRANSFER_ENCODING, chunked);
+        }
         req
     }
 
