Remove a length stated beside chunks from every answer

Cause: chunks take precedence over a length stated beside them, which was removed only from answers that are passed on as they come, not from buffered ones.

Change: the length is removed where the framing is determined, for every answer.

--- a/crates/larkspring/src/direct/entry/classify.rs
+++ b/crates/larkspring/src/direct/entry/classify.rs
@@ -65,7 +65,7 @@
         peer: &Arc<Peer>,
     ) -> AttemptOutcome {
         selection.open_request.end_prefill();
-        let (head, body) = res.into_parts();
+        let (mut head, body) = res.into_parts();
         conn.record_answer(&head.headers);
         peer.idle.record_answered(selection.selected_at);
         let answer_head =
@@ -114,6 +114,7 @@
         let buffers = self.route.class == RouteClass::Retryable
             && body.size_hint().upper().is_none_or(|len| len <= MAX_BUFFERED_ANSWER);
         let framing = Framing::of(&head, &body);
+        framing.remove_other_length(&mut head.headers);
         let open = OpenAnswer {
             read: Bytes::new(),
             framing,
--- a/crates/larkspring/src/direct/entry/framing.rs
+++ b/crates/larkspring/src/direct/entry/framing.rs
@@ -1,6 +1,6 @@
 //! How the body of an endpoint's answer is framed, and how it ended.
 
-use http::header::{CONTENT_TYPE, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::response::Parts;
 use http::HeaderMap;
 use hyper::body::{Body, Incoming};
@@ -45,6 +45,15 @@
         }
     }
 
+    /// Removes the length from a head whose body has another framing, which takes
+    /// precedence.
+    pub fn remove_other_length(self, headers: &mut HeaderMap) {
+        match self {
+            Self::Length => {}
+            Self::Chunked | Self::UntilClose => drop(headers.remove(CONTENT_LENGTH)),
+        }
+    }
+
     /// Returns the name used in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
