Take no refusal that names no request for the answer

Callers saw: nothing yet; found while looking for where an answer is taken by its id. A refusal without the id of the request, for example a spoiled copy of an earlier one, counted as proof that the request had not run, and an unsafe request was sent again.

Cause: a missing id was checked for successful answers only.

Change: a 421, or an answer that says `not executed`, without the id leaves the outcome unclear: 502 for a request that may run only once, another send for one that may be repeated. Endpoints echo the id in their answers.

--- a/crates/larkspring/src/direct/entry/classify.rs
+++ b/crates/larkspring/src/direct/entry/classify.rs
@@ -78,7 +78,14 @@
             log_attempt(self, peer, AttemptStatus::Unknown, "answer to another request");
             return AttemptOutcome::NoAnswer(AttemptStatus::Unknown);
         }
-        if status == StatusCode::MISDIRECTED_REQUEST {
+        let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+        if (is_misdirected || answer_head.not_run) && answer_head.echo == Echo::Missing {
+            // It may be a copy of an earlier refusal on the connection.
+            let cause = "refusal of an unnamed request";
+            log_attempt(self, peer, AttemptStatus::Unknown, cause);
+            return AttemptOutcome::NoAnswer(AttemptStatus::Unknown);
+        }
+        if is_misdirected {
             let same = answer_head.incarnation.is_none_or(|id| id == endpoint.id);
             let attempt_status = if same {
                 AttemptStatus::AdapterMissing
