--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -295,7 +295,8 @@
     }
 
     /// Returns 200 while the routing, the versions of adapters and an endpoint are known,
-    /// the API keys are fresh enough to authenticate with, and the entry is not stopping; 503 otherwise.
+    /// the API keys are fresh enough to authenticate with, and the entry is not stopping;
+    /// 503 otherwise.
     fn readiness(&self) -> StatusCode {
         let view = self.replicated_state.routing_view();
         let keys_fresh = view.is_some_and(|view| {
