Name the interrupted requests where an endpoint ended, and the event after which a stream goes on

An answer that ended with its connection could not be told apart in the logs from one whose endpoint had ended: the line of the probe named no request. Nor did any line name the last event before a resumption.

--- a/crates/larkspring/src/direct/entry/crashes.rs
+++ b/crates/larkspring/src/direct/entry/crashes.rs
@@ -64,6 +64,8 @@
 /// Number of agents that count the crashes of a feature. With two, the count
 /// survives the loss of one agent.
 const COUNTING_AGENTS: usize = 2;
+/// Limits the requests that a log line names.
+const MAX_LOGGED_REQUESTS: usize = 16;
 /// Interval of checks for agents that lack a report, since an agent became unresponsive
 /// or restarted and another may have taken its place.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -222,6 +224,7 @@
                 endpoint = %endpoint.id,
                 took_ms = probed.elapsed().as_millis() as u64,
                 broken = interrupted.len(),
+                requests = request_ids(&interrupted),
             );
         }
         self.stats.count_endpoint_check(crashed);
@@ -361,6 +364,12 @@
     }
 }
 
+/// Returns the ids of interrupted requests for a log line, separated by spaces.
+fn request_ids(interrupted: &[InterruptedRequest]) -> String {
+    let ids = interrupted.iter().take(MAX_LOGGED_REQUESTS).map(|request| &*request.id);
+    ids.collect::<Vec<_>>().join(" ")
+}
+
 /// The crashes to report to an agent.
 struct Message {
     link: Arc<Link>,
--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -371,6 +371,7 @@
                 request = self.id,
                 endpoint = %endpoint.id,
                 build = endpoint.build.as_deref(),
+                after = handler.resume_after.as_deref(),
             );
         }
         self.handler = Some(handler);
