Take no orderly close for the end of an answer whose endpoint's process has ended

Callers got a stream without chunks, or a plain answer without a length, that lacked its end and was closed in order, as if it were whole.

Cause: such an answer ends with its connection, and the operating system closes the connections of a process that ends or is killed in order too. The entry took the end of the transport for the end of the message.

The entry now asks the endpoint once more before it passes such an end on: an engine for its report, a plain service for its health. If no process has the port, or another run answers, the answer is broken off, resumed, or sent again, as after a reset.

An engine that lives and breaks off between two events by an orderly close still can't be told from one that has finished.

--- a/crates/larkspring/src/direct/entry/answer_ends.rs
+++ b/crates/larkspring/src/direct/entry/answer_ends.rs
@@ -49,11 +49,12 @@
 fn outcome(end: BodyEnd, time_left: Duration) -> StreamOutcome {
     match end {
         BodyEnd::Complete | BodyEnd::Closed => StreamOutcome::Complete,
-        BodyEnd::InsideEvent | BodyEnd::Broken if time_left > DEADLINE_SLACK => {
-            StreamOutcome::Broken
-        }
-        BodyEnd::InsideEvent | BodyEnd::Broken | BodyEnd::TimedOut => {
-            StreamOutcome::Unknown
+        BodyEnd::TimedOut => StreamOutcome::Unknown,
+        BodyEnd::ProcessEnded | BodyEnd::InsideEvent | BodyEnd::Broken => {
+            match time_left > DEADLINE_SLACK {
+                true => StreamOutcome::Broken,
+                false => StreamOutcome::Unknown,
+            }
         }
     }
 }
--- a/crates/larkspring/src/direct/entry/classify.rs
+++ b/crates/larkspring/src/direct/entry/classify.rs
@@ -12,6 +12,7 @@
 use larkspring_core::fleet::routes::RouteClass;
 
 use super::attempt::{end_name, AttemptOutcome, EndpointAnswer, OpenAnswer, Selection};
+use super::end_check::{check_endpoint, EndpointCheck};
 use super::framing::{is_event_stream, Framing};
 use super::peer::Peer;
 use super::request_handler::RequestHandler;
@@ -170,13 +171,24 @@
         };
         match read {
             Ok(ReadBody::Whole(bytes)) => {
-                match open.framing {
-                    // The end of the endpoint's process looks the same.
-                    Framing::UntilClose => check_for_crash(),
-                    _ if head.status.is_success() => {
+                let check = match open.framing {
+                    Framing::UntilClose => {
+                        check_endpoint(&self.entry, peer, &self.service).await
+                    }
+                    Framing::Length | Framing::Chunked => EndpointCheck::Running,
+                };
+                match check {
+                    EndpointCheck::Ended => {
+                        check_for_crash();
+                        let cause = "the endpoint's process ended";
+                        log_attempt(self, peer, AttemptStatus::Unknown, cause);
+                        return None;
+                    }
+                    EndpointCheck::Running if head.status.is_success() => {
                         crashes.record_answer(&self.features)
                     }
-                    _ => {}
+                    EndpointCheck::Running => {}
+                    EndpointCheck::Unknown => check_for_crash(),
                 }
                 peer.idle.recycle(open.conn).await;
                 Some(Ok(bytes))
--- a/crates/larkspring/src/direct/entry/framing.rs
+++ b/crates/larkspring/src/direct/entry/framing.rs
@@ -23,6 +23,8 @@
     Complete,
     /// The endpoint closed the connection, and nothing else shows where the body ends.
     Closed,
+    /// The same, and the endpoint's process had ended.
+    ProcessEnded,
     /// The stream ended inside an event.
     InsideEvent,
     /// The connection broke, or ended before the body by its framing.
@@ -70,6 +72,7 @@
         match self {
             Self::Complete => "complete",
             Self::Closed => "closed",
+            Self::ProcessEnded => "process ended",
             Self::InsideEvent => "inside an event",
             Self::Broken => "broken",
             Self::TimedOut => "out of time",
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -31,6 +31,7 @@
 mod connections;
 mod crashes;
 mod directory;
+mod end_check;
 mod engine_state;
 mod event_splitter;
 mod fair;
--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -14,7 +14,7 @@
 use hyper::body::{Body, SizeHint};
 use larkspring_core::event_stream::EventScanner;
 use larkspring_core::fleet::attempt::{AttemptStatus, NextStep};
-use larkspring_core::fleet::routes::RouteClass;
+use larkspring_core::fleet::routes::{RouteClass, Service};
 use larkspring_core::fleet::stream_origins::StreamStart;
 use larkspring_core::ids::Incarnation;
 use smol::Timer;
@@ -22,6 +22,7 @@
 use super::answer::RelayError;
 use super::attempt::OpenAnswer;
 use super::crashes::CrashDetector;
+use super::end_check::{check_endpoint, EndpointCheck};
 use super::event_splitter::Events;
 use super::features::RequestFeatures;
 use super::framing::{BodyEnd, Framing};
@@ -40,6 +41,7 @@
     features: Arc<RequestFeatures>,
     /// The run whose answer is relayed.
     endpoint: Incarnation,
+    service: Arc<Service>,
     source: AnswerSource,
     events: Events,
     /// The framing of the endpoint's answer.
@@ -58,6 +60,8 @@
 /// The source of the bytes.
 enum AnswerSource {
     Endpoint(Box<OpenAnswer>),
+    /// The connection was closed in order, and the endpoint is being checked.
+    Checking(Check),
     /// The stream was interrupted and is being resumed at another endpoint.
     Resuming(Resume),
     /// The answer broke off, which the caller learns once it has what came before.
@@ -65,6 +69,7 @@
     Ended,
 }
 
+type Check = Pin<Box<dyn Future<Output = (Box<OpenAnswer>, EndpointCheck)> + Send>>;
 type Resume =
     Pin<Box<dyn Future<Output = Option<(Box<RequestHandler>, OpenAnswer)>> + Send>>;
 
@@ -83,6 +88,7 @@
             id: handler.caller.id.clone(),
             features: handler.features.clone(),
             endpoint: open.selection.open_request.peer.endpoint().id.clone(),
+            service: handler.service.clone(),
             framing: open.framing,
             caller_framing: match open.framing {
                 // A stream resumed at another endpoint may have another length.
@@ -118,9 +124,12 @@
             (AnswerSource::Ended, _) => SizeHint::with_exact(0),
             (AnswerSource::Endpoint(_), Events::Split(_)) => SizeHint::default(),
             (AnswerSource::Endpoint(open), _) => open.body.size_hint(),
-            (AnswerSource::Resuming(_) | AnswerSource::Broken(_), _) => {
-                SizeHint::default()
-            }
+            (
+                AnswerSource::Checking(_)
+                | AnswerSource::Resuming(_)
+                | AnswerSource::Broken(_),
+                _,
+            ) => SizeHint::default(),
         }
     }
 
@@ -166,6 +175,11 @@
                 AnswerSource::Broken(_) | AnswerSource::Ended => {
                     return Poll::Ready(None)
                 }
+                AnswerSource::Checking(check) => {
+                    let (open, check) = ready!(check.as_mut().poll(cx));
+                    self.source = AnswerSource::Endpoint(open);
+                    self.handle_checked_end(check, cx)
+                }
                 AnswerSource::Resuming(resume) => {
                     let resumed = ready!(resume.as_mut().poll(cx));
                     self.resume_with(resumed)
@@ -213,9 +227,10 @@
     fn take_read(&mut self) -> Bytes {
         match &mut self.source {
             AnswerSource::Endpoint(open) => std::mem::take(&mut open.read),
-            AnswerSource::Resuming(_) | AnswerSource::Broken(_) | AnswerSource::Ended => {
-                Bytes::new()
-            }
+            AnswerSource::Checking(_)
+            | AnswerSource::Resuming(_)
+            | AnswerSource::Broken(_)
+            | AnswerSource::Ended => Bytes::new(),
         }
     }
 
@@ -262,6 +277,7 @@
                     BodyEnd::Closed,
                     "nothing shows that the resumed answer is complete",
                 ),
+            BodyEnd::Closed => self.check_endpoint(),
             BodyEnd::InsideEvent => self.handle_interruption(
                 BodyEnd::InsideEvent,
                 "the stream ended inside an event",
@@ -270,6 +286,41 @@
         }
     }
 
+    /// Begins to check whether the endpoint still runs that closed the connection.
+    fn check_endpoint(&mut self) -> Step {
+        let source = std::mem::replace(&mut self.source, AnswerSource::Ended);
+        let AnswerSource::Endpoint(open) = source else { return Step::End };
+        let (entry, service) = (self.pause.entry.clone(), self.service.clone());
+        self.source = AnswerSource::Checking(Box::pin(async move {
+            let peer = open.selection.open_request.peer.clone();
+            let check = check_endpoint(&entry, &peer, &service).await;
+            (open, check)
+        }));
+        Step::Continue
+    }
+
+    /// Handles the end of an answer whose endpoint closed the connection and was checked.
+    fn handle_checked_end(&mut self, check: EndpointCheck, cx: &mut Context<'_>) -> Step {
+        match check {
+            EndpointCheck::Ended => self.handle_interruption(
+                BodyEnd::ProcessEnded,
+                "the endpoint's process ended",
+            ),
+            EndpointCheck::Running => {
+                if self.is_success {
+                    self.crashes.record_answer(&self.features);
+                }
+                self.finish(BodyEnd::Closed, cx)
+            }
+            EndpointCheck::Unknown => {
+                if let AnswerSource::Endpoint(open) = &self.source {
+                    self.check_for_crash(open);
+                }
+                self.finish(BodyEnd::Closed, cx)
+            }
+        }
+    }
+
     /// Ends the answer to the caller in order.
     fn finish(&mut self, end: BodyEnd, cx: &mut Context<'_>) -> Step {
         let AnswerSource::Endpoint(mut open) =
@@ -278,10 +329,7 @@
             return Step::End;
         };
         self.record_end(end);
-        if end == BodyEnd::Closed {
-            // The end of the endpoint's process looks the same.
-            self.check_for_crash(&open);
-        } else if self.is_success {
+        if end == BodyEnd::Complete && self.is_success {
             self.crashes.record_answer(&self.features);
         }
         self.record_outcome(&mut open, end);
