Pass on no event of a resumable stream whose id does not rise

Callers got events twice, and ids that went back: 0, 1, 0, 1, 2, 3, 4 in one whole answer.

Cause: a resumption names the last event to the endpoint that goes on, and the entry took whatever that endpoint sent. One that starts the stream over, or whose answer belongs to another position, repeats events.

The splitter of resumable streams now compares the numeric ids of events with the last one that was passed on, from the caller's position on. An event that does not follow is withheld, and the stream is resumed at another endpoint or broken off. The relayed stream stays as it was up to its last good event, so a resumption continues there.

Gaps are not judged: ids need not be consecutive.

--- a/crates/larkspring-core/src/event_stream.rs
+++ b/crates/larkspring-core/src/event_stream.rs
@@ -1,4 +1,4 @@
-//! Boundaries of events in a stream of server-sent events.
+//! Boundaries and ids of events in a stream of server-sent events.
 
 /// Finds the ends of events in a stream that arrives in parts of any size.
 ///
@@ -58,3 +58,50 @@
         self.line = Line::Empty;
     }
 }
+
+/// Checks that the ids of a stream's events rise, as far as they are numbers.
+///
+/// A stream that was resumed goes on after its last event. An endpoint that starts over,
+/// or whose answer belongs to another position, would repeat events.
+#[derive(Debug, Default)]
+pub struct IdOrder {
+    last: Option<u64>,
+}
+
+/// An event whose id is not greater than the one before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct IdNotRising {
+    /// The id of the event before.
+    pub last: u64,
+    /// The id of the event.
+    pub next: u64,
+}
+
+const ID_FIELD: &[u8] = b"id:";
+
+impl IdOrder {
+    /// Creates the check of a stream that goes on after the event `last`.
+    pub fn resuming_after(last: Option<&str>) -> Self {
+        Self { last: last.and_then(|id| id.parse().ok()) }
+    }
+
+    /// Reads the next events. An error leaves the check as it was before them.
+    pub fn check(&mut self, events: &[u8]) -> Result<(), IdNotRising> {
+        let mut last = self.last;
+        for next in event_ids(events).filter_map(|id| id.parse().ok()) {
+            if let Some(last) = last.filter(|last| next <= *last) {
+                return Err(IdNotRising { last, next });
+            }
+            last = Some(next);
+        }
+        self.last = last;
+        Ok(())
+    }
+}
+
+/// Returns the ids of events.
+pub fn event_ids(events: &[u8]) -> impl DoubleEndedIterator<Item = &str> {
+    let lines = events.split(|b| matches!(b, b'\n' | b'\r'));
+    let ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
+    ids.filter_map(|id| Some(std::str::from_utf8(id).ok()?.trim()))
+}
--- a/crates/larkspring-core/tests/event_stream.rs
+++ b/crates/larkspring-core/tests/event_stream.rs
@@ -1,6 +1,6 @@
 //! Boundaries of events in a stream.
 
-use larkspring_core::event_stream::EventScanner;
+use larkspring_core::event_stream::{event_ids, EventScanner, IdNotRising, IdOrder};
 use proptest::prelude::*;
 
 struct Case {
@@ -90,3 +90,76 @@
         prop_assert_eq!(parts.is_inside_event(), whole.is_inside_event());
     }
 }
+
+/// Guards against events of a resumed stream that come twice or go back.
+#[test]
+fn ids_have_to_rise() {
+    struct Case {
+        name: &'static str,
+        after: Option<&'static str>,
+        parts: &'static [&'static str],
+        error: Option<IdNotRising>,
+    }
+    let error = |last, next| Some(IdNotRising { last, next });
+    let cases = [
+        Case { name: "nothing", after: None, parts: &[""], error: None },
+        Case {
+            name: "rising",
+            after: None,
+            parts: &["id: 0\ndata: x\n\nid: 1\n\n", "id:7\r\n\r\n"],
+            error: None,
+        },
+        Case { name: "resumed", after: Some("4"), parts: &["id: 5\n\n"], error: None },
+        Case {
+            name: "started over",
+            after: Some("4"),
+            parts: &["id: 0\n\n"],
+            error: error(4, 0),
+        },
+        Case {
+            name: "last event repeated",
+            after: Some("4"),
+            parts: &["id: 4\n\n"],
+            error: error(4, 4),
+        },
+        Case {
+            name: "back within one part",
+            after: None,
+            parts: &["id: 1\n\nid: 3\n\nid: 2\n\n"],
+            error: error(3, 2),
+        },
+        Case {
+            name: "back in a later part",
+            after: None,
+            parts: &["id: 10\n\n", "data: x\n\n", "id: 9\n\n"],
+            error: error(10, 9),
+        },
+        Case {
+            name: "no numbers",
+            after: Some("b"),
+            parts: &["id: b\n\nid: a\n\n"],
+            error: None,
+        },
+        Case {
+            name: "no ids",
+            after: Some("4"),
+            parts: &["data: id: 1\n\n: id: 1\n\n"],
+            error: None,
+        },
+    ];
+    for c in cases {
+        let mut order = IdOrder::resuming_after(c.after);
+        let results = c.parts.iter().map(|part| order.check(part.as_bytes()));
+        let error = results.filter_map(Result::err).next();
+        assert_eq!(error, c.error, "{}", c.name);
+    }
+}
+
+/// Guards against a position that moves although the events were not passed on.
+#[test]
+fn events_out_of_order_leave_the_position() {
+    let mut order = IdOrder::resuming_after(Some("3"));
+    assert!(order.check(b"id: 4\n\nid: 2\n\n").is_err());
+    assert_eq!(order.check(b"id: 4\n\n"), Ok(()));
+    assert_eq!(event_ids(b"id: 4\ndata: x\n\nid:5\r\r").collect::<Vec<_>>(), ["4", "5"]);
+}
--- a/crates/larkspring/src/direct/entry/answer_ends.rs
+++ b/crates/larkspring/src/direct/entry/answer_ends.rs
@@ -50,12 +50,13 @@
     match end {
         BodyEnd::Complete | BodyEnd::Closed => StreamOutcome::Complete,
         BodyEnd::TimedOut => StreamOutcome::Unknown,
-        BodyEnd::ProcessEnded | BodyEnd::InsideEvent | BodyEnd::Broken => {
-            match time_left > DEADLINE_SLACK {
-                true => StreamOutcome::Broken,
-                false => StreamOutcome::Unknown,
-            }
-        }
+        BodyEnd::ProcessEnded
+        | BodyEnd::InsideEvent
+        | BodyEnd::OutOfOrder
+        | BodyEnd::Broken => match time_left > DEADLINE_SLACK {
+            true => StreamOutcome::Broken,
+            false => StreamOutcome::Unknown,
+        },
     }
 }
 
--- a/crates/larkspring/src/direct/entry/event_splitter.rs
+++ b/crates/larkspring/src/direct/entry/event_splitter.rs
@@ -2,7 +2,7 @@
 //! so that it can be resumed after the last of them.
 
 use bytes::{Bytes, BytesMut};
-use larkspring_core::event_stream::EventScanner;
+use larkspring_core::event_stream::{event_ids, EventScanner, IdNotRising, IdOrder};
 
 /// The events of the body that is relayed.
 pub(super) enum Events {
@@ -19,6 +19,7 @@
 pub(super) struct EventSplitter {
     buf: BytesMut,
     scanner: EventScanner,
+    order: IdOrder,
     /// Id of the last event that was returned.
     pub last_event_id: Option<String>,
     /// Id of the event that was returned in part.
@@ -30,7 +31,6 @@
 /// Maximum size in bytes of a buffered event. Longer events are relayed in parts, and the
 /// stream can't be resumed before their end.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
-const ID_FIELD: &[u8] = b"id:";
 
 impl Events {
     /// Creates the events of a stream that may be resumed and continues after the event
@@ -39,13 +39,14 @@
         Self::Split(EventSplitter::resuming_after(last))
     }
 
-    /// Adds bytes and returns those that can be passed on.
-    pub fn push(&mut self, data: Bytes) -> Bytes {
+    /// Adds bytes and returns those that can be passed on; an error if the events of a
+    /// stream that may be resumed are out of order.
+    pub fn push(&mut self, data: Bytes) -> Result<Bytes, IdNotRising> {
         match self {
-            Self::None => data,
+            Self::None => Ok(data),
             Self::Passed(scanner) => {
                 scanner.scan(&data);
-                data
+                Ok(data)
             }
             Self::Split(splitter) => splitter.push(&data),
         }
@@ -80,26 +81,29 @@
 impl EventSplitter {
     /// Creates a splitter for a stream that continues after the event `last`.
     fn resuming_after(last: Option<String>) -> Self {
-        Self { last_event_id: last, ..Self::default() }
+        let order = IdOrder::resuming_after(last.as_deref());
+        Self { last_event_id: last, order, ..Self::default() }
     }
 
     /// Adds bytes and returns the whole events received so far.
-    fn push(&mut self, data: &[u8]) -> Bytes {
+    fn push(&mut self, data: &[u8]) -> Result<Bytes, IdNotRising> {
         let buffered = self.buf.len();
         self.buf.extend_from_slice(data);
         let boundary = self.scanner.scan(data).map(|len| buffered + len);
         let end = match boundary {
             Some(end) => end,
             None if self.buf.len() > MAX_EVENT_BYTES => self.buf.len(),
-            None => return Bytes::new(),
+            None => return Ok(Bytes::new()),
         };
         let returned = self.buf.split_to(end).freeze();
-        self.partial_id = last_id(&returned).or(self.partial_id.take());
+        self.order.check(&returned)?;
+        let last_id = event_ids(&returned).next_back().map(str::to_owned);
+        self.partial_id = last_id.or(self.partial_id.take());
         self.is_inside_returned = boundary.is_none();
         if !self.is_inside_returned {
             self.last_event_id = self.partial_id.take().or(self.last_event_id.take());
         }
-        returned
+        Ok(returned)
     }
 
     fn is_inside_event(&self) -> bool {
@@ -122,10 +126,3 @@
         self.scanner = EventScanner::default();
     }
 }
-
-fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|b| matches!(b, b'\n' | b'\r')).rev();
-    let mut ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
-    let id = std::str::from_utf8(ids.next()?).ok()?;
-    Some(id.trim().to_owned())
-}
--- a/crates/larkspring/src/direct/entry/framing.rs
+++ b/crates/larkspring/src/direct/entry/framing.rs
@@ -27,6 +27,8 @@
     ProcessEnded,
     /// The stream ended inside an event.
     InsideEvent,
+    /// An event came whose id is not greater than the one before.
+    OutOfOrder,
     /// The connection broke, or ended before the body by its framing.
     Broken,
     /// The deadline of the request passed.
@@ -74,6 +76,7 @@
             Self::Closed => "closed",
             Self::ProcessEnded => "process ended",
             Self::InsideEvent => "inside an event",
+            Self::OutOfOrder => "out of order",
             Self::Broken => "broken",
             Self::TimedOut => "out of time",
         }
--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, SizeHint};
-use larkspring_core::event_stream::EventScanner;
+use larkspring_core::event_stream::{EventScanner, IdNotRising};
 use larkspring_core::fleet::attempt::{AttemptStatus, NextStep};
 use larkspring_core::fleet::routes::{RouteClass, Service};
 use larkspring_core::fleet::stream_origins::StreamStart;
@@ -171,7 +171,7 @@
         loop {
             let read = self.take_read();
             let next = match &mut self.source {
-                _ if !read.is_empty() => Step::Data(self.events.push(read)),
+                _ if !read.is_empty() => self.push(read),
                 AnswerSource::Broken(_) | AnswerSource::Ended => {
                     return Poll::Ready(None)
                 }
@@ -244,12 +244,13 @@
             Some(Ok(frame)) => match frame.into_data() {
                 Ok(data) => {
                     let is_last = open.body.is_end_stream();
-                    let data = self.events.push(data);
                     // The caller's connection asks for no more once it has the bytes of
                     // the declared length.
-                    match is_last && self.caller_framing == Framing::Length {
-                        true => self.handle_last(data, cx),
-                        false => Step::Data(data),
+                    match (self.push(data), self.caller_framing) {
+                        (Step::Data(data), Framing::Length) if is_last => {
+                            self.handle_last(data, cx)
+                        }
+                        (step, _) => step,
                     }
                 }
                 Err(_) => Step::Continue,
@@ -261,6 +262,17 @@
         })
     }
 
+    /// Adds bytes of the endpoint's answer and returns those that can be passed on.
+    fn push(&mut self, data: Bytes) -> Step {
+        match self.events.push(data) {
+            Ok(data) => Step::Data(data),
+            Err(IdNotRising { last, next }) => {
+                let cause = format!("event {next} came after event {last}");
+                self.handle_interruption(BodyEnd::OutOfOrder, &cause)
+            }
+        }
+    }
+
     /// Handles the last bytes of an answer with a length.
     fn handle_last(&mut self, data: Bytes, cx: &mut Context<'_>) -> Step {
         match self.handle_end(cx) {
