--- a/crates/larkspring-core/tests/event_stream.rs
+++ b/crates/larkspring-core/tests/event_stream.rs
@@ -66,15 +66,35 @@
     }
 }
 
-/// The line feed of a line end may come with the next part.
+/// Guards against an event that is passed on without its last line feed, which may come
+/// with the next part and would be lost if the stream is resumed before.
 #[test]
 fn a_split_line_end_is_one_line_end() {
     let mut scanner = EventScanner::default();
-    assert_eq!(scanner.scan(b"data: x\r\n\r"), Some(10));
+    assert_eq!(scanner.scan(b"data: x\r\n\r"), None);
+    assert!(!scanner.is_inside_event());
     assert_eq!(scanner.scan(b"\ndata: y\r\n"), Some(1));
     assert!(scanner.is_inside_event());
 }
 
+/// Guards against events that wait for the next one, where no line feed follows.
+#[test]
+fn a_lone_carriage_return_ends_an_event_at_once() {
+    let mut scanner = EventScanner::default();
+    assert_eq!(scanner.scan(b"data: x\r\r"), Some(9));
+    assert_eq!(scanner.scan(b"data: y\r"), None);
+    assert_eq!(scanner.scan(b"\r"), Some(1));
+}
+
+/// Guards against an event that is never passed on, where line ends differ.
+#[test]
+fn an_event_with_other_line_ends_ends_with_the_next_byte() {
+    let mut scanner = EventScanner::default();
+    assert_eq!(scanner.scan(b"data: x\r\n\r"), None);
+    assert_eq!(scanner.scan(b"data: y"), Some(0));
+    assert!(scanner.is_inside_event());
+}
+
 proptest! {
     /// The boundaries do not depend on the parts in which a stream arrives.
     #[test]
