Take the record of the newest routing back

A key that is accepted after its revocation is worse than an older routing at a restarted entry, so the known failure stays listed.

--- a/crates/larkspring-core/src/fleet/mod.rs
+++ b/crates/larkspring-core/src/fleet/mod.rs
@@ -9,8 +9,7 @@
 //! 7. [`quality`]: the failures and response times of an endpoint.
 //! 8. [`attempt`]: the next step after an attempt ended.
 //! 9. [`versions`]: the adapter version for a request.
-//! 10. [`version_records`] and [`routing_records`]: the versions, and the routing, that are
-//!     still to be recorded in the store.
+//! 10. [`version_records`]: the versions that are still to be recorded in the store.
 //! 11. [`utility`]: the utility of an answer relative to others.
 //! 12. [`urgency`]: the order in which an engine prefills waiting prompts.
 //! 13. [`availability`]: whether an endpoint accepts requests, according to its answers.
@@ -47,7 +46,6 @@
 pub mod request_rates;
 pub mod response_time;
 pub mod routes;
-pub mod routing_records;
 pub mod slow_readers;
 pub mod stream_origins;
 pub mod stream_outcomes;
--- a/crates/larkspring-core/src/workspaces.rs
+++ b/crates/larkspring-core/src/workspaces.rs
@@ -75,16 +75,6 @@
     pub fn of(key: &[u8]) -> Self {
         Self(Sha256::digest(key).into())
     }
-
-    /// Returns the hash with these bytes.
-    pub fn from_bytes(bytes: [u8; 32]) -> Self {
-        Self(bytes)
-    }
-
-    /// Returns the bytes of the hash.
-    pub fn as_bytes(&self) -> &[u8; 32] {
-        &self.0
-    }
 }
 
 impl Debug for ApiKeyHash {
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -18,8 +18,7 @@
 //! 9. [`stream_tracker`]: where streams began, so that callers can take them up.
 //! 10. [`answer_ends`]: what the end of an answer says about its endpoint.
 //! 11. [`unread_answers`]: the bound of the bytes held for callers that read slowly.
-//! 12. [`version_recorder`] and [`routing_recorder`]: the records of the newest versions and
-//!     of the newest routing in the store.
+//! 12. [`version_recorder`]: the record of the newest versions in the store.
 
 mod absence;
 mod admission;
@@ -50,7 +49,6 @@
 mod relay;
 mod request_handler;
 mod reused_connection;
-mod routing_recorder;
 mod select;
 mod select_plain;
 mod selection_inputs;
@@ -86,7 +84,6 @@
 use self::fleet::Fleet;
 use self::link::MessageSinks;
 use self::permits::Permits;
-use self::routing_recorder::RoutingRecorder;
 use self::stream_tracker::StreamTracker;
 use self::unread_answers::UnreadAnswers;
 use self::version_recorder::VersionRecorder;
@@ -220,12 +217,6 @@
             unread_answers,
         });
         let process = inner.cfg().process.clone();
-        let routing_recorder = RoutingRecorder::new(
-            version_store.clone(),
-            replicated_state.clone(),
-            fleet.clone(),
-            stats.clone(),
-        );
         let recorder = VersionRecorder::new(
             version_store,
             replicated_state.clone(),
@@ -237,7 +228,6 @@
         let mut tasks =
             watch::follow(directory, replicated_state, stats.clone(), &process);
         tasks.push(exec::spawn(recorder.run()));
-        tasks.push(exec::spawn(routing_recorder.run()));
         tasks.push(exec::spawn(limits.run()));
         tasks.push(exec::spawn(crashes.run()));
         tasks.push(exec::spawn(streams.run()));
--- a/crates/larkspring/src/direct/entry/version_recorder.rs
+++ b/crates/larkspring/src/direct/entry/version_recorder.rs
@@ -25,9 +25,9 @@
 
 /// Range of the random delay before a write, for each entry of the fleet. The first entry
 /// writes after about this time, and the others see its record before their delay ends.
-pub(super) const DELAY_PER_ENTRY: Duration = Duration::from_millis(50);
+const DELAY_PER_ENTRY: Duration = Duration::from_millis(50);
 /// Time after a write within which its record is read back; then the write is repeated.
-pub(super) const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
 
 impl VersionRecorder {
     /// Creates a recorder of the versions that a process knows.
--- a/crates/larkspring/src/direct/platform_api.rs
+++ b/crates/larkspring/src/direct/platform_api.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use larkspring_core::fleet::availability::Notice;
 use larkspring_core::fleet::endpoint_list::Endpoint;
-use larkspring_core::fleet::routing_records::{RoutingObject, RoutingRecordWrite};
+use larkspring_core::fleet::routes::Routing;
 use larkspring_core::fleet::version_records::VersionObject;
 use larkspring_core::ids::{
     AdapterId, BaseId, HallId, Incarnation, ObjectName, StartMs, StoreEpoch, StorePoint,
@@ -41,8 +41,8 @@
     fn holds_same_items(&self, a: &EncodedState, b: &EncodedState) -> bool;
 }
 
-/// Records the newest versions of adapters and the newest routing in the store, where a
-/// late write of the operator does not replace them.
+/// Records the newest versions of adapters in the store, where a late write of the
+/// operator does not replace them.
 pub trait VersionStore: Send + Sync {
     /// Records the newest version beside an object. Fails without an effect if the object
     /// was changed since it was read.
@@ -51,14 +51,6 @@
         object: &'a VersionObject,
         newest: u64,
     ) -> PlatformFuture<'a, ()>;
-
-    /// Records the newest routing beside the object that holds the routing. Fails without
-    /// an effect if the object was changed since it was read; with
-    /// [`PlatformError::Answer`] if the store does not accept the record.
-    fn record_routing<'a>(
-        &'a self,
-        record: &'a RoutingRecordWrite,
-    ) -> PlatformFuture<'a, ()>;
 }
 
 /// Stores the quarantined features of requests, so that they survive a restart of all
@@ -247,8 +239,8 @@
 /// One item of declared state.
 #[derive(Debug)]
 pub enum Item {
-    /// The object that holds the whole routing.
-    Routing(Box<RoutingObject>),
+    /// The whole routing.
+    Routing(Box<Routing>),
     /// A listed endpoint, and the point at which its object was last written.
     Endpoint(Endpoint, StorePoint),
     /// An endpoint that is no longer listed.
--- a/crates/larkspring/src/direct/replicated_state.rs
+++ b/crates/larkspring/src/direct/replicated_state.rs
@@ -1,10 +1,8 @@
 //! The replicated state of the fleet as this process knows it: routing, endpoints,
 //! versions and evacuations.
 //!
-//! - [`routing`]: the routing in force, and its record.
-//! - [`versions`]: the newest versions of adapters.
+//! [`versions`]: the newest versions of adapters.
 
-mod routing;
 mod versions;
 
 use std::sync::atomic::AtomicBool;
@@ -18,7 +16,6 @@
 };
 use larkspring_core::fleet::evacuations::Evacuations;
 use larkspring_core::fleet::routes::{Routing, RoutingVersion};
-use larkspring_core::fleet::routing_records::RoutingRecords;
 use larkspring_core::fleet::version_records::VersionRecords;
 use larkspring_core::fleet::versions::AdapterVersions;
 use larkspring_core::ids::StorePoint;
@@ -32,7 +29,6 @@
 #[derive(Debug)]
 pub struct ReplicatedState {
     routing: ArcSwapOption<Routing>,
-    routing_records: Mutex<RoutingRecords>,
     proofs: [Mutex<Proof>; StateKind::ALL.len()],
     versions: ArcSwap<AdapterVersions>,
     version_records: Mutex<VersionRecords>,
@@ -124,7 +120,6 @@
     fn default() -> Self {
         Self {
             routing: ArcSwapOption::empty(),
-            routing_records: Mutex::default(),
             proofs: Default::default(),
             versions: ArcSwap::default(),
             version_records: Mutex::default(),
@@ -412,4 +407,23 @@
         }
         self.evacuations.store(Arc::new(evacuations));
     }
+
+    fn apply_routing(&self, routing: Routing) {
+        let known = self.routing.load().as_ref().map(|r| r.version);
+        let is_behind = known > Some(routing.version);
+        let was_behind = std::mem::replace(
+            &mut self.proof(StateKind::Routing).lock().is_behind,
+            is_behind,
+        );
+        if is_behind && !was_behind {
+            let listed = routing.version;
+            tracing::warn!(event = "older routing listed", listed, known);
+        }
+        if known.is_some_and(|version| version >= routing.version) {
+            return;
+        }
+        let (version, routes) = (routing.version, routing.route_count());
+        self.routing.store(Some(Arc::new(routing)));
+        tracing::info!(event = "routing in force", version, routes, before = known);
+    }
 }
--- a/crates/larkspring/src/direct/stats.rs
+++ b/crates/larkspring/src/direct/stats.rs
@@ -46,7 +46,6 @@
     permits: IntCounterVec,
     rated_sends: IntCounterVec,
     version_records: IntCounterVec,
-    routing_records: IntCounterVec,
     count_invalid_items: IntGaugeVec,
     set_gauge: IntGaugeVec,
 }
@@ -209,11 +208,6 @@
                 "Writes of the newest version of an adapter to the store, by outcome.",
                 &["outcome"],
             ),
-            routing_records: counter(
-                "larkspring_routing_records_total",
-                "Writes of the newest routing to the store, by outcome.",
-                &["outcome"],
-            ),
             set_reserved_units: gauge(
                 "larkspring_workspace_reserved",
                 "Units that the entry holds in reserve for a workspace.",
@@ -338,11 +332,6 @@
         self.version_records.with_label_values(&[outcome(ok)]).inc();
     }
 
-    /// Counts a write of the newest routing to the store.
-    pub fn count_routing_record(&self, ok: bool) {
-        self.routing_records.with_label_values(&[outcome(ok)]).inc();
-    }
-
     /// Counts a change of a fingerprint's quarantine status.
     pub fn count_quarantine(&self, status: &str) {
         self.count_quarantine.with_label_values(&[status]).inc();
--- a/crates/larkspring/tests/routing_view.rs
+++ b/crates/larkspring/tests/routing_view.rs
@@ -10,9 +10,6 @@
 };
 use larkspring::direct::replicated_state::{ProofBasis, ReplicatedState};
 use larkspring_core::fleet::routes::{RequestLimits, Routing, RoutingVersion};
-use larkspring_core::fleet::routing_records::{
-    DeclaredRouting, RoutingObject, RoutingRecord,
-};
 use larkspring_core::ids::StorePoint;
 
 /// Longer than any time for which a test runs.
@@ -22,16 +19,8 @@
 
 fn put_in_force(state: &ReplicatedState, version: RoutingVersion) {
     let routing = Routing::new(version, [], [], RequestLimits::default());
-    let listed = DeclaredRouting { routing: routing.into(), encoded: "".into() };
+    let items = vec![Item::Routing(Box::new(routing))];
     let at = StorePoint::new(1, version);
-    let object = RoutingObject {
-        name: "main".into(),
-        listed,
-        record: RoutingRecord::Missing,
-        max_record: 0,
-        written: at,
-    };
-    let items = vec![Item::Routing(Box::new(object))];
     let unknown_names = BTreeSet::new();
     state.apply_changes(Instant::now(), DecodedState { at, items, unknown_names });
 }
