Deliver the last answer of a draining endpoint, and bound the check by the deadline

The check is now skipped for endpoints that drain or are not listed, whose end is passed on as before; the line says so (closed, unconfirmed).

The bound by the deadline has no test.

--- a/crates/larkspring/src/direct/entry/answer_ends.rs
+++ b/crates/larkspring/src/direct/entry/answer_ends.rs
@@ -48,15 +48,17 @@
 /// between two events is the only one that a whole stream without framing has.
 fn outcome(end: BodyEnd, time_left: Duration) -> StreamOutcome {
     match end {
-        BodyEnd::Complete | BodyEnd::Closed => StreamOutcome::Complete,
-        BodyEnd::TimedOut => StreamOutcome::Unknown,
-        BodyEnd::ProcessEnded
-        | BodyEnd::InsideEvent
-        | BodyEnd::OutOfOrder
-        | BodyEnd::Broken => match time_left > DEADLINE_SLACK {
-            true => StreamOutcome::Broken,
-            false => StreamOutcome::Unknown,
-        },
+        BodyEnd::Complete | BodyEnd::Closed | BodyEnd::Unconfirmed => {
+            StreamOutcome::Complete
+        }
+        // A caller may have named a wrong position.
+        BodyEnd::OutOfOrder | BodyEnd::TimedOut => StreamOutcome::Unknown,
+        BodyEnd::ProcessEnded | BodyEnd::InsideEvent | BodyEnd::Broken => {
+            match time_left > DEADLINE_SLACK {
+                true => StreamOutcome::Broken,
+                false => StreamOutcome::Unknown,
+            }
+        }
     }
 }
 
--- a/crates/larkspring/src/direct/entry/classify.rs
+++ b/crates/larkspring/src/direct/entry/classify.rs
@@ -171,24 +171,23 @@
         };
         match read {
             Ok(ReadBody::Whole(bytes)) => {
-                let check = match open.framing {
+                match open.framing {
                     Framing::UntilClose => {
-                        check_endpoint(&self.entry, peer, &self.service).await
-                    }
-                    Framing::Length | Framing::Chunked => EndpointCheck::Running,
-                };
-                match check {
-                    EndpointCheck::Ended => {
+                        let time_left = self.time_left();
+                        let service = &self.service;
+                        let check =
+                            check_endpoint(&self.entry, peer, service, time_left).await;
                         check_for_crash();
-                        let cause = "the endpoint's process ended";
-                        log_attempt(self, peer, AttemptStatus::Unknown, cause);
-                        return None;
+                        if check == EndpointCheck::Ended {
+                            let cause = "the endpoint's process ended";
+                            log_attempt(self, peer, AttemptStatus::Unknown, cause);
+                            return None;
+                        }
                     }
-                    EndpointCheck::Running if head.status.is_success() => {
+                    _ if head.status.is_success() => {
                         crashes.record_answer(&self.features)
                     }
-                    EndpointCheck::Running => {}
-                    EndpointCheck::Unknown => check_for_crash(),
+                    _ => {}
                 }
                 peer.idle.recycle(open.conn).await;
                 Some(Ok(bytes))
--- a/crates/larkspring/src/direct/entry/end_check.rs
+++ b/crates/larkspring/src/direct/entry/end_check.rs
@@ -24,7 +24,7 @@
     Running,
     /// No process has its port, or another run has it.
     Ended,
-    /// It gave no answer in time.
+    /// It is draining, or gave no answer in time.
     Unknown,
 }
 
@@ -36,12 +36,18 @@
 /// Limits the size of the endpoint's answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 1024 * 1024;
 
-/// Checks whether the run of an endpoint still answers.
+/// Checks whether the run of an endpoint still answers, for a part of the time that the
+/// request has left. An endpoint that is draining may end once it has sent its last answer.
 pub(super) async fn check_endpoint(
     entry: &EntryState,
     peer: &Arc<Peer>,
     service: &Service,
+    time_left: Duration,
 ) -> EndpointCheck {
+    let is_draining = !peer.stays_in_service() || peer.reported_draining();
+    if is_draining || !entry.fleet.contains(&peer.endpoint().id) {
+        return EndpointCheck::Unknown;
+    }
     let request = match service.engine {
         // Takes no slot, unlike a health check.
         Some(_) => entry.protocol.report_request(),
@@ -51,7 +57,8 @@
         },
     };
     let since = Instant::now();
-    let check = with_timeout(CHECK_TIMEOUT, ask_until_known(entry, peer, &request)).await;
+    let limit = CHECK_TIMEOUT.min(time_left / 2);
+    let check = with_timeout(limit, ask_until_known(entry, peer, &request)).await;
     match check {
         _ if peer.has_other_run(since) => EndpointCheck::Ended,
         Some(check) => check,
--- a/crates/larkspring/src/direct/entry/framing.rs
+++ b/crates/larkspring/src/direct/entry/framing.rs
@@ -23,6 +23,8 @@
     Complete,
     /// The endpoint closed the connection, and nothing else shows where the body ends.
     Closed,
+    /// The same, and it is not known whether the endpoint's process had ended.
+    Unconfirmed,
     /// The same, and the endpoint's process had ended.
     ProcessEnded,
     /// The stream ended inside an event.
@@ -74,6 +76,7 @@
         match self {
             Self::Complete => "complete",
             Self::Closed => "closed",
+            Self::Unconfirmed => "closed, unconfirmed",
             Self::ProcessEnded => "process ended",
             Self::InsideEvent => "inside an event",
             Self::OutOfOrder => "out of order",
--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -289,7 +289,7 @@
                     BodyEnd::Closed,
                     "nothing shows that the resumed answer is complete",
                 ),
-            BodyEnd::Closed => self.check_endpoint(),
+            BodyEnd::Closed => self.begin_check(),
             BodyEnd::InsideEvent => self.handle_interruption(
                 BodyEnd::InsideEvent,
                 "the stream ended inside an event",
@@ -299,13 +299,15 @@
     }
 
     /// Begins to check whether the endpoint still runs that closed the connection.
-    fn check_endpoint(&mut self) -> Step {
+    fn begin_check(&mut self) -> Step {
         let source = std::mem::replace(&mut self.source, AnswerSource::Ended);
         let AnswerSource::Endpoint(open) = source else { return Step::End };
         let (entry, service) = (self.pause.entry.clone(), self.service.clone());
+        let deadline = self.deadline_at;
         self.source = AnswerSource::Checking(Box::pin(async move {
             let peer = open.selection.open_request.peer.clone();
-            let check = check_endpoint(&entry, &peer, &service).await;
+            let time_left = deadline.saturating_duration_since(Instant::now());
+            let check = check_endpoint(&entry, &peer, &service, time_left).await;
             (open, check)
         }));
         Step::Continue
@@ -318,19 +320,18 @@
                 BodyEnd::ProcessEnded,
                 "the endpoint's process ended",
             ),
-            EndpointCheck::Running => {
-                if self.is_success {
-                    self.crashes.record_answer(&self.features);
-                }
-                self.finish(BodyEnd::Closed, cx)
-            }
-            EndpointCheck::Unknown => {
-                if let AnswerSource::Endpoint(open) = &self.source {
-                    self.check_for_crash(open);
-                }
-                self.finish(BodyEnd::Closed, cx)
-            }
+            EndpointCheck::Running => self.finish_closed(BodyEnd::Closed, cx),
+            EndpointCheck::Unknown => self.finish_closed(BodyEnd::Unconfirmed, cx),
+        }
+    }
+
+    /// Ends the answer to the caller as the endpoint did, by the end of the connection.
+    fn finish_closed(&mut self, end: BodyEnd, cx: &mut Context<'_>) -> Step {
+        if let AnswerSource::Endpoint(open) = &self.source {
+            // The endpoint may have ended and started again before it was checked.
+            self.check_for_crash(open);
         }
+        self.finish(end, cx)
     }
 
     /// Ends the answer to the caller in order.
