Ask an endpoint that closed a connection for the name of its run

The engine was asked for its report, which does not name its run, and the next run at the address answered it.

The check now asks for the endpoint's health, whose answer names the run, and takes a run that the agent already reports as ended. An answer without a name, as of an endpoint that is full, leaves the end unconfirmed.

--- a/crates/larkspring/src/direct/entry/end_check.rs
+++ b/crates/larkspring/src/direct/entry/end_check.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::Request;
 use larkspring_core::fleet::routes::Service;
 use smol::Timer;
 
@@ -24,7 +24,7 @@
     Running,
     /// No process has its port, or another run has it.
     Ended,
-    /// It is draining, or gave no answer in time.
+    /// It is draining, or gave no answer that names its run in time.
     Unknown,
 }
 
@@ -44,17 +44,16 @@
     service: &Service,
     time_left: Duration,
 ) -> EndpointCheck {
+    if peer.replaced_by().is_some() {
+        return EndpointCheck::Ended;
+    }
     let is_draining = !peer.stays_in_service() || peer.reported_draining();
     if is_draining || !entry.fleet.contains(&peer.endpoint().id) {
         return EndpointCheck::Unknown;
     }
-    let request = match service.engine {
-        // Takes no slot, unlike a health check.
-        Some(_) => entry.protocol.report_request(),
-        None => match entry.protocol.health_request(&service.health_path) {
-            Some(request) => request,
-            None => return EndpointCheck::Unknown,
-        },
+    // Unlike an engine's report, the answer to a health check names the run.
+    let Some(request) = entry.protocol.health_request(&service.health_path) else {
+        return EndpointCheck::Unknown;
     };
     let since = Instant::now();
     let limit = CHECK_TIMEOUT.min(time_left / 2);
@@ -83,13 +82,13 @@
         if let Ok(mut conn) = EndpointConn::from_socket(endpoint.addr, sock).await {
             let asked = conn.fetch(endpoint.addr, request.clone(), MAX_ANSWER_BYTES);
             if let Ok(answer) = asked.await {
-                let run = entry.protocol.decode_health(&answer);
-                let is_other = run.is_some_and(|run| run != endpoint.id);
-                if is_other || answer.status() == StatusCode::MISDIRECTED_REQUEST {
-                    return EndpointCheck::Ended;
-                }
                 peer.idle.recycle(conn).await;
-                return EndpointCheck::Running;
+                return match entry.protocol.decode_health(&answer) {
+                    Some(run) if run == endpoint.id => EndpointCheck::Running,
+                    Some(_) => EndpointCheck::Ended,
+                    // An endpoint that is full rejects the check.
+                    None => EndpointCheck::Unknown,
+                };
             }
         }
         Timer::after(RECONNECT_PAUSE).await;
