Log by which knowledge a stream is taken up

The metric counts who knew where a stream began, but no line named it for a request, nor how many of the agents that should know it replied. With `stream taken up` a stream that was joined can be told from one that went on at its own software: which attempt its caller named, who knew the origin, by how many replies, and the version that was concluded.

--- a/crates/larkspring/src/direct/entry/stream_tracker.rs
+++ b/crates/larkspring/src/direct/entry/stream_tracker.rs
@@ -27,6 +27,7 @@
 use super::link::{Link, StreamQuery};
 use super::request_handler::DEFAULT_TIMEOUT;
 use super::EntryState;
+use crate::direct::logs::{self, LineKind};
 use crate::direct::platform_api::CallerRequest;
 use crate::direct::stats::Stats;
 use crate::direct::streams::encode_start;
@@ -53,6 +54,23 @@
     told: Vec<AgentConnection>,
 }
 
+/// What was found out about the beginning of a stream.
+pub(super) struct Finding {
+    kept: KeptOrigin,
+    /// Who knew it; the label of the metric.
+    known_by: &'static str,
+    /// The agents that should know it, and how many of them replied.
+    keepers: usize,
+    replies: usize,
+}
+
+impl Default for Finding {
+    fn default() -> Self {
+        let kept = KeptOrigin::Unknown;
+        Self { kept, known_by: "unknown", keepers: 0, replies: 0 }
+    }
+}
+
 /// An agent and the number of the connection to it.
 type AgentConnection = (SocketAddr, u64);
 
@@ -129,21 +147,19 @@
         attempt: Option<&str>,
         service: Option<&ServiceId>,
         window: Duration,
-    ) -> Option<StreamOrigin> {
-        let (label, kept) = match attempt {
+    ) -> Finding {
+        let mut found = match attempt {
             Some(attempt) => self.find_attempt(stream_key(attempt)).await,
-            None => ("unknown", KeptOrigin::Unknown),
+            None => Finding::default(),
         };
-        let only = match (kept, service) {
-            (KeptOrigin::Known(origin), _) => {
-                self.stats.count_taken_up(label);
-                return Some(origin);
+        if let (KeptOrigin::Unknown, Some(service)) = (&found.kept, service) {
+            if let Some(only) = self.find_only(service, window).await {
+                found.kept = KeptOrigin::Known(only);
+                found.known_by = "one version";
             }
-            (KeptOrigin::Unknown, Some(service)) => self.find_only(service, window).await,
-            (KeptOrigin::Unknown | KeptOrigin::Ambiguous, _) => None,
-        };
-        self.stats.count_taken_up(if only.is_some() { "one version" } else { label });
-        only
+        }
+        self.stats.count_taken_up(found.known_by);
+        found
     }
 
     /// Returns where streams of a service begin if all did so at one software version
@@ -158,26 +174,26 @@
         if is_long_known {
             return Some(only);
         }
-        let (_, kept) = self.find_attempt(service_key(service)).await;
-        (kept == KeptOrigin::Known(only.clone())).then_some(only)
+        let found = self.find_attempt(service_key(service)).await;
+        (found.kept == KeptOrigin::Known(only.clone())).then_some(only)
     }
 
-    /// Returns what this entry and the agents keep, and who knew it.
-    async fn find_attempt(&self, key: StreamKey) -> (&'static str, KeptOrigin) {
+    /// Returns what this entry and the agents keep.
+    async fn find_attempt(&self, key: StreamKey) -> Finding {
         let own = self.origins.lock().get(Instant::now(), key);
         let keepers = self.fleet.stream_keepers(key);
         let queries: Vec<_> =
             keepers.iter().filter_map(|(_, link)| link.query_stream(key)).collect();
-        let kept = ask(&queries).await;
+        let (kept, replies) = ask(&queries).await;
         let is_own = own != KeptOrigin::Unknown;
         let kept = own.merge(kept);
-        let label = match &kept {
+        let known_by = match &kept {
             KeptOrigin::Known(_) if is_own => "own",
             KeptOrigin::Known(_) => "agents",
             KeptOrigin::Ambiguous => "ambiguous",
             KeptOrigin::Unknown => "unknown",
         };
-        (label, kept)
+        Finding { kept, known_by, keepers: keepers.len(), replies }
     }
 
     /// Tells agents where streams began, until dropped.
@@ -264,8 +280,11 @@
     };
     let attempt = caller.resumed_attempt.as_deref();
     let window = take_up_time(caller, route);
-    let origin = entry.streams.find(attempt, service, window).await;
-    let origin = origin.ok_or(ErrorReason::UnknownBuild)?;
+    let found = entry.streams.find(attempt, service, window).await;
+    log_found(caller, &found);
+    let KeptOrigin::Known(origin) = found.kept else {
+        return Err(ErrorReason::UnknownBuild);
+    };
     // A stream does not go on at a service to which its route no longer leads.
     if !route.targets.iter().any(|target| target.service == origin.service) {
         return Err(ErrorReason::NoSameBuild);
@@ -273,17 +292,38 @@
     Ok(StreamStart::At(origin))
 }
 
-/// Returns what the agents keep, by the replies that come in time.
-async fn ask(queries: &[StreamQuery]) -> KeptOrigin {
+fn log_found(caller: &CallerRequest, found: &Finding) {
+    if logs::is_allowed(LineKind::Attempt) {
+        let origin = match &found.kept {
+            KeptOrigin::Known(origin) => Some(origin),
+            KeptOrigin::Unknown | KeptOrigin::Ambiguous => None,
+        };
+        tracing::info!(
+            event = "stream taken up",
+            request = caller.id,
+            resumes = caller.resumed_attempt,
+            after = caller.resume_after,
+            known_by = found.known_by,
+            keepers = found.keepers,
+            replies = found.replies,
+            service = origin.map(|at| &*at.service),
+            build = origin.map(|at| &*at.build),
+        );
+    }
+}
+
+/// Returns what the agents keep, by the replies that come in time, and their number.
+async fn ask(queries: &[StreamQuery]) -> (KeptOrigin, usize) {
     let deadline = Instant::now() + REPLY_TIMEOUT;
-    let mut kept = KeptOrigin::Unknown;
+    let (mut kept, mut replies) = (KeptOrigin::Unknown, 0);
     for query in queries {
         let left = deadline.saturating_duration_since(Instant::now());
         if let Some(Some(reply)) = with_timeout(left, query.reply()).await {
             kept = kept.merge(reply);
+            replies += 1;
         }
     }
-    kept
+    (kept, replies)
 }
 
 fn stream_key(attempt: &str) -> StreamKey {
