--- a/crates/larkspring-cli/src/platform.rs
+++ b/crates/larkspring-cli/src/platform.rs
@@ -41,8 +41,9 @@
     let store = Arc::new(Store::new(settings.store(), STORE_TIMEOUT));
     exec::run(THREADS, async {
         let signals = SignalStream::new()?;
-        let entry =
-            Entry::start(cfg, Arc::new(PlatformProtocol), store.clone(), store).await?;
+        let protocol = Arc::new(PlatformProtocol);
+        let (state, versions, builds) = (store.clone(), store.clone(), store);
+        let entry = Entry::start(cfg, protocol, state, versions, builds).await?;
         let reload = |settings: &Settings| {
             entry.reload(entry_cfg(settings)?);
             Ok(())
--- a/crates/larkspring-core/src/fleet/stream_origins.rs
+++ b/crates/larkspring-core/src/fleet/stream_origins.rs
@@ -4,23 +4,19 @@
 //! goes on only at the service and the version that began it. Callers take streams up at
 //! any entry, by the id of the attempt that brought the first event. So that fact has to
 //! outlive the entry that learned it: entries tell it to several agents, which keep it
-//! for as long as callers may come back.
+//! for as long as callers may come back. They tell it when they send the request, so that
+//! agents know it by the time at which the caller has an event.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
+use super::build_history::ServiceBuild;
 use super::choose::rendezvous_weight;
 use crate::ids::{BuildId, HallId, ServiceId};
 
 /// Where a stream began.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StreamOrigin {
-    /// The service of the endpoint.
-    pub service: ServiceId,
-    /// The version of the endpoint's software.
-    pub build: BuildId,
-}
+pub type StreamOrigin = ServiceBuild;
 
 /// Hash of the id of the attempt that brought the first event of a stream.
 pub type StreamKey = u64;
@@ -62,24 +58,57 @@
     }
 }
 
+/// How far the stream of an attempt had come at a place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamStage {
+    /// The request was sent there, and its caller may get events of it.
+    Sent,
+    /// The caller gets events of it.
+    Begun,
+}
+
 /// What is kept of the streams of one attempt id.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum KeptOrigin {
-    /// Nothing: no such stream began, or its origin was not told or was lost.
+    /// Nothing: the request was not sent, or that was not told or was lost.
     Unknown,
-    /// All that began did so there.
-    Known(StreamOrigin),
+    /// The request was sent there only, so a stream that began did so there.
+    Sent(StreamOrigin),
+    /// The request was sent to different software, and none is known to have begun it.
+    SentToSeveral,
+    /// All streams that began did so there.
+    Begun(StreamOrigin),
     /// Several began at different software, and can't be told apart.
     Ambiguous,
 }
 
 impl KeptOrigin {
+    /// Creates what one place says.
+    pub fn new(origin: StreamOrigin, stage: StreamStage) -> Self {
+        match stage {
+            StreamStage::Sent => Self::Sent(origin),
+            StreamStage::Begun => Self::Begun(origin),
+        }
+    }
+
+    /// Returns where a stream began of which the caller has events, if that is certain.
+    pub fn origin(&self) -> Option<&StreamOrigin> {
+        match self {
+            Self::Sent(origin) | Self::Begun(origin) => Some(origin),
+            Self::Unknown | Self::SentToSeveral | Self::Ambiguous => None,
+        }
+    }
+
     /// Combines what two processes keep.
     pub fn merge(self, other: Self) -> Self {
         match (self, other) {
             (Self::Unknown, known) | (known, Self::Unknown) => known,
-            (Self::Known(a), Self::Known(b)) if a == b => Self::Known(a),
-            _ => Self::Ambiguous,
+            (Self::Ambiguous, _) | (_, Self::Ambiguous) => Self::Ambiguous,
+            (Self::Begun(a), Self::Begun(b)) if a == b => Self::Begun(a),
+            (Self::Begun(_), Self::Begun(_)) => Self::Ambiguous,
+            (begun @ Self::Begun(_), _) | (_, begun @ Self::Begun(_)) => begun,
+            (Self::Sent(a), Self::Sent(b)) if a == b => Self::Sent(a),
+            (Self::Sent(_) | Self::SentToSeveral, _) => Self::SentToSeveral,
         }
     }
 }
@@ -104,7 +133,7 @@
 const MAX_ORIGINS: usize = 64 * 1024;
 
 impl StreamOrigins {
-    /// Keeps where a stream began until `until`, at most for [`MAX_KEPT`].
+    /// Keeps where a stream was sent or began until `until`, at most for [`MAX_KEPT`].
     ///
     /// Two streams with the same key can't be told apart, so neither has an origin unless
     /// both have the same.
@@ -112,12 +141,12 @@
         &mut self,
         now: Instant,
         key: StreamKey,
-        origin: StreamOrigin,
+        origin: KeptOrigin,
         until: Instant,
     ) {
         self.expire(now);
         let until = until.min(now + MAX_KEPT);
-        let kept = Kept { origin: KeptOrigin::Known(origin), until };
+        let kept = Kept { origin, until };
         let kept = match self.origins.remove(&key) {
             None => kept,
             Some(before) => {
@@ -184,6 +213,53 @@
     ranked.into_iter().take(MAX_KEEPER_SET).map(|(_, agent)| agent).collect()
 }
 
+/// An agent that may keep where streams began.
+#[derive(Debug, Clone)]
+pub struct Keeper<T> {
+    /// The hall of its VM.
+    pub hall: HallId,
+    /// Whether its engine is draining, so that the agent will leave with it.
+    pub is_leaving: bool,
+    /// The agent.
+    pub agent: T,
+}
+
+/// Returns the agents that are told where a stream began, at most [`KEEPERS`]: those that
+/// stay come before those that leave. Entries that list the same agents agree on them.
+///
+/// `agents` are the agents' names with the agents; one agent may come twice.
+pub fn told_keepers<'a, T>(
+    key: StreamKey,
+    agents: impl Iterator<Item = (&'a [u8], &'a Keeper<T>)> + Clone,
+) -> Vec<&'a T> {
+    let ranked = |is_leaving: bool| {
+        let some =
+            agents.clone().filter(move |(_, keeper)| keeper.is_leaving == is_leaving);
+        keepers(key, some.map(|(name, keeper)| (name, &keeper.hall, &keeper.agent)))
+    };
+    let mut told = ranked(false);
+    told.extend(ranked(true));
+    told.truncate(KEEPERS);
+    told
+}
+
+/// Returns the agents that are asked where a stream began: those that are told, and those
+/// that were told before agents began to leave.
+pub fn asked_keepers<'a, T>(
+    key: StreamKey,
+    agents: impl Iterator<Item = (&'a [u8], &'a Keeper<T>)> + Clone,
+    is_same: impl Fn(&T, &T) -> bool,
+) -> Vec<&'a T> {
+    let mut asked = told_keepers(key, agents.clone());
+    let all = agents.map(|(name, keeper)| (name, &keeper.hall, &keeper.agent));
+    for former in keepers(key, all) {
+        if !asked.iter().any(|known| is_same(known, former)) {
+            asked.push(former);
+        }
+    }
+    asked
+}
+
 /// Returns the agents that keep the origin of a stream, at most [`KEEPERS`], in several
 /// halls if there are. Entries that list the same agents agree on them.
 ///
--- a/crates/larkspring-core/tests/stream_origins.rs
+++ b/crates/larkspring-core/tests/stream_origins.rs
@@ -4,11 +4,11 @@
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
-use larkspring_core::fleet::build_history::BuildHistory;
+use larkspring_core::fleet::build_history::{BuildHistory, ServiceBuild};
 use larkspring_core::fleet::endpoint_list::Endpoint;
 use larkspring_core::fleet::stream_origins::{
-    keeper_set, keepers, KeptOrigin, StreamOrigin, StreamOrigins, StreamStart, KEEPERS,
-    MAX_KEEPER_SET, MAX_KEPT,
+    asked_keepers, keeper_set, keepers, told_keepers, Keeper, KeptOrigin, StreamOrigin,
+    StreamOrigins, StreamStart, KEEPERS, MAX_KEEPER_SET, MAX_KEPT,
 };
 use larkspring_core::ids::{BuildId, HallId, ServiceId, StorePoint};
 
@@ -16,8 +16,100 @@
     StreamOrigin { service: "llm".into(), build: build.into() }
 }
 
-fn known(build: &str) -> KeptOrigin {
-    KeptOrigin::Known(origin(build))
+fn begun(build: &str) -> KeptOrigin {
+    KeptOrigin::Begun(origin(build))
+}
+
+fn sent(build: &str) -> KeptOrigin {
+    KeptOrigin::Sent(origin(build))
+}
+
+/// Guards against a stream that goes on where its request was sent and did not begin.
+#[test]
+fn what_processes_keep_of_a_stream_is_combined_in_any_order() {
+    use KeptOrigin::{Ambiguous, SentToSeveral, Unknown};
+    struct Case {
+        name: &'static str,
+        kept: Vec<KeptOrigin>,
+        all: KeptOrigin,
+        origin: Option<&'static str>,
+    }
+    let cases = [
+        Case { name: "nothing", kept: vec![Unknown], all: Unknown, origin: None },
+        Case {
+            name: "sent there only",
+            kept: vec![Unknown, sent("v1"), sent("v1")],
+            all: sent("v1"),
+            origin: Some("v1"),
+        },
+        Case {
+            name: "sent to two",
+            kept: vec![sent("v1"), sent("v2"), sent("v1")],
+            all: SentToSeveral,
+            origin: None,
+        },
+        Case {
+            name: "sent to two, begun at the second",
+            kept: vec![sent("v1"), sent("v2"), begun("v2"), SentToSeveral],
+            all: begun("v2"),
+            origin: Some("v2"),
+        },
+        Case {
+            name: "begun at two",
+            kept: vec![begun("v1"), sent("v1"), begun("v2"), begun("v1")],
+            all: Ambiguous,
+            origin: None,
+        },
+    ];
+    for c in cases {
+        let combine =
+            |kept: &[KeptOrigin]| kept.iter().cloned().fold(Unknown, KeptOrigin::merge);
+        let mut kept = c.kept;
+        for _ in 0..kept.len() {
+            kept.rotate_left(1);
+            let reversed: Vec<_> = kept.iter().rev().cloned().collect();
+            for order in [&kept, &reversed] {
+                let all = combine(order);
+                assert_eq!(all, c.all, "{}: {order:?}", c.name);
+                let build = all.origin().map(|at| &*at.build);
+                assert_eq!(build, c.origin, "{}: {order:?}", c.name);
+            }
+        }
+    }
+}
+
+/// Guards against origins that leave with the agents of draining engines.
+#[test]
+fn agents_that_stay_are_told_before_those_that_leave() {
+    const AGENTS: usize = 12;
+    let halls: [HallId; 3] = ["a".into(), "b".into(), "c".into()];
+    let names: Vec<_> = (0..AGENTS).map(|n| format!("10.0.0.{n}:7380")).collect();
+    let agents = |leaving: &[usize]| -> Vec<Keeper<usize>> {
+        let keeper = |n: usize| Keeper {
+            hall: halls[n % 3].clone(),
+            is_leaving: leaving.contains(&n),
+            agent: n,
+        };
+        (0..AGENTS).map(keeper).collect()
+    };
+    for key in 0..100 {
+        let all = agents(&[]);
+        let named = || names.iter().map(|name| name.as_bytes());
+        let before: Vec<_> = told_keepers(key, named().zip(&all));
+        // All of the former keepers are about to leave.
+        let leaving: Vec<_> = before.iter().map(|n| **n).collect();
+        let then = agents(&leaving);
+        let told = told_keepers(key, named().zip(&then));
+        assert_eq!(told.len(), KEEPERS, "{key}");
+        assert!(told.iter().all(|n| !leaving.contains(n)), "{key}");
+        let asked = asked_keepers(key, named().zip(&then), |a, b| a == b);
+        assert_eq!(asked.len(), 2 * KEEPERS, "{key}");
+        assert!(before.iter().chain(&told).all(|n| asked.contains(n)), "{key}");
+        // If all leave, those that leave are told.
+        let last = agents(&(0..AGENTS).collect::<Vec<_>>());
+        let told = told_keepers(key, named().zip(&last));
+        assert_eq!(told, before, "{key}");
+    }
 }
 
 #[test]
@@ -60,17 +152,17 @@
     ];
     let cases = [
         ("never told", 0, 9, KeptOrigin::Unknown),
-        ("told", 9, 1, known("v1")),
+        ("told", 9, 1, begun("v1")),
         ("over", 10, 1, KeptOrigin::Unknown),
         ("told twice, differently", 9, 2, KeptOrigin::Ambiguous),
-        ("told again, for longer", 19, 4, known("v2")),
-        ("a time over the limit", MAX_KEPT.as_secs() - 1, 3, known("v1")),
+        ("told again, for longer", 19, 4, begun("v2")),
+        ("a time over the limit", MAX_KEPT.as_secs() - 1, 3, begun("v1")),
         ("the limit", MAX_KEPT.as_secs(), 3, KeptOrigin::Unknown),
     ];
     for (name, after, key, expected) in cases {
         let mut origins = StreamOrigins::default();
         for (key, build, kept) in told {
-            origins.record(now, key, origin(build), now + secs(kept));
+            origins.record(now, key, begun(build), now + secs(kept));
         }
         assert_eq!(origins.get(now + secs(after), key), expected, "{name}");
     }
@@ -147,10 +239,14 @@
                 2..=5 => {
                     let at = origin(["v1", "v2", "v3"][rng.usize(0..3)]);
                     began.entry(key).or_default().push(at.clone());
+                    let kept = match rng.bool() {
+                        true => KeptOrigin::Sent(at),
+                        false => KeptOrigin::Begun(at),
+                    };
                     for n in ranked() {
                         if rng.u32(0..4) > 0 {
                             let until = now + Duration::from_secs(24);
-                            agents[n].record(now, key, at.clone(), until);
+                            agents[n].record(now, key, kept.clone(), until);
                         }
                     }
                 }
@@ -162,9 +258,9 @@
                             kept.merge(agents[n].get(now, key))
                         });
                     asked += 1;
-                    if let KeptOrigin::Known(at) = kept {
+                    if let Some(at) = kept.origin() {
                         found += 1;
-                        assert!(began[&key].contains(&at), "seed {seed}, step {step}");
+                        assert!(began[&key].contains(at), "seed {seed}, step {step}");
                     }
                 }
             }
@@ -173,36 +269,103 @@
     assert!(found > 0 && found < asked, "{found} of {asked}");
 }
 
+/// Guards against an entry that takes the versions it has seen since its start for all
+/// that can have begun a stream.
 #[test]
-fn a_service_has_one_software_version_only_if_no_other_was_seen_of_late() {
+fn a_service_has_one_software_version_only_if_no_other_can_have_begun_a_stream() {
     struct Case {
         name: &'static str,
         /// Versions of the endpoints, and the second in which they were seen.
         seen: &'static [(u64, &'static [Option<&'static str>])],
+        /// The seconds in which the list was not fresh.
+        stale: &'static [u64],
+        recorded: &'static [&'static str],
         present: &'static [Option<&'static str>],
         only: Option<&'static str>,
     }
     const V1: Option<&str> = Some("v1");
     const V2: Option<&str> = Some("v2");
+    const COMMON: Case = Case {
+        name: "none",
+        seen: &[],
+        stale: &[],
+        recorded: &[],
+        present: &[],
+        only: None,
+    };
     let cases = [
-        Case { name: "none", seen: &[], present: &[], only: None },
-        Case { name: "one", seen: &[(0, &[V1, V1])], present: &[V1], only: V1 },
-        Case { name: "two", seen: &[(0, &[V1, V2])], present: &[V1, V2], only: None },
+        COMMON,
+        Case {
+            name: "one",
+            seen: &[(0, &[V1, V1])],
+            recorded: &["v1"],
+            present: &[V1],
+            only: V1,
+            ..COMMON
+        },
+        Case {
+            name: "one that is not recorded",
+            seen: &[(0, &[V1])],
+            present: &[V1],
+            ..COMMON
+        },
+        Case {
+            name: "two",
+            seen: &[(0, &[V1, V2])],
+            recorded: &["v1", "v2"],
+            present: &[V1, V2],
+            ..COMMON
+        },
         Case {
             name: "an unknown one beside it",
             seen: &[(0, &[V1, None])],
+            recorded: &["v1"],
             present: &[V1, None],
-            only: None,
+            ..COMMON
         },
         Case {
             name: "another one of late",
             seen: &[(0, &[V1]), (15, &[V1, V2])],
+            recorded: &["v1", "v2"],
             present: &[V2],
-            only: None,
+            ..COMMON
         },
         Case {
             name: "another one long ago",
             seen: &[(0, &[V1]), (5, &[V1, V2]), (20, &[V2])],
+            recorded: &["v1", "v2"],
+            present: &[V2],
+            only: V2,
+            ..COMMON
+        },
+        Case {
+            name: "another one that left before the start",
+            seen: &[(19, &[V2])],
+            recorded: &["v1", "v2"],
+            present: &[V2],
+            ..COMMON
+        },
+        Case {
+            name: "only one was recorded before the start",
+            seen: &[(19, &[V2])],
+            recorded: &["v2"],
+            present: &[V2],
+            only: V2,
+            ..COMMON
+        },
+        Case {
+            name: "another one that may have come and gone unseen",
+            seen: &[(0, &[V2])],
+            stale: &[15],
+            recorded: &["v1", "v2"],
+            present: &[V2],
+            ..COMMON
+        },
+        Case {
+            name: "another one that may have come and gone unseen long ago",
+            seen: &[(0, &[V2])],
+            stale: &[5],
+            recorded: &["v1", "v2"],
             present: &[V2],
             only: V2,
         },
@@ -210,19 +373,50 @@
     let (start, window) = (Instant::now(), Duration::from_secs(10));
     for c in cases {
         let mut history = BuildHistory::default();
-        for (at, builds) in c.seen {
-            let listed: Vec<_> = builds.iter().map(|build| endpoint(*build)).collect();
-            history.record(start + Duration::from_secs(*at), listed.iter());
+        let first = c.seen.first().map_or(0, |(at, _)| *at);
+        for second in first..=20 {
+            let at = start + Duration::from_secs(second);
+            history.observe(at, !c.stale.contains(&second));
+            for (_, builds) in c.seen.iter().filter(|(seen_at, _)| *seen_at == second) {
+                let listed: Vec<_> = builds.iter().map(|b| endpoint(*b)).collect();
+                history.record(at, listed.iter());
+            }
         }
         let now = start + Duration::from_secs(20);
         let present: Vec<_> = c.present.iter().map(|b| b.map(BuildId::from)).collect();
-        let only =
-            history.only(now, &"llm".into(), window, present.iter().map(Option::as_ref));
+        let present: Vec<_> = present.iter().map(Option::as_ref).collect();
+        let recorded = c.recorded.iter().map(|build| origin(build));
+        let recorded: Vec<ServiceBuild> = recorded.collect();
+        let only = history.only(now, &"llm".into(), window, &present, &recorded);
         assert_eq!(only.as_deref(), c.only, "{}", c.name);
-        assert_eq!(history.covers(now, window), !c.seen.is_empty(), "{}", c.name);
     }
 }
 
+/// Guards against a record that grows with each release, and one that loses a version of
+/// which callers may have streams.
+#[test]
+fn a_software_version_is_past_once_no_caller_can_have_a_stream_of_it() {
+    let (start, mut history) = (Instant::now(), BuildHistory::default());
+    let at = |secs| start + Duration::from_secs(secs);
+    let kept = MAX_KEPT.as_secs();
+    history.observe(at(0), true);
+    assert!(history.record(at(0), [endpoint(Some("v1"))].iter()), "v1 is new");
+    assert!(history.record(at(10), [endpoint(Some("v2"))].iter()), "v2 is new");
+    assert!(!history.record(at(20), [endpoint(Some("v2"))].iter()), "nothing is new");
+    for (name, now, build, is_past) in [
+        ("left of late", kept - 1, "v1", false),
+        ("left long ago", kept + 1, "v1", true),
+        ("still there", kept + 1, "v2", false),
+        ("left before the start, of late", kept - 1, "v0", false),
+        ("left before the start, long ago", kept + 1, "v0", true),
+    ] {
+        history.record(at(now), [endpoint(Some("v2"))].iter());
+        assert_eq!(history.is_past(at(now), &origin(build)), is_past, "{name}");
+    }
+    history.observe(at(kept + 2), false);
+    assert!(!history.is_past(at(kept + 2), &origin("v1")), "the list is not fresh");
+}
+
 /// The next run at an address may have other software, so nothing goes on there before
 /// the platform lists it.
 #[test]
@@ -274,7 +468,7 @@
         let chosen = keepers(key, agents);
         assert_eq!(chosen.len(), KEEPERS);
         if chosen.contains(&set[0]) {
-            kept.record(now, key, origin("v1"), now + KEPT);
+            kept.record(now, key, sent("v1"), now + KEPT);
             most_kept = most_kept.max(kept.len());
         }
         chosen.into_iter().for_each(|agent| *told.entry(agent).or_default() += 1);
--- a/crates/larkspring-proto/src/gen/larkspring.residency.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.residency.rs
@@ -79,7 +79,7 @@
         StreamQuery(super::StreamQuery),
     }
 }
-/// Streams that began at the entry, for the agent to keep.
+/// Streams that were sent or began at the entry, for the agent to keep.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct StreamStarts {
     #[prost(message, repeated, tag = "1")]
@@ -87,10 +87,10 @@
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StreamStart {
-    /// Hash of the id of the attempt that brought the first event.
+    /// Hash of the id of the attempt that may bring the first event.
     #[prost(fixed64, tag = "1")]
     pub key: u64,
-    /// The service, and the version of the endpoint's software.
+    /// The service, and the version of the endpoint's software; empty if there are several.
     #[prost(string, tag = "2")]
     pub service: ::prost::alloc::string::String,
     #[prost(string, tag = "3")]
@@ -98,6 +98,8 @@
     /// Time for which the caller may take the stream up.
     #[prost(uint64, tag = "4")]
     pub kept_ms: u64,
+    #[prost(enumeration = "StreamStage", tag = "5")]
+    pub stage: i32,
 }
 /// Asks where a stream began.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -499,6 +501,39 @@
         }
     }
 }
+/// How far the stream of an attempt has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum StreamStage {
+    /// Its request was sent there only.
+    Sent = 0,
+    /// The caller gets events of it.
+    Begun = 1,
+    /// Its request was sent to several software versions, or to one that is not known.
+    SentToSeveral = 2,
+}
+impl StreamStage {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Sent => "STREAM_STAGE_SENT",
+            Self::Begun => "STREAM_STAGE_BEGUN",
+            Self::SentToSeveral => "STREAM_STAGE_SENT_TO_SEVERAL",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "STREAM_STAGE_SENT" => Some(Self::Sent),
+            "STREAM_STAGE_BEGUN" => Some(Self::Begun),
+            "STREAM_STAGE_SENT_TO_SEVERAL" => Some(Self::SentToSeveral),
+            _ => None,
+        }
+    }
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum StreamEnd {
--- a/crates/larkspring/src/direct/agent/controller.rs
+++ b/crates/larkspring/src/direct/agent/controller.rs
@@ -43,7 +43,7 @@
     decode_crashes, decode_reports, encode_reports, CrashReports,
 };
 use crate::direct::stats::Stats;
-use crate::direct::streams::{decode_origin, encode_stream_reply};
+use crate::direct::streams::{decode_start, encode_stream_reply};
 
 /// Number of an entry's connection, unique during this agent's life.
 pub(super) type EntryNumber = u64;
@@ -314,8 +314,8 @@
             EntryMessage::StreamStarts(told) => {
                 for start in &told.starts {
                     let until = now + Duration::from_millis(start.kept_ms);
-                    let origin = decode_origin(start);
-                    self.stream_origins.record(now, start.key, origin, until);
+                    let kept = decode_start(start);
+                    self.stream_origins.record(now, start.key, kept, until);
                 }
             }
             EntryMessage::StreamQuery(query) => {
--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -12,7 +12,10 @@
 use http::{HeaderValue, Request, Response};
 use hyper::body::{Body, Incoming};
 use larkspring_core::fleet::attempt::AttemptStatus;
+use larkspring_core::fleet::endpoint_list::Endpoint;
 use larkspring_core::fleet::mechanisms::Mechanism;
+use larkspring_core::fleet::routes::RouteClass;
+use larkspring_core::fleet::stream_origins::{KeptOrigin, StreamOrigin, StreamStart};
 use larkspring_core::fleet::urgency::{urgency, Urgency};
 use larkspring_core::ids::{Incarnation, Target};
 
@@ -24,6 +27,7 @@
 use super::request_handler::RequestHandler;
 use super::reused_connection::ReusedConnection;
 use super::selection_inputs::SelectionInputs;
+use super::stream_tracker::take_up_time;
 use crate::direct::conn::{EndpointConn, SendBody, SendError};
 use crate::direct::platform_api::{ForwardHeaders, Identity};
 
@@ -194,6 +198,7 @@
         };
         let version = selection.target.as_ref().map(|t| &*t.version);
         let req = self.request(&endpoint.id, version, body);
+        self.record_sent_stream(peer, &endpoint);
         self.in_flight.store(true, Ordering::Release);
         self.connections.push(conn.id);
         let outdated = async {
@@ -217,6 +222,23 @@
         res.map(|res| (res, conn))
     }
 
+    /// Records to which software a stream is sent that its caller may take up.
+    fn record_sent_stream(&self, peer: &Peer, endpoint: &Endpoint) {
+        if self.route.class != (RouteClass::Stream { resumable: true }) {
+            return;
+        }
+        let kept = match (&self.start, &endpoint.build) {
+            (StreamStart::At(origin), _) => KeptOrigin::Begun(origin.clone()),
+            (StreamStart::Unknown, _) | (_, None) => KeptOrigin::SentToSeveral,
+            (StreamStart::NotBegun, Some(build)) => {
+                let service = endpoint.service.clone();
+                KeptOrigin::Sent(StreamOrigin { service, build: build.clone() })
+            }
+        };
+        let kept_for = take_up_time(&self.caller, &self.route);
+        self.entry.streams.record(&self.caller.id, peer, kept, kept_for);
+    }
+
     /// Returns the metric label that tells first sends, retries and resumed streams
     /// apart.
     fn send_label(&self) -> &'static str {
--- a/crates/larkspring/src/direct/entry/fleet.rs
+++ b/crates/larkspring/src/direct/entry/fleet.rs
@@ -3,7 +3,7 @@
 mod agents;
 mod notices;
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -12,13 +12,13 @@
 use event_listener::{Event, EventListener};
 use futures_lite::future;
 use larkspring_core::fleet::availability::{Availability, Notice};
-use larkspring_core::fleet::build_history::BuildHistory;
+use larkspring_core::fleet::build_history::{BuildHistory, ServiceBuild};
 use larkspring_core::fleet::choose::Distance;
 use larkspring_core::fleet::cold::{permit_rate, ColdTolerance};
 use larkspring_core::fleet::endpoint_list::Endpoint;
 use larkspring_core::fleet::following::RecentCount;
 use larkspring_core::fleet::routes::{HallRegions, Service};
-use larkspring_core::fleet::stream_origins;
+use larkspring_core::fleet::stream_origins::{self, Keeper};
 use larkspring_core::ids::{BuildId, HallId, Incarnation, ServiceId, StorePoint};
 use parking_lot::Mutex;
 use smol::Timer;
@@ -58,6 +58,11 @@
     unlisted: Mutex<HashMap<Incarnation, Arc<Mutex<Availability>>>>,
     /// The software versions that endpoints had of late.
     builds: Mutex<BuildHistory>,
+    /// Notified when a software version is listed that was not seen of late.
+    builds_changed: Event,
+    /// Notified when the agents that keep where streams began, or the connections to them,
+    /// change.
+    keepers_changed: Arc<Event>,
     /// Runs that the platform lists or has listed before.
     listed: Mutex<HashSet<Incarnation>>,
 }
@@ -67,8 +72,8 @@
 struct Peers {
     by_id: HashMap<Incarnation, Arc<Peer>>,
     by_service: HashMap<ServiceId, Vec<Arc<Peer>>>,
-    /// The agents that keep where streams began, with their halls.
-    keeper_set: Vec<(HallId, Arc<Link>)>,
+    /// The agents that keep where streams began.
+    keeper_set: Vec<Keeper<Arc<Link>>>,
 }
 
 /// When an endpoint of a service may be sent a request.
@@ -88,7 +93,7 @@
 /// Greatest age of the list of endpoints by which a service has a single software
 /// version.
 const MAX_LIST_AGE: Duration = Duration::from_secs(2);
-/// Interval between sweeps that close connections which were idle for too long.
+/// Interval between sweeps.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 impl Fleet {
@@ -105,6 +110,7 @@
             replicated_state: replicated_state.clone(),
             availability_changed: Arc::default(),
             run_changed: Arc::default(),
+            keepers_changed: Arc::default(),
             sinks,
         });
         Arc::new(Self {
@@ -120,10 +126,12 @@
             entries_in_hall: Mutex::default(),
             availability_changed: link_context.availability_changed.clone(),
             run_changed: link_context.run_changed.clone(),
-            link_context,
             address_changed: Event::new(),
             unlisted: Mutex::default(),
             builds: Mutex::default(),
+            builds_changed: Event::new(),
+            keepers_changed: link_context.keepers_changed.clone(),
+            link_context,
             listed: Mutex::default(),
         })
     }
@@ -145,11 +153,13 @@
         next.unwrap_or_else(|| peer.clone())
     }
 
-    /// Periodically closes connections that were idle for too long, until dropped.
+    /// Periodically closes connections that were idle for too long, and checks whether the
+    /// list of the endpoints is fresh, until dropped.
     pub async fn sweep(self: Arc<Self>) {
         loop {
             Timer::after(SWEEP_INTERVAL).await;
             let entries = self.entry_counts().all as usize;
+            self.builds.lock().observe(Instant::now(), self.has_fresh_list());
             for peer in self.peers.load().by_id.values() {
                 peer.idle.close_expired(peer.placement().max_connections, entries);
             }
@@ -200,8 +210,8 @@
         endpoints.filter(|e| e.runs_models && !e.leaving)
     }
 
-    /// Returns the only software version that the endpoints of a service had within
-    /// `window`, and whether this entry has known them for so long.
+    /// Returns the only software version at which a stream of a service can have begun
+    /// within `window`, by the versions that were `recorded`.
     ///
     /// The list of the endpoints has to be fresh: a version that was listed since may have
     /// begun streams at other entries.
@@ -209,18 +219,44 @@
         &self,
         service: &ServiceId,
         window: Duration,
-    ) -> Option<(BuildId, bool)> {
-        let list_age = self.replicated_state.proof_age(StateKind::Endpoints)?;
-        if list_age > MAX_LIST_AGE {
+        recorded: &[ServiceBuild],
+    ) -> Option<BuildId> {
+        if !self.has_fresh_list() {
             return None;
         }
         let peers = self.peers.load();
         let present = peers.by_service.get(service).map_or(&[][..], |all| all);
         let present: Vec<_> = present.iter().map(|p| p.endpoint()).collect();
+        let present: Vec<_> = present.iter().map(|e| e.build.as_ref()).collect();
+        let builds = self.builds.lock();
+        builds.only(Instant::now(), service, window, &present, recorded)
+    }
+
+    /// Returns the software versions that were listed for as long as streams are kept, and
+    /// those of `recorded` that were not.
+    pub fn seen_builds(
+        &self,
+        recorded: &BTreeSet<ServiceBuild>,
+    ) -> (BTreeSet<ServiceBuild>, Vec<ServiceBuild>) {
         let (builds, now) = (self.builds.lock(), Instant::now());
-        let present = present.iter().map(|endpoint| endpoint.build.as_ref());
-        let only = builds.only(now, service, window, present)?;
-        Some((only, builds.covers(now, window)))
+        let past = recorded.iter().filter(|build| builds.is_past(now, build)).cloned();
+        (builds.seen().collect(), past.collect())
+    }
+
+    fn has_fresh_list(&self) -> bool {
+        let age = self.replicated_state.proof_age(StateKind::Endpoints);
+        age.is_some_and(|age| age <= MAX_LIST_AGE)
+    }
+
+    /// Returns a listener for the next software version that is listed.
+    pub fn builds_changed(&self) -> EventListener {
+        self.builds_changed.listen()
+    }
+
+    /// Returns a listener for the next change of the agents that keep where streams began
+    /// or of the connections to them.
+    pub fn keepers_changed(&self) -> EventListener {
+        self.keepers_changed.listen()
     }
 
     /// Returns the halls that have endpoints, sorted.
@@ -351,10 +387,18 @@
         });
         let runs = before.by_id.values().chain(now.by_id.values());
         let runs: Vec<_> = runs.map(|p| p.endpoint()).collect();
-        self.builds.lock().record(Instant::now(), runs.iter().map(|run| &**run));
+        let has_new_build =
+            self.builds.lock().record(Instant::now(), runs.iter().map(|run| &**run));
+        let has_new_keepers = !is_same_set(&before.keeper_set, &now.keeper_set);
         self.keep_unlisted(&before, &now);
         self.peers.store(Arc::new(now));
         self.update_followed();
+        if has_new_build {
+            self.builds_changed.notify(usize::MAX);
+        }
+        if has_new_keepers {
+            self.keepers_changed.notify(usize::MAX);
+        }
         self.availability_changed.notify(usize::MAX);
     }
 
@@ -425,12 +469,28 @@
     }
 }
 
-/// Returns the agents that keep where streams began, with their halls.
-fn keeper_set(peers: &HashMap<Incarnation, Arc<Peer>>) -> Vec<(HallId, Arc<Link>)> {
-    let with_links = peers.values().filter_map(|p| Some((p, p.link.as_ref()?)));
-    let agents = with_links.map(|(peer, link)| (link.addr().as_bytes(), (peer, link)));
-    let kept = stream_origins::keeper_set(agents).into_iter();
-    kept.map(|(peer, link)| (peer.endpoint().hall.clone(), link.clone())).collect()
+/// Returns the agents that keep where streams began. An agent leaves with the last run at
+/// its address.
+fn keeper_set(peers: &HashMap<Incarnation, Arc<Peer>>) -> Vec<Keeper<Arc<Link>>> {
+    let mut agents: BTreeMap<&str, Keeper<Arc<Link>>> = BTreeMap::new();
+    for (peer, link) in peers.values().filter_map(|p| Some((p, p.link.as_ref()?))) {
+        let endpoint = peer.endpoint();
+        let agent = agents.entry(link.addr()).or_insert_with(|| Keeper {
+            hall: endpoint.hall.clone(),
+            is_leaving: true,
+            agent: link.clone(),
+        });
+        agent.is_leaving &= endpoint.leaving;
+    }
+    let named = agents.into_iter().map(|(addr, agent)| (addr.as_bytes(), agent));
+    stream_origins::keeper_set(named)
+}
+
+fn is_same_set(a: &[Keeper<Arc<Link>>], b: &[Keeper<Arc<Link>>]) -> bool {
+    let is_same = |(a, b): (&Keeper<Arc<Link>>, &Keeper<Arc<Link>>)| {
+        a.is_leaving == b.is_leaving && Arc::ptr_eq(&a.agent, &b.agent)
+    };
+    a.len() == b.len() && a.iter().zip(b).all(is_same)
 }
 
 /// Removes runs whose address a later run has. Their listings outlive them for a while.
--- a/crates/larkspring/src/direct/entry/fleet/agents.rs
+++ b/crates/larkspring/src/direct/entry/fleet/agents.rs
@@ -9,7 +9,7 @@
 use larkspring_core::fleet::following::EntryCounts;
 use larkspring_core::fleet::permits::RunHash;
 use larkspring_core::fleet::read_timing::MAX_AGENTS_PER_READ;
-use larkspring_core::fleet::stream_origins::{self, StreamKey};
+use larkspring_core::fleet::stream_origins::{self, Keeper, StreamKey};
 use larkspring_core::ids::{HallId, Incarnation, ServiceId};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -25,6 +25,30 @@
     pub addr: SocketAddr,
 }
 
+/// The agents that keep where streams began, as they are now.
+pub(in crate::direct::entry) struct KeeperSet(Vec<Keeper<Arc<Link>>>);
+
+impl KeeperSet {
+    /// Returns the connections to the agents that are told where a stream began.
+    pub fn told(&self, key: StreamKey) -> Vec<&Arc<Link>> {
+        stream_origins::told_keepers(key, self.named())
+    }
+
+    /// Returns the connections to the agents that may know where a stream began: those
+    /// that are told, and then the others.
+    pub fn asked(&self, key: StreamKey) -> (Vec<Arc<Link>>, Vec<Arc<Link>>) {
+        let first = stream_origins::asked_keepers(key, self.named(), Arc::ptr_eq);
+        let is_first = |link: &Arc<Link>| first.iter().any(|f| Arc::ptr_eq(f, link));
+        let others = self.0.iter().map(|keeper| &keeper.agent);
+        let others = others.filter(|link| !is_first(link)).cloned().collect();
+        (first.into_iter().cloned().collect(), others)
+    }
+
+    fn named(&self) -> impl Iterator<Item = (&[u8], &Keeper<Arc<Link>>)> + Clone {
+        self.0.iter().map(|keeper| (keeper.agent.addr().as_bytes(), keeper))
+    }
+}
+
 impl Fleet {
     /// Returns the agents of a hall from which its entries read the declared state, the
     /// first `count` in the order on which all entries agree. Leaves out agents that can't
@@ -86,14 +110,15 @@
         first.map(|(_, link)| link.clone())
     }
 
-    /// Returns the addresses of the agents that keep where a stream began, and the
-    /// connections to them, whether the agents are live or not.
-    pub fn stream_keepers(&self, key: StreamKey) -> Vec<(SocketAddr, Arc<Link>)> {
+    /// Returns the agents that keep where streams began. Those that can't be told now count
+    /// as leaving.
+    pub fn keeper_set(&self) -> KeeperSet {
         let peers = self.peers.load();
-        let agents = peers.keeper_set.iter();
-        let agents = agents.map(|(hall, link)| (link.addr().as_bytes(), hall, link));
-        let links = stream_origins::keepers(key, agents).into_iter();
-        links.filter_map(|link| Some((link.addr().parse().ok()?, link.clone()))).collect()
+        let current = |keeper: &Keeper<Arc<Link>>| {
+            let is_leaving = keeper.is_leaving || !keeper.agent.is_usable();
+            Keeper { is_leaving, ..keeper.clone() }
+        };
+        KeeperSet(peers.keeper_set.iter().map(current).collect())
     }
 
     /// Returns the addresses of all agents that can be asked, and the connections to them.
--- a/crates/larkspring/src/direct/entry/link.rs
+++ b/crates/larkspring/src/direct/entry/link.rs
@@ -241,6 +241,7 @@
         let up = up.ok_or("no answer")?.map_err(|e| e.to_string())?;
         let mut down = up.into_inner();
         self.connections.fetch_add(1, Ordering::Relaxed);
+        self.context.keepers_changed.notify(usize::MAX);
         let connected_at = Instant::now();
         while !self.close_if_unused() {
             let declared = self.engine_declaration();
@@ -385,7 +386,9 @@
 
     fn disconnect(&self) -> bool {
         *self.outgoing.lock() = Outgoing::default();
-        self.mark_unresponsive()
+        let was_responsive = self.mark_unresponsive();
+        self.context.keepers_changed.notify(usize::MAX);
+        was_responsive
     }
 
     fn log_lost(&self, cause: &str) {
--- a/crates/larkspring/src/direct/entry/link/context.rs
+++ b/crates/larkspring/src/direct/entry/link/context.rs
@@ -20,6 +20,9 @@
     /// Notified when the agent reports another run of the engine, that the engine drains,
     /// or another rate limit.
     pub run_changed: Arc<Event>,
+    /// Notified when a connection opens or breaks, and when other agents keep where streams
+    /// began.
+    pub keepers_changed: Arc<Event>,
     /// Receivers of grants and crash reports.
     pub sinks: MessageSinks,
 }
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -27,6 +27,7 @@
 mod answer_times;
 mod attempt;
 mod body;
+mod build_record;
 mod classify;
 mod connections;
 mod crashes;
@@ -78,6 +79,7 @@
 use smol::{channel, Task, Timer};
 
 use self::absence::AbsenceCheck;
+use self::build_record::BuildRecord;
 use self::crashes::CrashDetector;
 use self::directory::HallDirectory;
 use self::fair::ServiceShares;
@@ -89,7 +91,7 @@
 use self::version_recorder::VersionRecorder;
 use self::workspace_limits::Limits;
 use super::cfg::EntryCfg;
-use super::platform_api::{Protocol, StateKind, StateStore, VersionStore};
+use super::platform_api::{BuildStore, Protocol, StateKind, StateStore, VersionStore};
 use super::quarantine::CrashReports;
 use super::reader::StoreReader;
 use super::replicated_state::ReplicatedState;
@@ -176,6 +178,7 @@
         protocol: Arc<dyn Protocol>,
         directory: Arc<dyn StateStore>,
         version_store: Arc<dyn VersionStore>,
+        build_store: Arc<dyn BuildStore>,
     ) -> Result<Self, StartError> {
         let replicated_state = Arc::new(ReplicatedState::default());
         let stats = Arc::new(Stats::new());
@@ -184,7 +187,8 @@
         let sinks = MessageSinks { grants: tx, crash_reports: crash_reports.clone() };
         let fleet = Fleet::new(replicated_state.clone(), &cfg, sinks);
         let crashes = CrashDetector::new(fleet.clone(), crash_reports, stats.clone());
-        let streams = StreamTracker::new(fleet.clone(), stats.clone());
+        let builds = BuildRecord::new(build_store, fleet.clone(), stats.clone());
+        let streams = StreamTracker::new(fleet.clone(), builds.clone(), stats.clone());
         let terms = cfg.process.limits;
         let limits = Limits::new(terms, replicated_state.clone(), fleet.clone(), grants);
         let listener = TcpListener::bind(cfg.listen).await;
@@ -228,6 +232,7 @@
         let mut tasks =
             watch::follow(directory, replicated_state, stats.clone(), &process);
         tasks.push(exec::spawn(recorder.run()));
+        tasks.push(exec::spawn(builds.run()));
         tasks.push(exec::spawn(limits.run()));
         tasks.push(exec::spawn(crashes.run()));
         tasks.push(exec::spawn(streams.run()));
--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -15,7 +15,7 @@
 use larkspring_core::event_stream::{EventScanner, IdNotRising};
 use larkspring_core::fleet::attempt::{AttemptStatus, NextStep};
 use larkspring_core::fleet::routes::{RouteClass, Service};
-use larkspring_core::fleet::stream_origins::StreamStart;
+use larkspring_core::fleet::stream_origins::{KeptOrigin, StreamStart};
 use larkspring_core::ids::Incarnation;
 use smol::Timer;
 
@@ -215,11 +215,13 @@
         if handler.start != StreamStart::NotBegun {
             return;
         }
-        let endpoint = open.selection.open_request.peer.endpoint();
+        let peer = &open.selection.open_request.peer;
+        let endpoint = peer.endpoint();
         handler.start.begin(&endpoint.service, endpoint.build.as_ref());
         if let StreamStart::At(origin) = &handler.start {
             let kept = take_up_time(&handler.caller, &handler.route);
-            handler.entry.streams.record(&handler.caller.id, origin.clone(), kept);
+            let begun = KeptOrigin::Begun(origin.clone());
+            handler.entry.streams.record(&handler.caller.id, peer, begun, kept);
         }
     }
 
--- a/crates/larkspring/src/direct/entry/stream_tracker.rs
+++ b/crates/larkspring/src/direct/entry/stream_tracker.rs
@@ -2,10 +2,10 @@
 //!
 //! A caller takes a broken stream up at any entry. The agents that keep where streams
 //! began are the first in rendezvous order for the attempt's id, on which entries agree
-//! without communicating. An entry tells them at the first events of a stream, and tells
-//! agents that take the place of others for as long as the caller may come back.
+//! without communicating. An entry tells them when it sends the request, and tells agents
+//! that take the place of others, or of ones that will leave, for as long as the caller
+//! may come back.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -16,15 +16,17 @@
 use larkspring_core::fleet::stream_origins::{
     KeptOrigin, StreamKey, StreamOrigin, StreamOrigins, StreamStart, MAX_KEPT,
 };
-use larkspring_core::ids::{BuildId, ServiceId};
+use larkspring_core::ids::ServiceId;
 use larkspring_proto::residency as wire;
 use parking_lot::Mutex;
 use smol::Timer;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::answer::ErrorReason;
+use super::build_record::BuildRecord;
 use super::fleet::Fleet;
-use super::link::{Link, StreamQuery};
+use super::link::{AgentStatus, Link, StreamQuery};
+use super::peer::Peer;
 use super::request_handler::DEFAULT_TIMEOUT;
 use super::EntryState;
 use crate::direct::logs::{self, LineKind};
@@ -39,15 +41,16 @@
     stats: Arc<Stats>,
     origins: Mutex<StreamOrigins>,
     began: Mutex<Vec<BegunStream>>,
-    /// When the agents were last told that streams begin there.
-    told_services: Mutex<HashMap<(ServiceId, BuildId), Instant>>,
+    builds: Arc<BuildRecord>,
     changed: Event,
 }
 
-/// A stream that began at this entry.
+/// A stream that was sent or began at this entry.
 struct BegunStream {
     key: StreamKey,
-    origin: StreamOrigin,
+    kept: KeptOrigin,
+    /// The agent beside the endpoint, which is there for as long as the endpoint.
+    beside: Option<Arc<Link>>,
     /// When callers can no longer take the stream up.
     until: Instant,
     /// The agents that were told.
@@ -59,86 +62,83 @@
     kept: KeptOrigin,
     /// Who knew it; the label of the metric.
     known_by: &'static str,
-    /// The agents that should know it, and how many of them replied.
-    keepers: usize,
+    /// The agents that were asked, and how many of them replied.
+    asked: usize,
     replies: usize,
 }
 
 impl Default for Finding {
     fn default() -> Self {
         let kept = KeptOrigin::Unknown;
-        Self { kept, known_by: "unknown", keepers: 0, replies: 0 }
+        Self { kept, known_by: "unknown", asked: 0, replies: 0 }
     }
 }
 
 /// An agent and the number of the connection to it.
 type AgentConnection = (SocketAddr, u64);
 
-/// Interval of checks for agents that took the place of others.
+/// Interval of checks for agents that restarted.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// Time-out for the agents' replies: a few round trips between halls and a scheduling
-/// delay of a busy process.
+/// Shortest interval at which streams are told again to other agents.
+const MIN_RETELL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time-out for the replies of agents that are connected: a few round trips between halls
+/// and a scheduling delay of a busy process.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(80);
-/// Interval at which agents are told at which software the streams of a service begin.
-const SERVICE_TELL_INTERVAL: Duration = Duration::from_secs(4);
-/// Keeps the keys of services apart from those of attempts.
-const SERVICE_SEED: u64 = 1;
+/// Time-out for finding out where a stream began by an entry that has just started and is
+/// not connected to the agents yet.
+const STARTING_TIMEOUT: Duration = Duration::from_millis(500);
 /// Limits the streams that are told again to other agents.
 const MAX_BEGUN: usize = 16 * 1024;
 
 impl StreamTracker {
     /// Creates a tracker without streams.
-    pub fn new(fleet: Arc<Fleet>, stats: Arc<Stats>) -> Arc<Self> {
+    pub fn new(
+        fleet: Arc<Fleet>,
+        builds: Arc<BuildRecord>,
+        stats: Arc<Stats>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             fleet,
+            builds,
             stats,
             origins: Mutex::default(),
             began: Mutex::default(),
-            told_services: Mutex::default(),
             changed: Event::new(),
         })
     }
 
-    /// Records that the stream of an attempt began. Callers may take it up for `kept`.
-    pub fn record(&self, attempt: &str, origin: StreamOrigin, kept: Duration) {
+    /// Records where the stream of an attempt was sent or began, at a peer. Callers may
+    /// take it up for `kept_for`.
+    pub fn record(
+        &self,
+        attempt: &str,
+        peer: &Peer,
+        kept: KeptOrigin,
+        kept_for: Duration,
+    ) {
         let (key, now) = (stream_key(attempt), Instant::now());
-        let until = now + kept.min(MAX_KEPT);
-        self.origins.lock().record(now, key, origin.clone(), until);
-        if let Some(until) = self.service_told_until(now, &origin, until) {
-            self.push(service_key(&origin.service), origin.clone(), until);
-        }
-        self.push(key, origin, until);
-        self.changed.notify(1);
-    }
-
-    fn push(&self, key: StreamKey, origin: StreamOrigin, until: Instant) {
+        let until = now + kept_for.min(MAX_KEPT);
+        let kept = {
+            let mut origins = self.origins.lock();
+            let before = origins.get(now, key);
+            origins.record(now, key, kept, until);
+            let kept = origins.get(now, key);
+            let has_origin = kept.origin().is_some();
+            if before == kept || has_origin && before.origin() == kept.origin() {
+                return;
+            }
+            kept
+        };
         let mut began = self.began.lock();
         if began.len() < MAX_BEGUN {
-            began.push(BegunStream { key, origin, until, told: Vec::new() });
+            let beside = peer.link.clone();
+            began.push(BegunStream { key, kept, beside, until, told: Vec::new() });
         }
+        drop(began);
+        self.changed.notify(1);
     }
 
-    /// Returns until when the agents are to keep that streams of the service begin at this
-    /// software; `None` if they were told lately.
-    fn service_told_until(
-        &self,
-        now: Instant,
-        origin: &StreamOrigin,
-        until: Instant,
-    ) -> Option<Instant> {
-        let mut told = self.told_services.lock();
-        let key = (origin.service.clone(), origin.build.clone());
-        let last = told.get(&key).map(|at| now.saturating_duration_since(*at));
-        if last.is_some_and(|age| age < SERVICE_TELL_INTERVAL) {
-            return None;
-        }
-        told.retain(|_, at| now.saturating_duration_since(*at) < SERVICE_TELL_INTERVAL);
-        told.insert(key, now);
-        Some(until + SERVICE_TELL_INTERVAL)
-    }
-
-    /// Returns where a stream began that its caller takes up; `None` if that is not known,
-    /// or not the same everywhere.
+    /// Finds out where a stream began that its caller takes up.
     ///
     /// `attempt` brought the first event, if the caller states it; `service` is the only
     /// one to which the route leads, if there is only one.
@@ -148,13 +148,15 @@
         service: Option<&ServiceId>,
         window: Duration,
     ) -> Finding {
+        let starting = Instant::now() + STARTING_TIMEOUT;
+        self.wait_for_endpoints(starting).await;
         let mut found = match attempt {
-            Some(attempt) => self.find_attempt(stream_key(attempt)).await,
+            Some(attempt) => self.find_attempt(stream_key(attempt), starting).await,
             None => Finding::default(),
         };
         if let (KeptOrigin::Unknown, Some(service)) = (&found.kept, service) {
             if let Some(only) = self.find_only(service, window).await {
-                found.kept = KeptOrigin::Known(only);
+                found.kept = KeptOrigin::Begun(only);
                 found.known_by = "one version";
             }
         }
@@ -162,57 +164,92 @@
         found
     }
 
-    /// Returns where streams of a service begin if all did so at one software version
-    /// within `window`. An entry that has known the service for less asks the agents.
+    /// Waits until endpoints are known, as an entry that has just started knows none.
+    async fn wait_for_endpoints(&self, until: Instant) {
+        let known = async {
+            loop {
+                let changed = self.fleet.listen();
+                if !self.fleet.is_empty() {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        let left = until.saturating_duration_since(Instant::now());
+        // What is not known by then is not found.
+        let _ = with_timeout(left, known).await;
+    }
+
+    /// Returns where streams of a service begin if all can have done so at one software
+    /// version only within `window`.
     async fn find_only(
         &self,
         service: &ServiceId,
         window: Duration,
     ) -> Option<StreamOrigin> {
-        let (build, is_long_known) = self.fleet.only_build(service, window)?;
-        let only = StreamOrigin { service: service.clone(), build };
-        if is_long_known {
-            return Some(only);
-        }
-        let found = self.find_attempt(service_key(service)).await;
-        (found.kept == KeptOrigin::Known(only.clone())).then_some(only)
+        let recorded = self.builds.read().await?;
+        let build = self.fleet.only_build(service, window, &recorded)?;
+        Some(StreamOrigin { service: service.clone(), build })
     }
 
     /// Returns what this entry and the agents keep.
-    async fn find_attempt(&self, key: StreamKey) -> Finding {
+    async fn find_attempt(&self, key: StreamKey, starting: Instant) -> Finding {
         let own = self.origins.lock().get(Instant::now(), key);
-        let keepers = self.fleet.stream_keepers(key);
-        let queries: Vec<_> =
-            keepers.iter().filter_map(|(_, link)| link.query_stream(key)).collect();
-        let (kept, replies) = ask(&queries).await;
+        let (first, others) = self.fleet.keeper_set().asked(key);
+        let (mut kept, mut replies) = ask(key, &first, starting).await;
+        let mut asked = first.len();
         let is_own = own != KeptOrigin::Unknown;
-        let kept = own.merge(kept);
+        kept = own.merge(kept);
+        if kept == KeptOrigin::Unknown {
+            // The agent beside the endpoint may know it, whichever that is.
+            let (known, more) = ask(key, &others, starting).await;
+            (kept, replies) = (known, replies + more);
+            asked += others.len();
+        }
         let known_by = match &kept {
-            KeptOrigin::Known(_) if is_own => "own",
-            KeptOrigin::Known(_) => "agents",
-            KeptOrigin::Ambiguous => "ambiguous",
+            KeptOrigin::Sent(_) | KeptOrigin::Begun(_) if is_own => "own",
+            KeptOrigin::Sent(_) | KeptOrigin::Begun(_) => "agents",
+            KeptOrigin::SentToSeveral | KeptOrigin::Ambiguous => "ambiguous",
             KeptOrigin::Unknown => "unknown",
         };
-        Finding { kept, known_by, keepers: keepers.len(), replies }
+        Finding { kept, known_by, asked, replies }
     }
 
     /// Tells agents where streams began, until dropped.
     pub async fn run(self: Arc<Self>) {
         let mut agents = Vec::new();
         let mut check_at = Instant::now() + CHECK_INTERVAL;
+        let mut retold_at = Instant::now();
         loop {
             let changed = self.changed.listen();
+            let keepers_changed = self.fleet.keepers_changed();
             let now = Instant::now();
             self.began.lock().retain(|stream| stream.until > now);
             let is_check_due = now >= check_at;
             if is_check_due {
                 check_at = now + CHECK_INTERVAL;
             }
-            self.tell(now, is_check_due && self.agents_changed(&mut agents));
+            let has_changed = is_check_due && self.agents_changed(&mut agents);
+            if has_changed {
+                retold_at = now;
+            }
+            self.tell(now, has_changed);
             let check = async {
                 Timer::at(check_at).await;
+                false
+            };
+            let changed = async {
+                changed.await;
+                false
+            };
+            let keepers_changed = async {
+                keepers_changed.await;
+                true
             };
-            future::or(changed, check).await;
+            if future::or(keepers_changed, future::or(changed, check)).await {
+                agents.clear();
+                check_at = check_at.min(retold_at + MIN_RETELL_INTERVAL);
+            }
         }
     }
 
@@ -229,23 +266,27 @@
     }
 
     /// Tells streams to those of their agents that were not told yet: all streams if the
-    /// agents changed, else those that have just begun.
+    /// agents changed, else those that are new.
     fn tell(&self, now: Instant, has_changed: bool) {
         let mut messages: Vec<(Arc<Link>, Vec<wire::StreamStart>)> = Vec::new();
+        let keepers = self.fleet.keeper_set();
         let mut began = self.began.lock();
         let is_due = |stream: &&mut BegunStream| has_changed || stream.told.is_empty();
         for stream in began.iter_mut().filter(is_due) {
-            for (addr, link) in self.fleet.stream_keepers(stream.key) {
+            let kept_for = stream.until.saturating_duration_since(now);
+            let Some(start) = encode_start(stream.key, &stream.kept, kept_for) else {
+                continue;
+            };
+            for link in keepers.told(stream.key).into_iter().chain(&stream.beside) {
+                let Ok(addr) = link.addr().parse() else { continue };
                 let agent = (addr, link.connection_count());
                 if !link.is_usable() || stream.told.contains(&agent) {
                     continue;
                 }
                 stream.told.push(agent);
-                let kept = stream.until.saturating_duration_since(now);
-                let start = encode_start(stream.key, &stream.origin, kept);
-                match messages.iter_mut().find(|(known, _)| Arc::ptr_eq(known, &link)) {
-                    Some((_, starts)) => starts.push(start),
-                    None => messages.push((link, vec![start])),
+                match messages.iter_mut().find(|(known, _)| Arc::ptr_eq(known, link)) {
+                    Some((_, starts)) => starts.push(start.clone()),
+                    None => messages.push((link.clone(), vec![start.clone()])),
                 }
             }
         }
@@ -282,7 +323,7 @@
     let window = take_up_time(caller, route);
     let found = entry.streams.find(attempt, service, window).await;
     log_found(caller, &found);
-    let KeptOrigin::Known(origin) = found.kept else {
+    let Some(origin) = found.kept.origin().cloned() else {
         return Err(ErrorReason::UnknownBuild);
     };
     // A stream does not go on at a service to which its route no longer leads.
@@ -294,17 +335,14 @@
 
 fn log_found(caller: &CallerRequest, found: &Finding) {
     if logs::is_allowed(LineKind::Attempt) {
-        let origin = match &found.kept {
-            KeptOrigin::Known(origin) => Some(origin),
-            KeptOrigin::Unknown | KeptOrigin::Ambiguous => None,
-        };
+        let origin = found.kept.origin();
         tracing::info!(
             event = "stream taken up",
             request = caller.id,
             resumes = caller.resumed_attempt,
             after = caller.resume_after,
             known_by = found.known_by,
-            keepers = found.keepers,
+            asked = found.asked,
             replies = found.replies,
             service = origin.map(|at| &*at.service),
             build = origin.map(|at| &*at.build),
@@ -312,12 +350,24 @@
     }
 }
 
-/// Returns what the agents keep, by the replies that come in time, and their number.
-async fn ask(queries: &[StreamQuery]) -> (KeptOrigin, usize) {
-    let deadline = Instant::now() + REPLY_TIMEOUT;
+/// Returns what agents keep, by the replies that come in time, and their number.
+async fn ask(
+    key: StreamKey,
+    agents: &[Arc<Link>],
+    starting: Instant,
+) -> (KeptOrigin, usize) {
+    let connected = Instant::now() + REPLY_TIMEOUT;
+    let limit = |link: &Link| match link.status() {
+        AgentStatus::Unknown => starting.max(connected),
+        AgentStatus::Live | AgentStatus::Unresponsive => connected,
+    };
+    let queries: Vec<(Instant, StreamQuery)> = agents
+        .iter()
+        .filter_map(|link| Some((limit(link), link.query_stream(key)?)))
+        .collect();
     let (mut kept, mut replies) = (KeptOrigin::Unknown, 0);
-    for query in queries {
-        let left = deadline.saturating_duration_since(Instant::now());
+    for (limit, query) in &queries {
+        let left = limit.saturating_duration_since(Instant::now());
         if let Some(Some(reply)) = with_timeout(left, query.reply()).await {
             kept = kept.merge(reply);
             replies += 1;
@@ -329,9 +379,3 @@
 fn stream_key(attempt: &str) -> StreamKey {
     xxh3_64(attempt.as_bytes())
 }
-
-/// Returns the key under which agents keep at which software the streams of a service
-/// begin.
-fn service_key(service: &ServiceId) -> StreamKey {
-    xxh3_64_with_seed(service.as_bytes(), SERVICE_SEED)
-}
--- a/crates/larkspring/src/direct/platform_api.rs
+++ b/crates/larkspring/src/direct/platform_api.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
 use larkspring_core::fleet::availability::Notice;
+use larkspring_core::fleet::build_history::ServiceBuild;
 use larkspring_core::fleet::endpoint_list::Endpoint;
 use larkspring_core::fleet::routes::Routing;
 use larkspring_core::fleet::version_records::VersionObject;
@@ -53,6 +54,23 @@
     ) -> PlatformFuture<'a, ()>;
 }
 
+/// Records the software versions that the endpoints of services have, so that streams are
+/// not taken up at another version after a restart of all processes.
+pub trait BuildStore: Send + Sync {
+    /// Returns the store's epoch at its last answer. Versions that were added in an earlier
+    /// epoch may be lost.
+    fn epoch(&self) -> StoreEpoch;
+
+    /// Reads all versions.
+    fn list(&self) -> PlatformFuture<'_, Vec<ServiceBuild>>;
+
+    /// Adds a version, unless it is stored already.
+    fn add<'a>(&'a self, build: &'a ServiceBuild) -> PlatformFuture<'a, ()>;
+
+    /// Removes a version, if it is stored.
+    fn remove<'a>(&'a self, build: &'a ServiceBuild) -> PlatformFuture<'a, ()>;
+}
+
 /// Stores the quarantined features of requests, so that they survive a restart of all
 /// processes.
 pub trait QuarantineStore: Send + Sync {
--- a/crates/larkspring/src/direct/stats.rs
+++ b/crates/larkspring/src/direct/stats.rs
@@ -45,6 +45,7 @@
     unknown: UnknownNames,
     permits: IntCounterVec,
     rated_sends: IntCounterVec,
+    build_records: IntCounterVec,
     version_records: IntCounterVec,
     count_invalid_items: IntGaugeVec,
     set_gauge: IntGaugeVec,
@@ -203,6 +204,11 @@
                 "Requests sent to endpoints that name a rate: first, again or going on.",
                 &["kind"],
             ),
+            build_records: counter(
+                "larkspring_software_version_records_total",
+                "Updates of the record of software versions in the store, by outcome.",
+                &["outcome"],
+            ),
             version_records: counter(
                 "larkspring_version_records_total",
                 "Writes of the newest version of an adapter to the store, by outcome.",
@@ -327,6 +333,11 @@
         }
     }
 
+    /// Counts an update of the record of software versions in the store.
+    pub fn count_build_record(&self, ok: bool) {
+        self.build_records.with_label_values(&[outcome(ok)]).inc();
+    }
+
     /// Counts a write of the newest version of an adapter to the store.
     pub fn count_version_record(&self, ok: bool) {
         self.version_records.with_label_values(&[outcome(ok)]).inc();
--- a/crates/larkspring/src/direct/streams.rs
+++ b/crates/larkspring/src/direct/streams.rs
@@ -4,41 +4,51 @@
 
 use larkspring_core::fleet::stream_origins::{KeptOrigin, StreamKey, StreamOrigin};
 use larkspring_proto::residency as wire;
+use larkspring_proto::residency::StreamStage;
 
-/// Encodes where a stream began, and for how long that is kept.
+/// Encodes where a stream was sent or began, and for how long that is kept; `None` if
+/// nothing is known or it is contradictory.
 pub(crate) fn encode_start(
     key: StreamKey,
-    origin: &StreamOrigin,
-    kept: Duration,
-) -> wire::StreamStart {
-    wire::StreamStart {
+    kept: &KeptOrigin,
+    kept_for: Duration,
+) -> Option<wire::StreamStart> {
+    let stage = match kept {
+        KeptOrigin::Sent(_) => StreamStage::Sent,
+        KeptOrigin::Begun(_) => StreamStage::Begun,
+        KeptOrigin::SentToSeveral => StreamStage::SentToSeveral,
+        KeptOrigin::Unknown | KeptOrigin::Ambiguous => return None,
+    };
+    let origin = kept.origin();
+    Some(wire::StreamStart {
         key,
-        service: origin.service.to_string(),
-        build: origin.build.to_string(),
-        kept_ms: kept.as_millis() as u64,
-    }
+        service: origin.map(|at| at.service.to_string()).unwrap_or_default(),
+        build: origin.map(|at| at.build.to_string()).unwrap_or_default(),
+        kept_ms: kept_for.as_millis() as u64,
+        stage: stage.into(),
+    })
 }
 
-/// Decodes where a stream began.
-pub(crate) fn decode_origin(start: &wire::StreamStart) -> StreamOrigin {
-    StreamOrigin {
+/// Decodes where a stream was sent or began.
+pub(crate) fn decode_start(start: &wire::StreamStart) -> KeptOrigin {
+    let origin = || StreamOrigin {
         service: start.service.as_str().into(),
         build: start.build.as_str().into(),
+    };
+    match start.stage() {
+        StreamStage::Sent => KeptOrigin::Sent(origin()),
+        StreamStage::Begun => KeptOrigin::Begun(origin()),
+        StreamStage::SentToSeveral => KeptOrigin::SentToSeveral,
     }
 }
 
 /// Encodes the reply to a query.
 pub(crate) fn encode_stream_reply(
     query: &wire::StreamQuery,
-    origin: &KeptOrigin,
+    kept: &KeptOrigin,
 ) -> wire::StreamReply {
-    let start = match origin {
-        KeptOrigin::Known(origin) => {
-            Some(encode_start(query.key, origin, Duration::ZERO))
-        }
-        KeptOrigin::Unknown | KeptOrigin::Ambiguous => None,
-    };
-    let is_ambiguous = *origin == KeptOrigin::Ambiguous;
+    let start = encode_start(query.key, kept, Duration::ZERO);
+    let is_ambiguous = *kept == KeptOrigin::Ambiguous;
     wire::StreamReply { id: query.id, start, is_ambiguous }
 }
 
@@ -47,6 +57,6 @@
     match &reply.start {
         _ if reply.is_ambiguous => KeptOrigin::Ambiguous,
         None => KeptOrigin::Unknown,
-        Some(start) => KeptOrigin::Known(decode_origin(start)),
+        Some(start) => decode_start(start),
     }
 }
--- a/crates/larkspring/src/platform/mod.rs
+++ b/crates/larkspring/src/platform/mod.rs
@@ -32,6 +32,11 @@
 }
 
 impl PlatformError {
+    /// Creates the error of a call that was answered with a status that is not expected.
+    pub fn unexpected_status(step: &'static str, status: u16) -> Self {
+        Self::NoEffect(step, format!("answered {status}"))
+    }
+
     /// Classifies a failed call by whether it may have taken effect.
     pub fn from_http(step: &'static str, e: HttpError) -> Self {
         match e.nothing_sent() {
