Take a run for ended once another is listed at its address

Cause: a run that is no longer listed counted as one that drains, whose last answer is passed on unchecked, although the list named another run at its address. Only the agent's report was asked, which plain services lack and which may be late.

Change: the check of an ended endpoint also asks the fleet whether another run of the service is listed at the address.

Evidence: an_answer_whose_endpoint_was_replaced_in_the_list_is_not_delivered_as_complete failed on (200 and an orderly end after one of five events) and passes with the change.

Why it works: an address has one process. A run whose address another has was gone before the check, so its close proves nothing.

--- a/crates/larkspring/src/direct/entry/end_check.rs
+++ b/crates/larkspring/src/direct/entry/end_check.rs
@@ -44,7 +44,7 @@
     service: &Service,
     time_left: Duration,
 ) -> EndpointCheck {
-    if peer.replaced_by().is_some() {
+    if peer.replaced_by().is_some() || entry.fleet.is_replaced(peer) {
         return EndpointCheck::Ended;
     }
     let is_draining = !peer.stays_in_service() || peer.reported_draining();
--- a/crates/larkspring/src/direct/entry/fleet.rs
+++ b/crates/larkspring/src/direct/entry/fleet.rs
@@ -272,7 +272,7 @@
     }
 
     /// Returns whether another run of the service is known at an endpoint's address.
-    fn is_replaced(&self, peer: &Peer) -> bool {
+    pub fn is_replaced(&self, peer: &Peer) -> bool {
         let (former, peers) = (peer.endpoint(), self.peers.load());
         let of_service = peers.by_service.get(&former.service);
         let all = of_service.map_or(&[][..], |all| all);
