Have another engine confirm an end that nothing confirms

Callers got a resumable stream without framing as complete though it was cut off between two events, if its engine couldn't be asked afterwards: draining and gone, full, or without an answer for 250 ms.

Cause: a check without a result counted as an orderly end.

Change: such an end of a resumable stream is handled like an interruption: an engine of the same software goes on after the last event, and ends at once if there is no more. The same engine is asked if it is the only one in service. Plain answers and streams that can't be resumed are passed on as before.

Evidence: an_unconfirmed_end_of_a_resumable_stream_is_confirmed_by_going_on failed before on five of its cut streams, passed on as complete after two of five events.

Why it works: an engine that can go on knows whether there is more. The cost is one request and one retry of the budget for each such end.

--- a/crates/larkspring/src/direct/entry/relay.rs
+++ b/crates/larkspring/src/direct/entry/relay.rs
@@ -321,10 +321,29 @@
                 "the endpoint's process ended",
             ),
             EndpointCheck::Running => self.finish_closed(BodyEnd::Closed, cx),
+            EndpointCheck::Unknown if self.may_resume() => self.confirm_end(),
             EndpointCheck::Unknown => self.finish_closed(BodyEnd::Unconfirmed, cx),
         }
     }
 
+    /// Returns whether the stream may go on at another endpoint after its last event.
+    fn may_resume(&mut self) -> bool {
+        let handler = self.handler.as_ref();
+        let is_start_known = handler.is_some_and(|h| h.start != StreamStart::Unknown);
+        is_start_known && self.events.resumable().is_some()
+    }
+
+    /// Has an endpoint go on after the last event, which ends at once if there are no more.
+    /// Without one the answer breaks off, so that its caller can go on at once.
+    fn confirm_end(&mut self) -> Step {
+        self.handler = self.handler.take().filter(|handler| {
+            let available = handler.entry.fleet.available(&handler.service.name);
+            available.iter().any(|peer| handler.may_take(&peer.endpoint()))
+        });
+        let cause = "it is not known whether the endpoint's process ended";
+        self.handle_interruption(BodyEnd::Unconfirmed, cause)
+    }
+
     /// Ends the answer to the caller as the endpoint did, by the end of the connection.
     fn finish_closed(&mut self, end: BodyEnd, cx: &mut Context<'_>) -> Step {
         if let AnswerSource::Endpoint(open) = &self.source {
