Send requests during a planned stop only if their answers can end in time

What callers saw: in a planned stop of one entry, without any other fault, requests that arrived or were sent late in the grace period were passed on and cut at its end with a bare close, among them requests that must not run twice.

Cause: the moment of arrival decided, not that of the send. Requests were accepted for 2.5 s, in a shorter grace period until the exit, and what waited (for an adapter, a slot, a rate) was sent until 0.9 s before the end. At the exit nothing answered the requests that were at an endpoint.

Change: - `StopSchedule` decides until when a request may be sent: until its deadline if that lies before the exit, else as long before the exit as the slowest of the last 64 answers of its route took. For a repeatable request the median suffices while new requests are accepted. Without answers on the route, only the deadline bounds the answer. A request past that time is refused as not run, at once, also while it waits or its body arrives; the check is repeated before the first byte. - New requests are accepted for half of the grace period at most. - 0.25 s before the exit, requests that were sent and have no answer get 502, their outcome being unknown. - Connections that were opened before the listener closes are still accepted. - `stopped` says how many requests were refused, how many were unclear at the end, and how many answers were cut, by kind of route.

Why it works: a request reaches an endpoint only while the decision holds, and every request that was sent and has no head of an answer is answered while the process still has time to write. What is left are answers whose bodies are on the way at the exit: those that take longer than any recent one of their route.

--- a/crates/larkspring-core/src/fleet/mod.rs
+++ b/crates/larkspring-core/src/fleet/mod.rs
@@ -24,6 +24,7 @@
 //! 21. [`idle`]: the reuse of idle connections.
 //! 22. [`slow_readers`]: the callers whose connections are closed for lack of memory.
 //! 23. [`stream_outcomes`]: the endpoints that break off their streams.
+//! 24. [`stop_schedule`]: until when an entry that is being stopped sends requests.
 //!
 //! [`mechanisms`] lists the mechanisms that can be disabled in a benchmark.
 
@@ -47,6 +48,7 @@
 pub mod response_time;
 pub mod routes;
 pub mod slow_readers;
+pub mod stop_schedule;
 pub mod stream_origins;
 pub mod stream_outcomes;
 pub mod urgency;
--- a/crates/larkspring/src/direct/entry/attempt.rs
+++ b/crates/larkspring/src/direct/entry/attempt.rs
@@ -179,6 +179,10 @@
             let cause = "the request was quarantined since the selection".into();
             return Err(SendError::Unsent(endpoint.addr.to_string(), cause));
         }
+        if self.is_too_late() {
+            let cause = "the entry stops before an answer could end".into();
+            return Err(SendError::Unsent(endpoint.addr.to_string(), cause));
+        }
         if peer.rate_limit().is_some() {
             if !selection.permit.is_some_and(|permit| permit.is_valid()) {
                 let cause = "the endpoint is rate-limited and no permit is valid".into();
@@ -195,6 +199,7 @@
         let version = selection.target.as_ref().map(|t| &*t.version);
         let req = self.request(&endpoint.id, version, body);
         self.in_flight.store(true, Ordering::Release);
+        self.sent_at = Instant::now();
         self.connections.push(conn.id);
         let outdated = async {
             match selection.target.as_ref().filter(|_| self.route.class.is_retryable()) {
@@ -209,7 +214,7 @@
         };
         let res = future::or(conn.send(endpoint.addr, req), outdated).await;
         if matches!(res, Err(SendError::Unsent(..))) {
-            self.in_flight.store(false, Ordering::Release);
+            self.in_flight.store(self.history.may_have_run, Ordering::Release);
         } else if !self.tried.contains(&endpoint.id) {
             self.history.endpoints += 1;
             self.tried.push(endpoint.id.clone());
--- a/crates/larkspring/src/direct/entry/connections.rs
+++ b/crates/larkspring/src/direct/entry/connections.rs
@@ -27,8 +27,9 @@
 use super::answer::AnswerBody;
 use super::framing::Framing;
 use super::serving;
+use super::shutdown::Delivery;
 use super::unread_answers::Backlog;
-use super::{EntryState, Shutdown};
+use super::EntryState;
 use crate::direct::logs::{self, LineKind};
 use crate::exec;
 
@@ -41,7 +42,8 @@
 const SLOW_HEAD_RESPONSE: &[u8] = b"HTTP/1.1 408 Request Timeout\r\n\
     content-length: 0\r\nconnection: close\r\n\r\n";
 
-/// Accepts connections until shutdown reaches the closing stage.
+/// Accepts connections until shutdown reaches the closing stage, and then those that were
+/// opened before.
 pub(super) async fn accept(listener: TcpListener, entry: Arc<EntryState>) {
     let closing = async {
         entry.shutdown.wait_closing().await;
@@ -50,7 +52,7 @@
     let mut closing = std::pin::pin!(closing);
     loop {
         let accepted = async { Some(listener.accept().await) };
-        match future::or(&mut closing, accepted).await {
+        match future::or(accepted, &mut closing).await {
             None => return,
             Some(Ok((sock, _))) => {
                 let open = entry.shutdown.connections.load(Ordering::Acquire);
@@ -209,11 +211,17 @@
 pub(super) struct ExchangeGuard {
     phase: Arc<Phase>,
     caller_version: Version,
+    delivery: Option<Delivery>,
 }
 
 impl ExchangeGuard {
     fn new<B>(phase: Arc<Phase>, req: &Request<B>) -> Self {
-        Self { phase, caller_version: req.version() }
+        Self { phase, caller_version: req.version(), delivery: None }
+    }
+
+    /// Keeps the delivery of an endpoint's answer open for as long as the exchange.
+    pub fn begin_delivery(&mut self, delivery: Delivery) {
+        self.delivery = Some(delivery);
     }
 
     /// Records that the body of an answer with this framing begins. A caller of HTTP/1.0
@@ -251,9 +259,7 @@
 
 impl Drop for ConnectionCount {
     fn drop(&mut self) {
-        let shutdown: &Shutdown = &self.0.shutdown;
-        shutdown.connections.fetch_sub(1, Ordering::AcqRel);
-        shutdown.changed.notify(usize::MAX);
+        self.0.shutdown.connection_closed();
     }
 }
 
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -1,7 +1,7 @@
 //! The entry: the process that callers connect to. It forwards requests directly to
 //! endpoints.
 //!
-//! 1. [`connections`]: caller connections, their limits and shutdown.
+//! 1. [`connections`]: caller connections and their limits; [`shutdown`]: the planned stop.
 //! 2. [`serving`]: serving of one request, whose state is in [`request_handler`];
 //!    [`admission`] authenticates its
 //!    caller, [`workspace_limits`] enforces the limit of its workspace. [`absence`]
@@ -53,6 +53,7 @@
 mod select_plain;
 mod selection_inputs;
 mod serving;
+mod shutdown;
 mod stream_tracker;
 mod unread_answers;
 mod version_recorder;
@@ -62,20 +63,18 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, Guard};
-use event_listener::Event;
-use futures_lite::future;
 use http::StatusCode;
 use larkspring_core::ids::{ContentHash, ServiceId, TargetHash};
 use larkspring_core::retry::RetryWindow;
 use parking_lot::Mutex;
 use quick_error::quick_error;
 use smol::net::TcpListener;
-use smol::{channel, Task, Timer};
+use smol::{channel, Task};
 
 use self::absence::AbsenceCheck;
 use self::crashes::CrashDetector;
@@ -84,6 +83,7 @@
 use self::fleet::Fleet;
 use self::link::MessageSinks;
 use self::permits::Permits;
+use self::shutdown::Shutdown;
 use self::stream_tracker::StreamTracker;
 use self::unread_answers::UnreadAnswers;
 use self::version_recorder::VersionRecorder;
@@ -139,31 +139,6 @@
     unread_answers: Arc<UnreadAnswers>,
 }
 
-/// The progress of the entry's shutdown.
-#[derive(Default)]
-pub(super) struct Shutdown {
-    /// 0 while the entry runs, then [`DRAINING`], [`CLOSING`] and [`REFUSING`] in turn.
-    stage: AtomicU8,
-    connections: AtomicUsize,
-    changed: Event,
-}
-
-/// Readiness checks fail; each answer closes its connection.
-const DRAINING: u8 = 1;
-/// Idle connections close, and no new connections or requests are accepted.
-const CLOSING: u8 = 2;
-/// Requests that have not been sent to an endpoint yet are refused.
-const REFUSING: u8 = 3;
-
-/// How long new requests are accepted after the stop signal. The load balancer checks
-/// readiness each second and removes the entry after two failures, and connections that
-/// callers are opening still have to be served. Requests accepted later may not complete
-/// within the grace period.
-const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2500);
-/// Time before the end of the grace period at which unsent requests are refused.
-const REFUSE_BEFORE_END: Duration = Duration::from_millis(900);
-/// Time before the end of the grace period at which the process exits by itself.
-const EXIT_BEFORE_END: Duration = Duration::from_millis(300);
 /// Minimum interval between two preload requests for the same adapter version.
 const PRELOAD_INTERVAL: Duration = Duration::from_secs(2);
 /// Limits the number of recent preload requests that are remembered.
@@ -261,30 +236,13 @@
         self.inner.cfg.store(Arc::new(cfg));
     }
 
-    /// Stops the entry: fails readiness checks, then closes the listener and idle
-    /// connections, then waits for running requests until the grace period ends.
+    /// Stops the entry: fails readiness checks and refuses requests whose answers would not
+    /// end in time, then closes the listener and idle connections, then waits for running
+    /// requests until the grace period ends.
     pub async fn stop(self) {
-        let began = Instant::now();
         tracing::info!(event = "stop", process = "entry");
-        let shutdown = &self.inner.shutdown;
-        shutdown.enter(DRAINING);
         let grace = self.inner.cfg().process.stop_grace;
-        let end = began + grace.saturating_sub(EXIT_BEFORE_END);
-        Timer::at((began + ACCEPT_AFTER_STOP).min(end)).await;
-        shutdown.enter(CLOSING);
-        let ending = async {
-            Timer::at(began + grace.saturating_sub(REFUSE_BEFORE_END)).await;
-            shutdown.enter(REFUSING);
-            Timer::at(end).await;
-            false
-        };
-        let idle = async {
-            shutdown.wait_no_connections().await;
-            true
-        };
-        let idle = future::or(idle, ending).await;
-        let open = self.inner.shutdown.connections.load(Ordering::Acquire);
-        tracing::info!(event = "stopped", process = "entry", idle, open);
+        self.inner.shutdown.run(grace).await;
         drop(self.tasks);
     }
 }
@@ -397,53 +355,3 @@
         at.is_some_and(|at| at.elapsed() < RETRY_WINDOW)
     }
 }
-
-impl Shutdown {
-    fn enter(&self, stage: u8) {
-        self.stage.store(stage, Ordering::Release);
-        self.changed.notify(usize::MAX);
-    }
-
-    fn is_past(&self, stage: u8) -> bool {
-        self.stage.load(Ordering::Acquire) >= stage
-    }
-
-    fn is_draining(&self) -> bool {
-        self.is_past(DRAINING)
-    }
-
-    fn is_closing(&self) -> bool {
-        self.is_past(CLOSING)
-    }
-
-    /// Waits until shutdown reaches the stage [`CLOSING`].
-    async fn wait_closing(&self) {
-        self.wait(CLOSING).await;
-    }
-
-    /// Waits until shutdown reaches the stage [`REFUSING`].
-    async fn wait_refusing(&self) {
-        self.wait(REFUSING).await;
-    }
-
-    async fn wait(&self, stage: u8) {
-        loop {
-            let changed = self.changed.listen();
-            if self.is_past(stage) {
-                return;
-            }
-            changed.await;
-        }
-    }
-
-    /// Waits until no caller connection is open.
-    async fn wait_no_connections(&self) {
-        loop {
-            let changed = self.changed.listen();
-            if self.connections.load(Ordering::Acquire) == 0 {
-                return;
-            }
-            changed.await;
-        }
-    }
-}
--- a/crates/larkspring/src/direct/entry/request_handler.rs
+++ b/crates/larkspring/src/direct/entry/request_handler.rs
@@ -42,6 +42,8 @@
     pub headers: HeaderMap,
     pub body: RequestBody,
     pub received: Instant,
+    /// When the request was last sent to an endpoint.
+    pub sent_at: Instant,
     /// When the request times out, by the caller's deadline or the route's time-out.
     pub deadline: Instant,
     pub history: AttemptHistory,
@@ -49,7 +51,8 @@
     pub tried: Vec<Incarnation>,
     /// Connections on which the request was sent.
     pub connections: Vec<ConnId>,
-    /// Whether an attempt that the endpoint may be executing is in progress.
+    /// Whether an attempt that the endpoint may be executing is in progress, or an earlier
+    /// attempt may have run.
     pub in_flight: Arc<AtomicBool>,
     /// What the request may have in common with others that crash endpoints.
     pub features: Arc<RequestFeatures>,
@@ -93,7 +96,8 @@
 
     /// Records the outcome of an attempt and decides how to proceed.
     pub fn record_attempt(&mut self, end: AttemptStatus, peer: &Arc<Peer>) -> NextStep {
-        self.in_flight.store(false, Ordering::Release);
+        self.in_flight
+            .store(self.history.may_have_run || end.may_have_run(), Ordering::Release);
         self.history.attempts += 1;
         let id = peer.endpoint().id.clone();
         if end == AttemptStatus::EndpointReplaced {
@@ -145,6 +149,13 @@
         self.caller.model.as_ref().is_some_and(|model| model.adapter.is_some())
     }
 
+    /// Returns whether the entry is stopping and the request can't be sent any more. One
+    /// that may have run can't be refused, so another attempt is better than none.
+    pub fn is_too_late(&self) -> bool {
+        !self.history.may_have_run
+            && self.entry.shutdown.is_too_late(&self.route, self.deadline)
+    }
+
     /// Returns the time left until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/larkspring/src/direct/entry/serving.rs
+++ b/crates/larkspring/src/direct/entry/serving.rs
@@ -23,6 +23,7 @@
 use super::log::{log_answered, log_refused, Refusal};
 use super::relay::Relay;
 use super::request_handler::{RequestHandler, DEFAULT_TIMEOUT};
+use super::shutdown::Delivery;
 use super::stream_tracker::stream_start;
 use super::EntryState;
 use crate::direct::logs::{self, LineKind};
@@ -62,6 +63,7 @@
         };
         log_refused(&entry, &caller, &refusal);
         entry.stats.count_request("", reason.name());
+        entry.shutdown.count_own_answer(reason);
         own_answer(&entry, reason, &caller.id, after, Some(done))
     };
     let refuse = |reason: ErrorReason, view, body, done| {
@@ -125,9 +127,12 @@
         None => None,
     };
     entry.count_request(&service.name);
-    let read =
-        with_timeout(timeout, read_body(&entry, body, routing.bounds.max_body)).await;
-    let body = match read {
+    let read = with_timeout(timeout, read_body(&entry, body, routing.bounds.max_body));
+    let stopping = async {
+        entry.shutdown.wait_too_late(&route, deadline).await;
+        Some(Err(ErrorReason::Stopping))
+    };
+    let body = match future::or(read, stopping).await {
         Some(Ok(body)) => body,
         Some(Err(reason)) => return refuse(reason, Some(&view), None, done),
         None => return refuse(ErrorReason::TimedOutNotRun, Some(&view), None, done),
@@ -158,6 +163,7 @@
         charge,
         body,
         received,
+        sent_at: received,
         deadline,
     };
     handler.run(done).await
@@ -166,12 +172,13 @@
 impl RequestHandler {
     async fn run(mut self, done: ExchangeGuard) -> Response<AnswerBody> {
         let (left, in_flight) = (self.time_left(), self.in_flight.clone());
-        let entry = self.entry.clone();
+        let (entry, route, deadline) =
+            (self.entry.clone(), self.route.clone(), self.deadline);
         let stopping = async {
-            entry.shutdown.wait_refusing().await;
+            entry.shutdown.wait_too_late(&route, deadline).await;
             if in_flight.load(Ordering::Acquire) {
                 // An attempt in progress is allowed to finish.
-                future::pending::<()>().await;
+                entry.shutdown.wait_ending().await;
             }
             Some(Err((ErrorReason::Stopping, None)))
         };
@@ -206,6 +213,7 @@
         };
         log_refused(&self.entry, &self.caller, &refusal);
         self.entry.stats.count_request(&self.route.name, reason.name());
+        self.entry.shutdown.count_own_answer(reason);
         own_answer(&self.entry, reason, &self.caller.id, after, Some(done))
     }
 
@@ -217,6 +225,9 @@
         self.admit_by_share()?;
         let mut own_failure = None;
         loop {
+            if self.is_too_late() {
+                return own_failure.ok_or((ErrorReason::Stopping, None));
+            }
             if self.entry.crashes.is_quarantined(&self.features) {
                 return own_failure.ok_or((ErrorReason::CrashesEndpoints, None));
             }
@@ -248,10 +259,16 @@
     fn deliver(
         self,
         answered: EndpointAnswer,
-        done: ExchangeGuard,
+        mut done: ExchangeGuard,
     ) -> Response<AnswerBody> {
         self.record_share_answer();
         let entry = self.entry.clone();
+        done.begin_delivery(Delivery::new(
+            entry.clone(),
+            self.route.clone(),
+            self.sent_at,
+            answered.head.status.is_success(),
+        ));
         entry.stats.observe_first_byte(&self.route.name, self.received.elapsed());
         let (mut head, payload) = (answered.head, answered.payload);
         head.headers = strip_hop_by_hop_headers(std::mem::take(&mut head.headers));
