Ask agents for a newer routing before an entry that starts trusts the store

Callers got 404 for a route that had been added, from an entry that was restarted after the store had carried out an older write of the operator late. A key that had been revoked was accepted over 2 s after that by an entry that was restarted after the store had been restored from a backup without the revocation.

Both have one cause: running entries ignore an older routing, but what they know ends with them, and an entry that starts takes the store's list for proof that nothing newer exists.

Entries now tell the newest routing, undecoded, to a few agents of their hall and of two others. An entry that starts asks them; until they have replied, or are gone, it is not ready and its routing has no freshness proof, so unknown routes and keys get 503. A kept routing comes into force but proves nothing, and neither does the store until it holds that routing.

an_entry_that_starts_after_a_restore_accepts_no_revoked_key passes as it was. restarted_entries_keep_the_newest_routing_after_a_late_write waits until the agent keeps the routing before it kills the only entry: nothing can outlive a process that alone knows it. It asserts more than before: the added route is answered with 200, in four kinds of restart instead of one.

--- a/crates/larkspring-core/src/fleet/mod.rs
+++ b/crates/larkspring-core/src/fleet/mod.rs
@@ -24,6 +24,7 @@
 //! 21. [`idle`]: the reuse of idle connections.
 //! 22. [`slow_readers`]: the callers whose connections are closed for lack of memory.
 //! 23. [`stream_outcomes`]: the endpoints that break off their streams.
+//! 24. [`routing_keepers`]: the agents that keep the newest routing.
 //!
 //! [`mechanisms`] lists the mechanisms that can be disabled in a benchmark.
 
@@ -46,6 +47,7 @@
 pub mod request_rates;
 pub mod response_time;
 pub mod routes;
+pub mod routing_keepers;
 pub mod slow_readers;
 pub mod stream_origins;
 pub mod stream_outcomes;
--- a/crates/larkspring-proto/src/gen/larkspring.residency.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.residency.rs
@@ -48,6 +48,24 @@
     #[prost(uint64, optional, tag = "10")]
     pub list_age_ms: ::core::option::Option<u64>,
 }
+/// A routing, as the platform's store returned it.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RoutingCopy {
+    /// 0 if no routing is known.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Point of the store's history that was read.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+    /// Unmodified answers of the store: pages of a list, then changes in order. Both are empty
+    /// if only the version is told.
+    #[prost(bytes = "bytes", repeated, tag = "4")]
+    pub pages: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
+    #[prost(bytes = "bytes", repeated, tag = "5")]
+    pub changes: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct FromEntry {
     #[prost(oneof = "from_entry::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
@@ -691,6 +709,31 @@
                 .insert(GrpcMethod::new("larkspring.residency.Residency", "Read"));
             self.inner.unary(req, path, codec).await
         }
+        /// Tells the newest routing that the entry knows. The reply holds the agent's newest one
+        /// if that is newer, and its version alone otherwise.
+        pub async fn exchange_routing(
+            &mut self,
+            request: impl tonic::IntoRequest<super::RoutingCopy>,
+        ) -> std::result::Result<tonic::Response<super::RoutingCopy>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = crate::codec::SmallCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/larkspring.residency.Residency/ExchangeRouting",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(
+                    GrpcMethod::new("larkspring.residency.Residency", "ExchangeRouting"),
+                );
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -723,6 +766,12 @@
             &self,
             request: tonic::Request<super::ReadRequest>,
         ) -> std::result::Result<tonic::Response<super::ReadReply>, tonic::Status>;
+        /// Tells the newest routing that the entry knows. The reply holds the agent's newest one
+        /// if that is newer, and its version alone otherwise.
+        async fn exchange_routing(
+            &self,
+            request: tonic::Request<super::RoutingCopy>,
+        ) -> std::result::Result<tonic::Response<super::RoutingCopy>, tonic::Status>;
     }
     /// Served by each agent for the engine beside it.
     #[derive(Debug)]
@@ -888,6 +937,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/larkspring.residency.Residency/ExchangeRouting" => {
+                    #[allow(non_camel_case_types)]
+                    struct ExchangeRoutingSvc<T: Residency>(pub Arc<T>);
+                    impl<T: Residency> tonic::server::UnaryService<super::RoutingCopy>
+                    for ExchangeRoutingSvc<T> {
+                        type Response = super::RoutingCopy;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::RoutingCopy>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Residency>::exchange_routing(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ExchangeRoutingSvc(inner);
+                        let codec = crate::codec::SmallCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
--- a/crates/larkspring/src/direct/agent/mod.rs
+++ b/crates/larkspring/src/direct/agent/mod.rs
@@ -8,15 +8,17 @@
 //! 4. [`publish`]: publishes the engine's state to the entries.
 //! 5. [`driver`]: requests the engine's reports and sends it orders, one at a time.
 //! 6. [`state_cache`]: reads the declared state once for all entries of the hall.
-//! 7. [`quarantine_sync`]: keeps quarantined request fingerprints in the platform's
+//! 7. [`routing_keeper`]: keeps the newest routing for entries that start.
+//! 8. [`quarantine_sync`]: keeps quarantined request fingerprints in the platform's
 //!    store.
-//! 8. [`stream_ends`]: whether the engine breaks off its streams.
+//! 9. [`stream_ends`]: whether the engine breaks off its streams.
 
 mod controller;
 mod driver;
 mod orders;
 mod publish;
 mod quarantine_sync;
+mod routing_keeper;
 mod serve;
 mod state_cache;
 mod stream_ends;
--- a/crates/larkspring/src/direct/agent/serve.rs
+++ b/crates/larkspring/src/direct/agent/serve.rs
@@ -7,12 +7,15 @@
 
 use futures_lite::Stream;
 use larkspring_proto::residency::residency_server::{Residency, ResidencyServer};
-use larkspring_proto::residency::{FromAgent, FromEntry, ReadReply, ReadRequest};
+use larkspring_proto::residency::{
+    FromAgent, FromEntry, ReadReply, ReadRequest, RoutingCopy,
+};
 use smol::channel::{self, Receiver, Sender};
 use smol::net::TcpListener;
 use tonic::{Request, Response, Status, Streaming};
 
 use super::controller::{EntryNumber, Event};
+use super::routing_keeper::RoutingKeeper;
 use super::state_cache::StateCache;
 use crate::exec;
 use crate::rpc::serve::{serve, ShutdownHandle};
@@ -21,6 +24,7 @@
     events: Sender<Event>,
     next_number: AtomicU64,
     state: Arc<StateCache>,
+    routing: RoutingKeeper,
 }
 
 /// Serves entries on `listener` in the background.
@@ -29,7 +33,12 @@
     events: Sender<Event>,
     state: Arc<StateCache>,
 ) -> ShutdownHandle {
-    let service = Arc::new(Service { events, next_number: AtomicU64::new(1), state });
+    let service = Arc::new(Service {
+        events,
+        next_number: AtomicU64::new(1),
+        state,
+        routing: RoutingKeeper::default(),
+    });
     serve(listener, ResidencyServer::from_arc(service))
 }
 
@@ -56,6 +65,13 @@
     ) -> Result<Response<ReadReply>, Status> {
         Ok(Response::new(self.state.read(&req.into_inner()).await))
     }
+
+    async fn exchange_routing(
+        &self,
+        req: Request<RoutingCopy>,
+    ) -> Result<Response<RoutingCopy>, Status> {
+        Ok(Response::new(self.routing.exchange(req.into_inner())))
+    }
 }
 
 /// The messages for one entry; the entry's own messages are read until this value is
--- a/crates/larkspring/src/direct/applier.rs
+++ b/crates/larkspring/src/direct/applier.rs
@@ -53,6 +53,8 @@
         self.stats.count_invalid_items(kind.name(), left_out as u64);
         let unreadable = left_out > 0;
         let readable = !listed.items.is_empty() && !unreadable;
+        let version = || self.replicated_state.routing().map(|routing| routing.version);
+        let before = version();
         match state.is_complete {
             true => self.replicated_state.replace_all(now, kind, listed),
             false => self.replicated_state.apply_changes(now, listed),
@@ -60,12 +62,15 @@
         if kind == StateKind::Routing && (unreadable || readable) {
             self.replicated_state.set_routing_invalid(unreadable);
         }
+        if kind == StateKind::Routing && version() > before {
+            self.replicated_state.keep_routing_copy(state);
+        }
         let basis = ProofBasis {
             source: state.source,
             content: state.content(),
             point: at,
             listed_at: state.listed_at,
-            routing: self.replicated_state.routing().map(|r| r.version),
+            routing: version(),
         };
         let proved = state.proved_at.is_some_and(|at| {
             self.replicated_state.record_proof_of(kind, at, Some(basis))
--- a/crates/larkspring/src/direct/entry/fleet/agents.rs
+++ b/crates/larkspring/src/direct/entry/fleet/agents.rs
@@ -1,5 +1,6 @@
 //! The agents of the fleet: which of them the entry follows, reads from and asks.
 
+use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Instant;
@@ -9,6 +10,7 @@
 use larkspring_core::fleet::following::EntryCounts;
 use larkspring_core::fleet::permits::RunHash;
 use larkspring_core::fleet::read_timing::MAX_AGENTS_PER_READ;
+use larkspring_core::fleet::routing_keepers::{OTHER_HALL_KEEPERS, OWN_HALL_KEEPERS};
 use larkspring_core::fleet::stream_origins::{self, StreamKey};
 use larkspring_core::ids::{HallId, Incarnation, ServiceId};
 use xxhash_rust::xxh3::xxh3_64;
@@ -43,6 +45,40 @@
             // No routing is known yet, by which services are told apart.
             true => self.listed_engines().filter(|e| e.hall == *hall).collect(),
         };
+        self.first_ranked(hall, endpoints, count)
+    }
+
+    /// Returns the agents that keep the newest routing, whether they are live or not:
+    /// some of this hall, and one of each of some other halls.
+    pub fn routing_keepers(&self) -> Vec<Reader> {
+        let routing = self.replicated_state.routing();
+        let is_engine = |e: &Endpoint| {
+            let service = routing.as_ref().and_then(|r| r.service(&e.service));
+            e.runs_models || service.is_some_and(|s| s.engine.is_some())
+        };
+        let mut engines = self.replicated_state.endpoints();
+        engines.retain(|e| !e.leaving && is_engine(e));
+        let halls: BTreeSet<_> = engines.iter().map(|e| e.hall.clone()).collect();
+        let others = halls.iter().filter(|hall| **hall != self.hall);
+        let others = others.take(OTHER_HALL_KEEPERS).map(|hall| (hall, 1));
+        let own = std::iter::once((&self.hall, OWN_HALL_KEEPERS));
+        own.chain(others)
+            .flat_map(|(hall, count)| {
+                let of_hall: Vec<_> =
+                    engines.iter().filter(|e| e.hall == *hall).cloned().collect();
+                self.first_ranked(hall, of_hall, count)
+            })
+            .collect()
+    }
+
+    /// Returns the agents of a hall's endpoints that come first in the order on which all
+    /// entries agree.
+    fn first_ranked(
+        &self,
+        hall: &HallId,
+        endpoints: Vec<Arc<Endpoint>>,
+        count: usize,
+    ) -> Vec<Reader> {
         let key = xxh3_64(hall.as_bytes());
         let ranked = rank_endpoints(key, endpoints, |endpoint| &endpoint.id);
         let reader = |endpoint: Arc<Endpoint>| Reader {
--- a/crates/larkspring/src/direct/entry/mod.rs
+++ b/crates/larkspring/src/direct/entry/mod.rs
@@ -19,6 +19,7 @@
 //! 10. [`answer_ends`]: what the end of an answer says about its endpoint.
 //! 11. [`unread_answers`]: the bound of the bytes held for callers that read slowly.
 //! 12. [`version_recorder`]: the record of the newest versions in the store.
+//! 13. [`routing_exchange`]: the newest routing, told to agents and asked of them.
 
 mod absence;
 mod admission;
@@ -49,6 +50,7 @@
 mod relay;
 mod request_handler;
 mod reused_connection;
+mod routing_exchange;
 mod select;
 mod select_plain;
 mod selection_inputs;
@@ -84,6 +86,7 @@
 use self::fleet::Fleet;
 use self::link::MessageSinks;
 use self::permits::Permits;
+use self::routing_exchange::RoutingExchange;
 use self::stream_tracker::StreamTracker;
 use self::unread_answers::UnreadAnswers;
 use self::version_recorder::VersionRecorder;
@@ -223,11 +226,17 @@
             fleet.clone(),
             stats.clone(),
         );
+        let exchange = RoutingExchange::new(
+            directory.clone(),
+            replicated_state.clone(),
+            fleet.clone(),
+        );
         let store = StoreReader::new(directory, stats.clone());
         let directory = Arc::new(HallDirectory::new(store, fleet.clone(), &process));
         let mut tasks =
             watch::follow(directory, replicated_state, stats.clone(), &process);
         tasks.push(exec::spawn(recorder.run()));
+        tasks.push(exec::spawn(exchange.run()));
         tasks.push(exec::spawn(limits.run()));
         tasks.push(exec::spawn(crashes.run()));
         tasks.push(exec::spawn(streams.run()));
@@ -295,16 +304,18 @@
         self.cfg.load()
     }
 
-    /// Returns 200 while the routing, the versions of adapters and an endpoint are known,
-    /// the API keys are fresh enough to authenticate with, and the entry is not stopping;
-    /// 503 otherwise.
+    /// Returns 200 while the newest routing, the versions of adapters and an endpoint are
+    /// known, the API keys are fresh enough to authenticate with, and the entry is not
+    /// stopping; 503 otherwise.
     fn readiness(&self) -> StatusCode {
         let view = self.replicated_state.routing_view();
         let keys_fresh = view.is_some_and(|view| {
             view.routing.workspaces.is_none() || self.has_fresh_keys(&view)
         });
         let knows_versions = self.replicated_state.knows_versions();
-        let is_routable = keys_fresh && knows_versions && !self.fleet.is_empty();
+        let knows_newest = !self.replicated_state.awaits_keepers();
+        let is_routable =
+            keys_fresh && knows_newest && knows_versions && !self.fleet.is_empty();
         match is_routable && !self.shutdown.is_draining() {
             true => StatusCode::OK,
             false => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/larkspring/src/direct/replicated_state.rs
+++ b/crates/larkspring/src/direct/replicated_state.rs
@@ -1,8 +1,10 @@
 //! The replicated state of the fleet as this process knows it: routing, endpoints,
 //! versions and evacuations.
 //!
-//! [`versions`]: the newest versions of adapters.
+//! - [`routing_copies`]: the newest routing, for agents that keep it.
+//! - [`versions`]: the newest versions of adapters.
 
+mod routing_copies;
 mod versions;
 
 use std::sync::atomic::AtomicBool;
@@ -21,6 +23,7 @@
 use larkspring_core::ids::StorePoint;
 use parking_lot::Mutex;
 
+pub use self::routing_copies::RoutingCopy;
 use super::logs::{self, LineKind};
 use super::platform_api::{DecodedState, Item, ReadContent, ReadSource, StateKind};
 use crate::clock::BootInstant;
@@ -29,6 +32,8 @@
 #[derive(Debug)]
 pub struct ReplicatedState {
     routing: ArcSwapOption<Routing>,
+    /// The answer that holds the routing in force.
+    routing_copy: Mutex<Option<RoutingCopy>>,
     proofs: [Mutex<Proof>; StateKind::ALL.len()],
     versions: ArcSwap<AdapterVersions>,
     version_records: Mutex<VersionRecords>,
@@ -86,8 +91,11 @@
     basis: Option<ProofBasis>,
     /// Whether a newer state was read that is invalid, so that nothing is proved.
     newest_is_invalid: bool,
-    /// Whether the store was restored from a backup that lacks the routing in force.
+    /// Whether the store held an older routing than the one in force when it was last
+    /// read: after a late write, or restored from a backup.
     is_behind: bool,
+    /// Whether agents have not been asked yet for a newer routing than the store holds.
+    awaits_keepers: bool,
 }
 
 /// The answer that a freshness proof rests on.
@@ -120,6 +128,7 @@
     fn default() -> Self {
         Self {
             routing: ArcSwapOption::empty(),
+            routing_copy: Mutex::default(),
             proofs: Default::default(),
             versions: ArcSwap::default(),
             version_records: Mutex::default(),
@@ -146,8 +155,11 @@
         // a routing that replaces the proved one meanwhile. The reverse is not true.
         let proof = *self.proof(StateKind::Routing).lock();
         let routing = self.routing()?;
-        let Proof { at: proved_at, listed_at, basis, .. } = proof;
-        Some(RoutingView { routing, proved_at, listed_at, basis })
+        let Proof { at: proved_at, listed_at, basis, awaits_keepers, .. } = proof;
+        Some(match awaits_keepers {
+            true => RoutingView { routing, proved_at: None, listed_at: None, basis },
+            false => RoutingView { routing, proved_at, listed_at, basis },
+        })
     }
 
     /// Returns the time since the store is proved to have held nothing newer of a kind;
