--- a/crates/larkspring-core/src/fleet/mod.rs
+++ b/crates/larkspring-core/src/fleet/mod.rs
@@ -25,6 +25,7 @@
 //! 22. [`slow_readers`]: the callers whose connections are closed for lack of memory.
 //! 23. [`stream_outcomes`]: the endpoints that break off their streams.
 //! 24. [`stop_schedule`]: until when an entry that is being stopped sends requests.
+//! 25. [`routing_keepers`]: the agents that keep the newest routing.
 //!
 //! [`mechanisms`] lists the mechanisms that can be disabled in a benchmark.
 
@@ -47,6 +48,7 @@
 pub mod request_rates;
 pub mod response_time;
 pub mod routes;
+pub mod routing_keepers;
 pub mod slow_readers;
 pub mod stop_schedule;
 pub mod stream_origins;
