--- a/crates/larkspring-cli/tests/common/site.rs
+++ b/crates/larkspring-cli/tests/common/site.rs
@@ -325,6 +325,11 @@
         let _ = self.child.wait();
     }
 
+    /// Kills the process without waiting for its end, so that several end at once.
+    pub fn request_kill(&self) {
+        self.signal(Signal::KILL);
+    }
+
     /// Requests a graceful shutdown.
     pub fn request_stop(&self) {
         self.signal(Signal::TERM);
