Tell the newest routing to the agents of an entry's own hall at once

One agent each of two other halls is told at the next repetition, so that a change of the routing costs the entries of a hall no more than its own two agents at once.

--- a/crates/larkspring/src/direct/entry/fleet/agents.rs
+++ b/crates/larkspring/src/direct/entry/fleet/agents.rs
@@ -51,6 +51,21 @@
     }
 }
 
+/// The agents that keep the newest routing.
+pub(in crate::direct::entry) struct RoutingKeepers {
+    /// Those of the entry's hall.
+    pub own_hall: Vec<Reader>,
+    /// Those of other halls.
+    pub other_halls: Vec<Reader>,
+}
+
+impl RoutingKeepers {
+    /// Returns the agents of all halls.
+    pub fn all(self) -> Vec<Reader> {
+        self.own_hall.into_iter().chain(self.other_halls).collect()
+    }
+}
+
 impl Fleet {
     /// Returns the agents of a hall from which its entries read the declared state, the
     /// first `count` in the order on which all entries agree. Leaves out agents that can't
@@ -74,7 +89,7 @@
 
     /// Returns the agents that keep the newest routing, whether they are live or not:
     /// some of this hall, and one of each of some other halls.
-    pub fn routing_keepers(&self) -> Vec<Reader> {
+    pub fn routing_keepers(&self) -> RoutingKeepers {
         let routing = self.replicated_state.routing();
         let is_engine = |e: &Endpoint| {
             let service = routing.as_ref().and_then(|r| r.service(&e.service));
@@ -84,15 +99,17 @@
         engines.retain(|e| !e.leaving && is_engine(e));
         let halls: BTreeSet<_> = engines.iter().map(|e| e.hall.clone()).collect();
         let others = halls.iter().filter(|hall| **hall != self.hall);
-        let others = others.take(OTHER_HALL_KEEPERS).map(|hall| (hall, 1));
-        let own = std::iter::once((&self.hall, OWN_HALL_KEEPERS));
-        own.chain(others)
-            .flat_map(|(hall, count)| {
-                let of_hall: Vec<_> =
-                    engines.iter().filter(|e| e.hall == *hall).cloned().collect();
-                self.first_ranked(hall, of_hall, count)
-            })
-            .collect()
+        let first = |hall: &HallId, count: usize| {
+            let of_hall = engines.iter().filter(|e| e.hall == *hall);
+            self.first_ranked(hall, of_hall.cloned().collect(), count)
+        };
+        RoutingKeepers {
+            own_hall: first(&self.hall, OWN_HALL_KEEPERS),
+            other_halls: others
+                .take(OTHER_HALL_KEEPERS)
+                .flat_map(|hall| first(hall, 1))
+                .collect(),
+        }
     }
 
     /// Returns the agents of a hall's endpoints that come first in the order on which all
--- a/crates/larkspring/src/direct/entry/routing_exchange.rs
+++ b/crates/larkspring/src/direct/entry/routing_exchange.rs
@@ -68,7 +68,8 @@
         self.ask_keepers().await;
         self.replicated_state.end_keeper_wait();
         let started = Instant::now();
-        let mut last: Option<(Option<RoutingVersion>, Instant)> = None;
+        let mut told: Option<RoutingVersion> = None;
+        let mut told_all_at: Option<Instant> = None;
         loop {
             let changed = self.replicated_state.changed();
             let version = self.replicated_state.routing().map(|r| r.version);
@@ -76,14 +77,16 @@
                 true => EARLY_INTERVAL,
                 false => EXCHANGE_INTERVAL,
             };
-            let is_due =
-                last.is_none_or(|(told, at)| told != version || at.elapsed() >= interval);
-            if is_due {
-                last = Some((version, Instant::now()));
-                self.exchange_with(self.fleet.routing_keepers()).await;
-                continue;
+            if told_all_at.is_none_or(|at| at.elapsed() >= interval) {
+                (told, told_all_at) = (version, Some(Instant::now()));
+                self.exchange_with(self.fleet.routing_keepers().all()).await;
+            } else if told != version {
+                told = version;
+                // The entries of other halls tell their agents at the same time.
+                self.exchange_with(self.fleet.routing_keepers().own_hall).await;
+            } else {
+                with_timeout(interval, changed).await;
             }
-            with_timeout(interval, changed).await;
         }
     }
 
@@ -97,7 +100,7 @@
                 with_timeout(RETRY_PAUSE, changed).await;
                 continue;
             }
-            let mut keepers = self.fleet.routing_keepers();
+            let mut keepers = self.fleet.routing_keepers().all();
             if replies.is_settled(keepers.iter().map(|keeper| &keeper.id)) {
                 return;
             }
