Limit the changes that an agent keeps by their size

What was seen: 80 changes of 1.5 MB each added 135 MB to an agent, of the 192 MB that it may have, by one of four kinds.

Cause: an agent keeps up to 64 changes of each kind for entries, each of up to 2 MiB, as large as the store makes them.

Change: over 4 MiB of changes an agent lists again, as over 64 changes. A list that holds the same items replaces the changes then, instead of confirming them: the changes were kept, so that, by reading, the agent would list each time until the next change.

Why it works: a list clears the changes, so at most 4 MiB and one answer are kept.

--- a/crates/larkspring/src/direct/agent/state_cache.rs
+++ b/crates/larkspring/src/direct/agent/state_cache.rs
@@ -83,6 +83,8 @@
 /// Limits the kept changes; endpoints change once a second. A reader that is further
 /// behind gets the whole state, and so does each reader's next read after a new list.
 const MAX_KEPT_CHANGES: usize = 64;
+/// Limits the bytes of the kept changes of a kind.
+const MAX_KEPT_CHANGE_BYTES: usize = 4 * 1024 * 1024;
 
 impl StateCache {
     /// Creates the state of an agent that no entry has read from.
@@ -160,10 +162,9 @@
                     return;
                 }
                 let known = cached.at;
-                let is_full = cached.changes.len() >= MAX_KEPT_CHANGES;
                 let lists = cached.answered_at.is_none()
                     || cached.must_list
-                    || is_full
+                    || cached.is_full()
                     || self.is_list_due(kind, &cached);
                 (!lists)
                     .then_some(ChangeQuery { known, max_wait: self.pace(kind).long_poll })
@@ -210,6 +211,7 @@
         let mut cached = feed.cached.lock();
         // The same revision may stand for other items in another epoch.
         let is_same = state.is_complete
+            && !cached.is_full()
             && cached.answered_at.is_some()
             && cached.at.epoch() == state.at.epoch()
             && self.store.holds_same_items(&cached.complete_state(), &state);
@@ -261,6 +263,12 @@
         changed
     }
 
+    /// Returns whether the changes have to be replaced by a new list.
+    fn is_full(&self) -> bool {
+        let bytes: usize = self.changes.iter().map(|change| change.body.len()).sum();
+        self.changes.len() >= MAX_KEPT_CHANGES || bytes >= MAX_KEPT_CHANGE_BYTES
+    }
+
     /// Returns the whole cached state.
     fn complete_state(&self) -> EncodedState {
         EncodedState {
