Limit the undecoded lists and changes of the store that a process holds

What callers saw: nothing yet. A store whose pages have later names without end and are always truncated fills the memory of each process that lists, with which its requests end.

Cause: a list was collected until a page was the last one, under a time limit for each page alone. Nothing counted what the lists of several kinds hold together.

Why it works: the pages of all lists are the only memory that grows with a list before it is decoded.

--- a/crates/larkspring-cli/src/platform.rs
+++ b/crates/larkspring-cli/src/platform.rs
@@ -38,7 +38,7 @@
     let cfg = entry_cfg(&settings)?;
     let _log =
         start_log(&cfg.process.vm, args.process.log_level, false, LogOutput::Stdout);
-    let store = Arc::new(Store::new(settings.store(), STORE_TIMEOUT));
+    let store = Arc::new(open_store(&settings));
     exec::run(THREADS, async {
         let signals = SignalStream::new()?;
         let entry =
@@ -58,7 +58,7 @@
     let settings = Settings::load()?;
     let cfg = AgentCfg { disabled_mechanisms: args.without(), ..settings.agent()? };
     let _log = start_log(&cfg.process.vm, args.log_level, false, LogOutput::Stdout);
-    let store = Arc::new(Store::new(settings.store(), STORE_TIMEOUT));
+    let store = Arc::new(open_store(&settings));
     exec::run(THREADS, async {
         let signals = SignalStream::new()?;
         let agent =
@@ -71,6 +71,11 @@
     })
 }
 
+fn open_store(settings: &Settings) -> Store {
+    Store::new(settings.store(), STORE_TIMEOUT)
+        .with_max_held_bytes(settings.max_store_bytes())
+}
+
 /// Waits for the signal to stop and meanwhile applies changed settings. Invalid settings
 /// are logged, and the earlier ones stay in force.
 async fn until_stopped(
