Share the checks of ends at one endpoint, and bound them

No caller saw it: each unframed end cost a connection of its own and up to 1 MiB of a health answer, so that 300 answers that one worker ended at once had 147 checks open at once (2.4 MB more memory after them).

Cause: the checks were neither shared nor limited, and read whole answers.

Change: one check of a run at a time, whose reply is shared by all answers that ended before it began; one that began earlier proves nothing, so a later end waits for the next check. 64 checks at most are open at once. Only the head is read, and a body of up to 4 KiB if it is there already. The end of an answer is delayed by 500 ms at most instead of 250, for the check that is under way and the next one, still within half of the time that is left. Endpoints that drain or are no longer listed are asked too: one that answers for its run still runs; a closed port of one says nothing, as before.

--- a/crates/larkspring/src/direct/entry/peer.rs
+++ b/crates/larkspring/src/direct/entry/peer.rs
@@ -19,6 +19,7 @@
 use parking_lot::Mutex;
 
 use super::answer_times::AnswerTimes;
+use super::end_check::EndChecks;
 use super::engine_state::ReportedRun;
 use super::features::RequestFeatures;
 use super::idle_connections::IdleConnections;
@@ -49,6 +50,8 @@
     streams: Mutex<StreamOutcomes>,
     /// Response times, recorded for endpoints of plain services.
     pub answer_times: Arc<AnswerTimes>,
+    /// Checks of whether the run lived on after the end of an answer.
+    pub end_checks: EndChecks,
     cached_parts: Mutex<CachedParts>,
     /// Interrupted requests, kept until it is known whether the endpoint crashed.
     interrupted: Mutex<Vec<InterruptedRequest>>,
@@ -126,6 +129,7 @@
             quality: Mutex::new(EndpointQuality::new(Instant::now())),
             streams: Mutex::new(StreamOutcomes::new(Instant::now())),
             answer_times: Arc::default(),
+            end_checks: EndChecks::default(),
             cached_parts: Mutex::default(),
             interrupted: Mutex::default(),
         })
