--- a/crates/larkspring/src/direct/entry/event_splitter.rs
+++ b/crates/larkspring/src/direct/entry/event_splitter.rs
@@ -4,6 +4,8 @@
 use bytes::{Bytes, BytesMut};
 use larkspring_core::event_stream::{event_ids, EventScanner, IdNotRising, IdOrder};
 
+use crate::direct::conn::MAX_BUFFER_BYTES;
+
 /// The events of the body that is relayed.
 pub(super) enum Events {
     /// The body is no stream of events.
@@ -29,8 +31,9 @@
 }
 
 /// Maximum size in bytes of a buffered event. Longer events are relayed in parts, and the
-/// stream can't be resumed before their end.
-const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// stream can't be resumed before their end. Each part is buffered once more by the
+/// caller's connection.
+const MAX_EVENT_BYTES: usize = MAX_BUFFER_BYTES;
 
 impl Events {
     /// Creates the events of a stream that may be resumed and continues after the event
