Draw no conclusion from a record of software versions that was behind

A present version that is not recorded is the only sign that the record may lack others; an entry that had just started added it and so hid that sign from the others. It now records first that versions are missing, where others of the service are recorded, and nothing is concluded until streams of that time are over. Versions to remove are found after the delay and the read, not before; the store's epoch is compared each second, without a call.

--- a/crates/larkspring/src/direct/entry/build_record.rs
+++ b/crates/larkspring/src/direct/entry/build_record.rs
@@ -11,6 +11,7 @@
 
 use futures_lite::future;
 use larkspring_core::fleet::build_history::ServiceBuild;
+use larkspring_core::ids::ServiceId;
 use smol::lock::Mutex;
 use smol::Timer;
 
@@ -40,8 +41,11 @@
 /// Range of the random delay before a write, for each entry of the fleet. The first entry
 /// writes after about this time, and the others read its record after their delay.
 const DELAY_PER_ENTRY: Duration = Duration::from_millis(50);
-/// Interval of checks for versions that no caller can have streams of any more.
-const CHECK_INTERVAL: Duration = Duration::from_secs(30);
+/// Interval of checks whether the store was restored from a backup, and for versions that
+/// no caller can have streams of any more.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// The version that stands for those that a record lacks which was found to be behind.
+const UNKNOWN_BUILD: &str = "";
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
 /// Age up to which a read counts for the streams that are taken up.
@@ -88,12 +92,15 @@
     pub async fn run(self: Arc<Self>) {
         let mut recorded = BTreeSet::new();
         let mut epoch = self.store.epoch();
+        // What was recorded before the start is not known yet.
+        let mut may_be_behind = true;
         loop {
             let changed = self.fleet.builds_changed();
             let now = self.store.epoch();
             if std::mem::replace(&mut epoch, now) != now {
                 // The store may have been restored from a copy that lacks versions.
                 recorded.clear();
+                may_be_behind = true;
             }
             let (seen, past) = self.fleet.seen_builds(&recorded);
             if seen.is_subset(&recorded) && past.is_empty() {
@@ -105,34 +112,44 @@
             }
             let range = DELAY_PER_ENTRY * self.fleet.entry_counts().all.max(1);
             Timer::after(range.mul_f64(fastrand::f64())).await;
-            let updated = self.update(&mut recorded, &seen, &past).await;
+            let updated = self.update(&mut recorded, may_be_behind).await;
             self.stats.count_build_record(updated.is_ok());
-            if let Err(e) = updated {
-                log_failure(&e);
-                Timer::after(FAILURE_PAUSE).await;
+            match updated {
+                Ok(()) => may_be_behind = false,
+                Err(e) => {
+                    log_failure(&e);
+                    Timer::after(FAILURE_PAUSE).await;
+                }
             }
         }
     }
 
     /// Adds the versions that were seen, and removes those that are past.
+    ///
+    /// A record that lacks a version which was listed before this process started may lack
+    /// others too. That is recorded first, as the added version hides it.
     async fn update(
         &self,
         recorded: &mut BTreeSet<ServiceBuild>,
-        seen: &BTreeSet<ServiceBuild>,
-        past: &[ServiceBuild],
+        may_be_behind: bool,
     ) -> Result<(), PlatformError> {
         *recorded = self.store.list().await?.into_iter().collect();
-        for build in seen {
-            if !recorded.contains(build) {
-                self.store.add(build).await?;
-                recorded.insert(build.clone());
-            }
+        let (seen, past) = self.fleet.seen_builds(recorded);
+        let missing: Vec<_> = seen.difference(recorded).cloned().collect();
+        let is_recorded =
+            |service: &ServiceId| recorded.iter().any(|r| r.service == *service);
+        let behind = missing.iter().map(|build| build.service.clone());
+        let behind = behind.filter(|service| may_be_behind && is_recorded(service));
+        let unknown: BTreeSet<_> = behind
+            .map(|service| ServiceBuild { service, build: UNKNOWN_BUILD.into() })
+            .collect();
+        for build in unknown.into_iter().chain(missing) {
+            self.store.add(&build).await?;
+            recorded.insert(build);
         }
         for build in past {
-            if recorded.contains(build) {
-                self.store.remove(build).await?;
-                recorded.remove(build);
-            }
+            self.store.remove(&build).await?;
+            recorded.remove(&build);
         }
         Ok(())
     }
