Tell all agents of a second send of a stream, and never drop it for an older one

An agent that was told only of the first of two sends to different software versions would name the first, though the stream began at the second. A second version, the begin after it, and a contradiction go to all agents that keep origins; when an entry has too many streams to tell again, the oldest give way, not the newest; a message without a stage says nothing. The only version has to have been so for as long as streams are kept, as the deadline of the caller's former tries is not known.

--- a/crates/larkspring-proto/src/gen/larkspring.residency.rs
+++ b/crates/larkspring-proto/src/gen/larkspring.residency.rs
@@ -523,12 +523,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum StreamStage {
+    /// The sender does not tell stages.
+    Unspecified = 0,
     /// Its request was sent there only.
-    Sent = 0,
+    Sent = 1,
     /// The caller gets events of it.
-    Begun = 1,
+    Begun = 2,
     /// Its request was sent to several software versions, or to one that is not known.
-    SentToSeveral = 2,
+    SentToSeveral = 3,
 }
 impl StreamStage {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -537,6 +539,7 @@
     /// (if the ProtoBuf definition does not change) and safe for programmatic use.
     pub fn as_str_name(&self) -> &'static str {
         match self {
+            Self::Unspecified => "STREAM_STAGE_UNSPECIFIED",
             Self::Sent => "STREAM_STAGE_SENT",
             Self::Begun => "STREAM_STAGE_BEGUN",
             Self::SentToSeveral => "STREAM_STAGE_SENT_TO_SEVERAL",
@@ -545,6 +548,7 @@
     /// Creates an enum from field names used in the ProtoBuf definition.
     pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
         match value {
+            "STREAM_STAGE_UNSPECIFIED" => Some(Self::Unspecified),
             "STREAM_STAGE_SENT" => Some(Self::Sent),
             "STREAM_STAGE_BEGUN" => Some(Self::Begun),
             "STREAM_STAGE_SENT_TO_SEVERAL" => Some(Self::SentToSeveral),
--- a/crates/larkspring/src/direct/entry/fleet/agents.rs
+++ b/crates/larkspring/src/direct/entry/fleet/agents.rs
@@ -46,6 +46,11 @@
         (first.into_iter().cloned().collect(), others)
     }
 
+    /// Returns the connections to all agents that keep where streams began.
+    pub fn all(&self) -> Vec<&Arc<Link>> {
+        self.0.iter().map(|keeper| &keeper.agent).collect()
+    }
+
     fn named(&self) -> impl Iterator<Item = (&[u8], &Keeper<Arc<Link>>)> + Clone {
         self.0.iter().map(|keeper| (keeper.agent.addr().as_bytes(), keeper))
     }
--- a/crates/larkspring/src/direct/entry/stream_tracker.rs
+++ b/crates/larkspring/src/direct/entry/stream_tracker.rs
@@ -6,6 +6,7 @@
 //! that take the place of others, or of ones that will leave, for as long as the caller
 //! may come back.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -40,7 +41,8 @@
     fleet: Arc<Fleet>,
     stats: Arc<Stats>,
     origins: Mutex<StreamOrigins>,
-    began: Mutex<Vec<BegunStream>>,
+    /// The oldest first.
+    began: Mutex<VecDeque<BegunStream>>,
     builds: Arc<BuildRecord>,
     changed: Event,
 }
@@ -130,10 +132,12 @@
             kept
         };
         let mut began = self.began.lock();
-        if began.len() < MAX_BEGUN {
-            let beside = peer.link.clone();
-            began.push(BegunStream { key, kept, beside, until, told: Vec::new() });
+        if began.len() >= MAX_BEGUN {
+            // The agents that were told keep it.
+            began.pop_front();
         }
+        let beside = peer.link.clone();
+        began.push_back(BegunStream { key, kept, beside, until, told: Vec::new() });
         drop(began);
         self.changed.notify(1);
     }
@@ -146,7 +150,6 @@
         &self,
         attempt: Option<&str>,
         service: Option<&ServiceId>,
-        window: Duration,
     ) -> Finding {
         let starting = Instant::now() + STARTING_TIMEOUT;
         self.wait_for_endpoints(starting).await;
@@ -155,7 +158,7 @@
             None => Finding::default(),
         };
         if let (KeptOrigin::Unknown, Some(service)) = (&found.kept, service) {
-            if let Some(only) = self.find_only(service, window).await {
+            if let Some(only) = self.find_only(service).await {
                 found.kept = KeptOrigin::Begun(only);
                 found.known_by = "one version";
             }
@@ -180,15 +183,12 @@
         let _ = with_timeout(left, known).await;
     }
 
-    /// Returns where streams of a service begin if all can have done so at one software
-    /// version only within `window`.
-    async fn find_only(
-        &self,
-        service: &ServiceId,
-        window: Duration,
-    ) -> Option<StreamOrigin> {
+    /// Returns where streams of a service begin if all that callers may have can have done
+    /// so at one software version only.
+    async fn find_only(&self, service: &ServiceId) -> Option<StreamOrigin> {
         let recorded = self.builds.read().await?;
-        let build = self.fleet.only_build(service, window, &recorded)?;
+        // The deadline of the caller's former tries is not known.
+        let build = self.fleet.only_build(service, MAX_KEPT, &recorded)?;
         Some(StreamOrigin { service: service.clone(), build })
     }
 
@@ -277,12 +277,18 @@
             let Some(start) = encode_start(stream.key, &stream.kept, kept_for) else {
                 continue;
             };
-            for link in keepers.told(stream.key).into_iter().chain(&stream.beside) {
+            let told = match stream.kept {
+                KeptOrigin::Sent(_) => keepers.told(stream.key),
+                // An agent that was told of the first send only would name its version.
+                _ => keepers.all(),
+            };
+            for link in told.into_iter().chain(&stream.beside) {
                 let Ok(addr) = link.addr().parse() else { continue };
                 let agent = (addr, link.connection_count());
                 if !link.is_usable() || stream.told.contains(&agent) {
                     continue;
                 }
+                // A message that is lost with its connection is sent again on the next.
                 stream.told.push(agent);
                 match messages.iter_mut().find(|(known, _)| Arc::ptr_eq(known, link)) {
                     Some((_, starts)) => starts.push(start.clone()),
@@ -320,8 +326,7 @@
         _ => None,
     };
     let attempt = caller.resumed_attempt.as_deref();
-    let window = take_up_time(caller, route);
-    let found = entry.streams.find(attempt, service, window).await;
+    let found = entry.streams.find(attempt, service).await;
     log_found(caller, &found);
     let Some(origin) = found.kept.origin().cloned() else {
         return Err(ErrorReason::UnknownBuild);
--- a/crates/larkspring/src/direct/streams.rs
+++ b/crates/larkspring/src/direct/streams.rs
@@ -7,7 +7,7 @@
 use larkspring_proto::residency::StreamStage;
 
 /// Encodes where a stream was sent or began, and for how long that is kept; `None` if
-/// nothing is known or it is contradictory.
+/// nothing is known.
 pub(crate) fn encode_start(
     key: StreamKey,
     kept: &KeptOrigin,
@@ -16,8 +16,8 @@
     let stage = match kept {
         KeptOrigin::Sent(_) => StreamStage::Sent,
         KeptOrigin::Begun(_) => StreamStage::Begun,
-        KeptOrigin::SentToSeveral => StreamStage::SentToSeveral,
-        KeptOrigin::Unknown | KeptOrigin::Ambiguous => return None,
+        KeptOrigin::SentToSeveral | KeptOrigin::Ambiguous => StreamStage::SentToSeveral,
+        KeptOrigin::Unknown => return None,
     };
     let origin = kept.origin();
     Some(wire::StreamStart {
@@ -39,6 +39,7 @@
         StreamStage::Sent => KeptOrigin::Sent(origin()),
         StreamStage::Begun => KeptOrigin::Begun(origin()),
         StreamStage::SentToSeveral => KeptOrigin::SentToSeveral,
+        StreamStage::Unspecified => KeptOrigin::Unknown,
     }
 }
 
@@ -47,8 +48,8 @@
     query: &wire::StreamQuery,
     kept: &KeptOrigin,
 ) -> wire::StreamReply {
-    let start = encode_start(query.key, kept, Duration::ZERO);
     let is_ambiguous = *kept == KeptOrigin::Ambiguous;
+    let start = encode_start(query.key, kept, Duration::ZERO).filter(|_| !is_ambiguous);
     wire::StreamReply { id: query.id, start, is_ambiguous }
 }
 
