Count the former software version of a run whose listing changes in place

The runs that were present until a change were read after their peers had been updated, so a version that changed under the same name counted as last seen at the change before.

--- a/crates/larkspring/src/direct/entry/fleet.rs
+++ b/crates/larkspring/src/direct/entry/fleet.rs
@@ -329,6 +329,8 @@
     fn rebuild(&self) {
         let routing = self.replicated_state.routing();
         let before = self.peers.load();
+        // A peer is updated in place, also to another software version.
+        let former: Vec<_> = before.by_id.values().map(|p| p.endpoint()).collect();
         let mut now = Peers::default();
         for endpoint in self.endpoints(&before) {
             let service = routing.as_ref().and_then(|r| r.service(&endpoint.service));
@@ -385,10 +387,9 @@
             }
             is_used
         });
-        let runs = before.by_id.values().chain(now.by_id.values());
-        let runs: Vec<_> = runs.map(|p| p.endpoint()).collect();
-        let has_new_build =
-            self.builds.lock().record(Instant::now(), runs.iter().map(|run| &**run));
+        let runs: Vec<_> = now.by_id.values().map(|p| p.endpoint()).collect();
+        let runs = former.iter().chain(&runs).map(|run| &**run);
+        let has_new_build = self.builds.lock().record(Instant::now(), runs);
         let has_new_keepers = !is_same_set(&before.keeper_set, &now.keeper_set);
         self.keep_unlisted(&before, &now);
         self.peers.store(Arc::new(now));
