Wait less for agents that may keep a newer routing at the start

After a loss of all VMs started entries waited for agents that were gone for up to 1.2 s, and refused callers with keys meanwhile.

--- a/crates/larkspring/src/direct/entry/routing_exchange.rs
+++ b/crates/larkspring/src/direct/entry/routing_exchange.rs
@@ -34,9 +34,9 @@
 /// Time-out for connecting to an agent.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time-out for both calls to an agent, connecting included.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(300);
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Pause before agents that gave no reply are called again after the start.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Interval of exchanges without a change, for agents that were restarted or have taken
 /// the place of others.
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(2);
